--- /dev/null
+++ b/crates/fleet/src/demand.rs
@@ -0,0 +1,106 @@
+//! How often each adapter is asked for.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::ZoneName;
+
+use crate::adapter::AdapterKey;
+
+/// The time over which demand is forgotten to a third. Popularity shifts
+/// within seconds on the days that we were shown; a longer memory keeps what
+/// nobody asks for, a shorter one forgets what comes every few seconds.
+const MEMORY: Duration = Duration::from_secs(6);
+
+/// Below this rate an adapter is forgotten, in requests a second.
+const FORGOTTEN_RATE_PER_S: f64 = 0.002;
+
+/// The demand for all adapters.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    adapters: HashMap<AdapterKey, AdapterDemand>,
+}
+
+/// The demand for one adapter.
+#[derive(Clone, Debug)]
+pub struct AdapterDemand {
+    weight: f64,
+    updated: Instant,
+    /// When it was last asked for.
+    pub last_asked: Instant,
+    /// Where it was last asked for.
+    pub zone: ZoneName,
+    /// Since when a request waits for it, and how urgent the request is.
+    pub waiting: Option<(Instant, u8)>,
+}
+
+impl AdapterDemand {
+    /// Returns the rate, in requests a second.
+    pub fn rate_per_s(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.weight * (-age / MEMORY.as_secs_f64()).exp()
+            / MEMORY.as_secs_f64()
+    }
+
+    fn add(&mut self, count: f64, now: Instant) {
+        self.weight = self.rate_per_s(now) * MEMORY.as_secs_f64() + count;
+        self.updated = now;
+        self.last_asked = now;
+    }
+}
+
+impl Demand {
+    /// Counts requests for an adapter from one zone.
+    pub fn add(
+        &mut self,
+        key: &AdapterKey,
+        count: u32,
+        zone: &str,
+        now: Instant,
+    ) {
+        let entry =
+            self.adapters.entry(key.clone()).or_insert_with(|| AdapterDemand {
+                weight: 0.0,
+                updated: now,
+                last_asked: now,
+                zone: zone.to_owned(),
+                waiting: None,
+            });
+        entry.add(f64::from(count), now);
+        zone.clone_into(&mut entry.zone);
+    }
+
+    /// Notes that a request waits for an adapter.
+    pub fn wait(&mut self, key: &AdapterKey, priority: u8, now: Instant) {
+        let Some(entry) = self.adapters.get_mut(key) else { return };
+        let (since, urgency) = entry.waiting.unwrap_or((now, priority));
+        entry.waiting = Some((since, urgency.min(priority)));
+    }
+
+    /// Notes that nothing waits for an adapter any more.
+    pub fn settled(&mut self, key: &AdapterKey) {
+        if let Some(entry) = self.adapters.get_mut(key) {
+            entry.waiting = None;
+        }
+    }
+
+    /// Returns the demand for an adapter.
+    pub fn get(&self, key: &AdapterKey) -> Option<&AdapterDemand> {
+        self.adapters.get(key)
+    }
+
+    /// Returns all adapters that are asked for.
+    pub fn iter(&self) -> impl Iterator<Item = (&AdapterKey, &AdapterDemand)> {
+        self.adapters.iter()
+    }
+
+    /// Forgets what is no longer asked for.
+    pub fn forget(&mut self, now: Instant) {
+        self.adapters.retain(|_, entry| {
+            entry.waiting.is_some()
+                || entry.rate_per_s(now) >= FORGOTTEN_RATE_PER_S
+        });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/endpoint.rs
@@ -0,0 +1,42 @@
+//! What the platform's list says about one endpoint.
+
+use std::{net::SocketAddr, time::Duration};
+
+use sedgewall_state::id::{EndpointId, ZoneName};
+
+use crate::{
+    adapter::{AdapterKey, WeightVersion},
+    route::ServiceName,
+};
+
+/// One life of an endpoint; a restart has another id.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    /// Its id.
+    pub id: EndpointId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens. Others may listen there after it is gone.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving; it gets no new work.
+    pub is_draining: bool,
+    /// How long it is still there, if it is taken away at short notice.
+    pub remaining: Option<Duration>,
+    /// The base models that it holds.
+    pub models: Vec<HostedModel>,
+}
+
+/// A base model on an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostedModel {
+    /// The model without an adapter.
+    pub key: AdapterKey,
+    /// The version of its weights.
+    pub version: WeightVersion,
+    /// The adapters that are ready, with their versions.
+    pub adapters: Vec<(AdapterKey, WeightVersion)>,
+}
--- /dev/null
+++ b/crates/fleet/src/events.rs
@@ -0,0 +1,61 @@
+//! Streams of events, cut where an event ends.
+//!
+//! A stream that goes on at another engine must go on after a whole event, so
+//! what an engine left unfinished is thrown away. The invariant: what comes
+//! out is a sequence of whole events.
+
+/// Cuts a stream into whole events and remembers the last one's id.
+#[derive(Clone, Debug, Default)]
+pub struct EventCutter {
+    pending: Vec<u8>,
+    last_id: Option<String>,
+}
+
+impl EventCutter {
+    /// Returns a cutter for a stream that goes on after this event.
+    pub fn after(last_id: Option<String>) -> EventCutter {
+        EventCutter { pending: Vec::new(), last_id }
+    }
+
+    /// Takes in bytes and returns all events that are now whole.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.pending) else {
+            return Vec::new();
+        };
+        let rest = self.pending.split_off(end);
+        let whole = std::mem::replace(&mut self.pending, rest);
+        if let Some(id) = last_id(&whole) {
+            self.last_id = Some(id);
+        }
+        whole
+    }
+
+    /// Throws away an event that is not whole.
+    pub fn restart(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Returns what came after the last whole event.
+    pub fn rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+}
+
+/// Returns where the last whole event ends: after an empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n");
+    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
+    lf.map(|at| at + 2).max(crlf.map(|at| at + 4))
+}
+
+fn last_id(events: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(events);
+    let value = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
+    Some(value.trim().to_owned())
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of an instance that dispatches by itself.
+//!
+//! Where no shard leader stands between a caller and an engine, each instance
+//! routes on its own table of endpoints ([`view::FleetView`]) and one instance
+//! at a time decides which adapters the engines hold ([`loader::Loader`]).
+//! Everything here is pure: time comes in as an argument, and nothing is sent.
+
+pub mod adapter;
+pub mod demand;
+pub mod endpoint;
+pub mod events;
+pub mod health;
+pub mod loader;
+pub mod note;
+pub mod retry_budget;
+pub mod route;
+pub mod store_rate;
+pub mod view;
--- /dev/null
+++ b/crates/fleet/src/loader.rs
@@ -0,0 +1,444 @@
+//! What the holder of the lease orders: which adapters sit on which engine.
+//!
+//! The head of the popularity gets replicas, one in each zone that asks and
+//! more where an engine would fill up. The tail gets one home, and keeps it:
+//! an engine that lately held an adapter loads it again from its own memory,
+//! without the weight store. The invariants: no engine is ordered to hold more
+//! adapters than it has places, counting orders whose fate is unknown; and
+//! the loads from the weight store stay within its rate.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::{EndpointId, Epoch, ModelName};
+
+use crate::{
+    adapter::{AdapterKey, WeightVersion},
+    demand::Demand,
+    note::{Placed, Removed},
+    route::{Deployment, EngineGroup},
+    store_rate::StoreRate,
+    view::{EndpointState, FleetView},
+};
+
+/// Adapters on their way to one engine at once; the platform allows this many.
+const COMING_PER_ENGINE: usize = 4;
+
+/// An order that was not answered may be carried out for this long. The
+/// platform says up to 12 s.
+const UNCLEAR_FOR: Duration = Duration::from_secs(13);
+
+/// An adapter that was asked for within this time may be in use.
+const IN_USE_FOR: Duration = Duration::from_millis(1_200);
+
+/// How long an adapter takes from the weight store, before one was measured.
+const COLD_LOAD: Duration = Duration::from_millis(270);
+
+/// How long an adapter takes from the engine's own memory.
+const WARM_LOAD: Duration = Duration::from_millis(40);
+
+/// Requests under way for one adapter on one engine, as a part of its slots,
+/// beyond which another engine gets the adapter too.
+const SHARE_OF_ENGINE: f64 = 0.2;
+
+/// How long a request holds a slot, to turn rates into requests under way.
+const SERVICE_TIME_S: f64 = 0.7;
+
+/// The part of the weight store's window that is kept for requests that wait.
+const KEPT_FOR_WAITING: f64 = 0.4;
+
+/// An order that shows no effect is given again after this long.
+const ORDER_AGAIN: Duration = Duration::from_secs(4);
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Task {
+    /// Load a base model.
+    LoadModel(ModelName),
+    /// Load an adapter, or replace it by its newest version.
+    Load(AdapterKey, WeightVersion),
+    /// Remove an adapter.
+    Unload(AdapterKey),
+}
+
+/// One order to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What to do.
+    pub task: Task,
+    /// Whether the weight store is needed.
+    pub is_cold: bool,
+}
+
+/// Decides for all engines, while its instance holds the lease.
+#[derive(Clone, Debug)]
+pub struct Loader {
+    epoch: Epoch,
+    store: StoreRate,
+    unclear: HashMap<EndpointId, Vec<(AdapterKey, Instant)>>,
+    ordered: HashMap<(EndpointId, AdapterKey), Instant>,
+}
+
+impl Loader {
+    /// Returns the loader of a new epoch. Whoever held the lease before may
+    /// have used the weight store's whole rate until now.
+    pub fn new(epoch: Epoch, window: Duration, now: Instant) -> Loader {
+        let mut store = StoreRate::new(window);
+        if epoch > 1 {
+            store.assume_used(now);
+        }
+        let (unclear, ordered) = (HashMap::new(), HashMap::new());
+        Loader { epoch, store, unclear, ordered }
+    }
+
+    /// Decides what to order now. The view is changed as if all orders were
+    /// taken.
+    pub fn plan(
+        &mut self,
+        deployment: &Deployment,
+        view: &mut FleetView,
+        demand: &mut Demand,
+        now: Instant,
+    ) -> Vec<Order> {
+        self.forget(now);
+        let mut orders = Vec::new();
+        for (service, group) in engine_groups(deployment) {
+            let mut turn =
+                Turn { loader: self, service, group, view, demand, now };
+            turn.load_models(&mut orders);
+            turn.replace_versions(&mut orders);
+            turn.serve_waiting(&mut orders);
+            turn.add_replicas(&mut orders);
+        }
+        orders
+    }
+
+    /// Notes that nobody knows whether an order was or will be carried out.
+    pub fn unclear(&mut self, order: &Order, now: Instant) {
+        let key = match &order.task {
+            Task::LoadModel(model) => AdapterKey::base(model),
+            Task::Load(key, _) | Task::Unload(key) => key.clone(),
+        };
+        let orders = self.unclear.entry(order.endpoint.clone()).or_default();
+        orders.push((key, now + UNCLEAR_FOR));
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.ordered.retain(|_, at| now - *at < ORDER_AGAIN);
+        for orders in self.unclear.values_mut() {
+            orders.retain(|(_, until)| now < *until);
+        }
+        self.unclear.retain(|_, orders| !orders.is_empty());
+    }
+
+    fn unclear_len(&self, state: &EndpointState) -> usize {
+        let Some(orders) = self.unclear.get(&state.endpoint.id) else {
+            return 0;
+        };
+        orders.iter().filter(|(key, _)| state.seat(key).is_none()).count()
+    }
+}
+
+fn engine_groups(
+    deployment: &Deployment,
+) -> impl Iterator<Item = (&str, &EngineGroup)> {
+    deployment.services.iter().filter_map(|(name, service)| {
+        service.engine.as_ref().map(|group| (name.as_str(), group))
+    })
+}
+
+/// One look at the engines of one service.
+struct Turn<'a> {
+    loader: &'a mut Loader,
+    service: &'a str,
+    group: &'a EngineGroup,
+    view: &'a mut FleetView,
+    demand: &'a mut Demand,
+    now: Instant,
+}
+
+impl Turn<'_> {
+    /// Engines that came empty get a base model.
+    fn load_models(&mut self, orders: &mut Vec<Order>) {
+        let Some(model) = self.group.models.first() else { return };
+        let key = AdapterKey::base(&model.name);
+        let empty: Vec<(EndpointId, SocketAddr)> = self
+            .engines()
+            .filter(|state| state.endpoint.models.is_empty())
+            .map(|state| (state.endpoint.id.clone(), state.endpoint.address))
+            .collect();
+        for (endpoint, address) in empty {
+            if !self.take_turn(&endpoint, &key) || !self.take_load() {
+                continue;
+            }
+            let task = Task::LoadModel(model.name.clone());
+            orders.push(Order { endpoint, address, task, is_cold: true });
+        }
+    }
+
+    /// Where an older version sits, the newest one replaces it if it is asked
+    /// for; else it goes.
+    fn replace_versions(&mut self, orders: &mut Vec<Order>) {
+        let mut old = Vec::new();
+        for state in self.engines() {
+            for (key, seat) in state.seats() {
+                let newest = self.view.newest(key);
+                if let Some((newest, _)) = newest
+                    && seat.version < newest
+                {
+                    let id = state.endpoint.id.clone();
+                    let address = state.endpoint.address;
+                    old.push((id, address, key.clone(), newest));
+                }
+            }
+        }
+        for (endpoint, address, key, newest) in old {
+            if !self.take_turn(&endpoint, &key) {
+                continue;
+            }
+            let order = |task, is_cold| Order {
+                endpoint: endpoint.clone(),
+                address,
+                task,
+                is_cold,
+            };
+            if key.adapter.is_none() {
+                let task = Task::LoadModel(key.model.clone());
+                orders.push(order(task, true));
+            } else if self.demand.get(&key).is_some() && self.take_load() {
+                let placed = self.placed(&endpoint, &key, newest, COLD_LOAD);
+                self.view.hear_placed(&placed, self.now);
+                orders.push(order(Task::Load(key, newest), true));
+            } else {
+                self.remove(&endpoint, &key);
+                orders.push(order(Task::Unload(key), false));
+            }
+        }
+    }
+
+    /// Requests wait for these; the most urgent and the oldest first.
+    fn serve_waiting(&mut self, orders: &mut Vec<Order>) {
+        let mut waiting: Vec<(u8, Instant, AdapterKey)> = self
+            .demand
+            .iter()
+            .filter(|(key, _)| self.is_ours(key))
+            .filter_map(|(key, d)| d.waiting.map(|w| (w.1, w.0, key.clone())))
+            .collect();
+        waiting.sort();
+        for (_, _, key) in waiting {
+            let is_there = self.holders(&key).next().is_some();
+            if is_there || self.place(&key, orders) {
+                self.demand.settled(&key);
+            }
+        }
+    }
+
+    /// Adapters that fill their engines get another one.
+    fn add_replicas(&mut self, orders: &mut Vec<Order>) {
+        let slots = f64::from(self.group.slots.max(1));
+        let mut short = Vec::new();
+        for (key, demand) in self.demand.iter() {
+            if !self.is_ours(key) || key.adapter.is_none() {
+                continue;
+            }
+            let under_way = demand.rate_per_s(self.now) * SERVICE_TIME_S;
+            let wanted = (under_way / (slots * SHARE_OF_ENGINE)).ceil();
+            let has = self.holders(key).count() as f64;
+            if has >= 1.0 && has < wanted {
+                short.push((under_way / has, key.clone()));
+            }
+        }
+        short.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, key) in short {
+            let kept = self.group.loads_per_s * KEPT_FOR_WAITING;
+            if f64::from(self.loads_left()) <= kept {
+                return;
+            }
+            self.place(&key, orders);
+        }
+    }
+
+    /// Puts an adapter on one more engine; returns whether it could.
+    fn place(&mut self, key: &AdapterKey, orders: &mut Vec<Order>) -> bool {
+        let Some(home) = self.find_home(key) else { return false };
+        if !home.is_warm && !self.take_load() {
+            return false;
+        }
+        if let Some(victim) = &home.victim {
+            self.remove(&home.endpoint, victim);
+            let task = Task::Unload(victim.clone());
+            orders.push(home.order(task, false));
+        }
+        let version = self.view.newest(key).map_or(1, |(newest, _)| newest);
+        let takes = if home.is_warm { WARM_LOAD } else { COLD_LOAD };
+        let placed = self.placed(&home.endpoint, key, version, takes);
+        self.view.hear_placed(&placed, self.now);
+        let task = Task::Load(key.clone(), version);
+        orders.push(home.order(task, !home.is_warm));
+        true
+    }
+
+    /// The engine for an adapter: one that has it at hand, else one in the
+    /// zone that asks, with the least to do.
+    fn find_home(&self, key: &AdapterKey) -> Option<Home> {
+        let zone = self.demand.get(key).map(|d| d.zone.as_str());
+        let mut best: Option<(f64, Home)> = None;
+        for state in self.engines() {
+            if !state.is_usable(self.now) || !state.has_model(&key.model) {
+                continue;
+            }
+            if state.seat(key).is_some() || self.coming(state) {
+                continue;
+            }
+            let Some(victim) = self.make_room(state) else { continue };
+            let is_warm = state.is_warm(key);
+            let is_near = Some(state.endpoint.zone.as_str()) == zone;
+            let cost = self.demand_on(state) / f64::from(self.group.slots)
+                + state.load()
+                + if is_warm { 0.0 } else { 2.0 }
+                + if is_near { 0.0 } else { 0.3 };
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let endpoint = state.endpoint.id.clone();
+                let address = state.endpoint.address;
+                best = Some((cost, Home { endpoint, address, victim, is_warm }));
+            }
+        }
+        best.map(|(_, home)| home)
+    }
+
+    /// Returns what must leave an engine for one more adapter: nothing, or
+    /// the one that is asked for least and not in use. None if nothing may.
+    fn make_room(&self, state: &EndpointState) -> Option<Option<AdapterKey>> {
+        let places = self.group.adapter_slots as usize;
+        let adapters = || state.seats().filter(|(k, _)| k.adapter.is_some());
+        let taken = adapters().count() + self.loader.unclear_len(state);
+        if taken < places {
+            return Some(None);
+        }
+        // With an order of unknown fate, even an unload may come late.
+        if taken > places {
+            return None;
+        }
+        adapters()
+            .filter(|(_, seat)| seat.is_ready(self.now))
+            .filter(|(key, _)| !self.may_be_in_use(key))
+            .min_by(|a, b| self.rate(a.0).total_cmp(&self.rate(b.0)))
+            .map(|(key, _)| Some(key.clone()))
+    }
+
+    fn may_be_in_use(&self, key: &AdapterKey) -> bool {
+        let Some(demand) = self.demand.get(key) else { return false };
+        demand.waiting.is_some()
+            || self.now - demand.last_asked < IN_USE_FOR
+    }
+
+    fn rate(&self, key: &AdapterKey) -> f64 {
+        self.demand.get(key).map_or(0.0, |d| d.rate_per_s(self.now))
+    }
+
+    /// Returns the requests under way that an engine's adapters stand for.
+    fn demand_on(&self, state: &EndpointState) -> f64 {
+        let rates = state.seats().map(|(key, _)| {
+            let holders = self.holders(key).count().max(1) as f64;
+            self.rate(key) / holders
+        });
+        rates.sum::<f64>() * SERVICE_TIME_S
+    }
+
+    fn coming(&self, state: &EndpointState) -> bool {
+        let on_their_way =
+            state.seats().filter(|(_, seat)| !seat.is_ready(self.now));
+        on_their_way.count() >= COMING_PER_ENGINE
+    }
+
+    fn is_ours(&self, key: &AdapterKey) -> bool {
+        self.group.models.iter().any(|model| model.name == key.model)
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &EndpointState> {
+        let is_ours =
+            |state: &&EndpointState| state.endpoint.service == self.service;
+        let stays = |state: &&EndpointState| !state.endpoint.is_draining;
+        self.view.endpoints().filter(is_ours).filter(stays)
+    }
+
+    /// Returns the usable engines that hold an adapter, or will soon.
+    fn holders(&self, key: &AdapterKey) -> impl Iterator<Item = &EndpointState> {
+        self.engines().filter(move |state| {
+            state.is_usable(self.now) && state.seat(key).is_some()
+        })
+    }
+
+    fn remove(&mut self, endpoint: &EndpointId, key: &AdapterKey) {
+        let removed = Removed {
+            epoch: self.loader.epoch,
+            endpoint: endpoint.clone(),
+            key: key.clone(),
+        };
+        self.view.hear_removed(&removed, self.now);
+    }
+
+    fn placed(
+        &self,
+        endpoint: &EndpointId,
+        key: &AdapterKey,
+        version: WeightVersion,
+        takes: Duration,
+    ) -> Placed {
+        Placed {
+            epoch: self.loader.epoch,
+            endpoint: endpoint.clone(),
+            key: key.clone(),
+            version,
+            ready_in_ms: takes.as_millis() as u64,
+        }
+    }
+
+    /// Returns whether an order on this key is due; it is not again at once.
+    fn take_turn(&mut self, endpoint: &EndpointId, key: &AdapterKey) -> bool {
+        let id = (endpoint.clone(), key.clone());
+        if self.loader.ordered.contains_key(&id) {
+            return false;
+        }
+        self.loader.ordered.insert(id, self.now);
+        true
+    }
+
+    fn loads_left(&mut self) -> u32 {
+        self.loader.store.available(self.now, self.group.loads_per_s)
+    }
+
+    fn take_load(&mut self) -> bool {
+        let is_allowed = self.loads_left() > 0;
+        if is_allowed {
+            self.loader.store.count(self.now);
+        }
+        is_allowed
+    }
+}
+
+/// The engine that an adapter goes to.
+struct Home {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    victim: Option<AdapterKey>,
+    is_warm: bool,
+}
+
+impl Home {
+    fn order(&self, task: Task, is_cold: bool) -> Order {
+        Order {
+            endpoint: self.endpoint.clone(),
+            address: self.address,
+            task,
+            is_cold,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/note.rs
@@ -0,0 +1,74 @@
+//! What instances tell each other, in datagrams.
+//!
+//! Each note repairs the loss of those before it: loads are whole sums, not
+//! changes, and what a [`Note::Placed`] says shows in the platform's list a
+//! little later.
+
+use sedgewall_state::id::{EndpointId, Epoch, InstanceId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::adapter::{AdapterKey, WeightVersion};
+
+/// One datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Note {
+    /// What an instance has under way, to all others.
+    Status(Status),
+    /// What was asked for since the last such note, to the holder of the
+    /// lease.
+    Asked(Asked),
+    /// An adapter is being loaded.
+    Placed(Placed),
+    /// An adapter is being removed.
+    Removed(Removed),
+}
+
+/// What an instance has under way.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// Who says so.
+    pub from: InstanceId,
+    /// Rises with each note of one life of the instance.
+    pub sequence: u64,
+    /// The epoch of the lease, while its holder is sure to hold it.
+    pub leads: Option<Epoch>,
+    /// Requests under way, by endpoint; those without are left out.
+    pub in_flight: Vec<(EndpointId, u32)>,
+}
+
+/// Requests for adapters.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Asked {
+    /// Where they were asked for.
+    pub zone: ZoneName,
+    /// How often each was asked for.
+    pub counts: Vec<(AdapterKey, u32)>,
+    /// What requests wait for, with the rank of the most urgent.
+    pub waiting: Vec<(AdapterKey, u8)>,
+}
+
+/// An adapter on its way to an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Placed {
+    /// The epoch of the holder that ordered it.
+    pub epoch: Epoch,
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// The adapter.
+    pub key: AdapterKey,
+    /// The version that the load brings.
+    pub version: WeightVersion,
+    /// When it is likely to be ready, in milliseconds from now.
+    pub ready_in_ms: u64,
+}
+
+/// An adapter that leaves an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Removed {
+    /// The epoch of the holder that ordered it.
+    pub epoch: Epoch,
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// The adapter.
+    pub key: AdapterKey,
+}
--- /dev/null
+++ b/crates/fleet/src/store_rate.rs
@@ -0,0 +1,52 @@
+//! Loads from the weight store, kept within its rate over a sliding window.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// The part of the rate that we use; loads may begin later than their orders.
+const USED_PART: f64 = 0.95;
+
+/// Counts the loads of a sliding window.
+#[derive(Clone, Debug)]
+pub struct StoreRate {
+    window: Duration,
+    begun: VecDeque<Instant>,
+    /// Loads that a holder before us may have begun, by when they count no
+    /// longer.
+    inherited: Option<(Instant, f64)>,
+}
+
+impl StoreRate {
+    /// Returns a count for windows of this length.
+    pub fn new(window: Duration) -> StoreRate {
+        StoreRate { window, begun: VecDeque::new(), inherited: None }
+    }
+
+    /// Assumes that somebody else used the whole rate until now.
+    pub fn assume_used(&mut self, now: Instant) {
+        self.inherited = Some((now, 1.0));
+    }
+
+    /// Returns how many loads may begin now at this rate a second.
+    pub fn available(&mut self, now: Instant, loads_per_s: f64) -> u32 {
+        while self.begun.front().is_some_and(|at| now - *at >= self.window) {
+            self.begun.pop_front();
+        }
+        let most = loads_per_s * self.window.as_secs_f64() * USED_PART;
+        let left = most - self.begun.len() as f64 - self.inherited(now, most);
+        left.max(0.0) as u32
+    }
+
+    /// Counts a load that begins now.
+    pub fn count(&mut self, now: Instant) {
+        self.begun.push_back(now);
+    }
+
+    fn inherited(&self, now: Instant, most: f64) -> f64 {
+        let Some((since, part)) = self.inherited else { return 0.0 };
+        let gone = (now - since).as_secs_f64() / self.window.as_secs_f64();
+        most * (part - gone).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,532 @@
+//! One instance's table of endpoints, and its choice for each request.
+//!
+//! The table joins three sources: the platform's list (late, but what holds in
+//! the end), notes of other instances (early, and lost now and then) and the
+//! outcomes of our own requests. The invariant: an endpoint that is leaving,
+//! or that is not known to hold what a request names, is never chosen.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::{EndpointId, InstanceId, ZoneName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    adapter::{AdapterKey, WeightVersion},
+    endpoint::Endpoint,
+    health::Health,
+    note::{Placed, Removed, Status},
+};
+
+/// How long a note is believed over a list that does not show it. Endpoints
+/// write their entries about once a second, and a load may wait its turn.
+const NOTE_HOLDS: Duration = Duration::from_millis(4_000);
+
+/// How long another instance's sums count without a new note.
+const STATUS_HOLDS: Duration = Duration::from_millis(1_500);
+
+/// How long requests may go to the old version after a newer one was named.
+/// The platform allows 5 s; the rest is for queues at the engine.
+const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
+
+/// What another availability zone costs, in parts of an endpoint's load:
+/// bytes between zones have a price.
+const OTHER_ZONE_COST: f64 = 0.25;
+
+/// Requests on an engine, as a multiple of its slots, beyond which it gets no
+/// more: those behind would wait for a whole answer to end.
+const ENGINE_FILL: f64 = 1.1;
+
+/// The same for a plain service, whose requests are short: three waiting
+/// behind each slot still come in time.
+const SERVICE_FILL: f64 = 4.0;
+
+/// What an endpoint has kept in memory of the adapters it held, in adapters.
+/// Measured on the bench: engines keep about 96.
+const WARM_ADAPTERS: usize = 80;
+
+/// An adapter on an engine.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// The version that is there, or that the load brings.
+    pub version: WeightVersion,
+    /// From when on it takes requests.
+    pub ready_at: Instant,
+    /// When a note or an outcome last spoke of it.
+    noted: Instant,
+    /// Whether the platform's list shows it.
+    is_listed: bool,
+}
+
+/// One endpoint, as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct EndpointState {
+    /// What the platform's list says.
+    pub endpoint: Endpoint,
+    /// Requests of this instance under way there.
+    pub own_in_flight: u32,
+    /// Requests of other instances under way there.
+    pub others_in_flight: u32,
+    /// What our requests show.
+    pub health: Health,
+    seats: HashMap<AdapterKey, Seat>,
+    removed: HashMap<AdapterKey, Instant>,
+    /// What it held lately, the newest last.
+    warm: VecDeque<AdapterKey>,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model or adapter; none for a plain service.
+    pub key: Option<&'a AdapterKey>,
+    /// Endpoints that have already turned it down.
+    pub exclude: &'a [EndpointId],
+    /// A number that spreads equal choices.
+    pub draw: u64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// To this endpoint.
+    Send(Target),
+    /// Nowhere yet; the adapter is on its way and may be ready then.
+    Coming(Duration),
+    /// Nowhere; no usable engine holds the adapter.
+    Absent,
+    /// Nowhere; all that could serve it are full.
+    Full,
+    /// Nowhere; the service has no usable endpoint.
+    Nobody,
+}
+
+/// The endpoint that a request goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Its id.
+    pub id: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The version that the engine must have, if a newer one was named.
+    pub expect_version: Option<WeightVersion>,
+    /// Requests under way there before this one, as far as we know.
+    pub in_flight: u32,
+}
+
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    sequence: u64,
+    heard: Instant,
+    in_flight: HashMap<EndpointId, u32>,
+}
+
+/// One instance's table of endpoints.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    zone: ZoneName,
+    endpoints: BTreeMap<EndpointId, EndpointState>,
+    peers: HashMap<InstanceId, PeerLoad>,
+    newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
+}
+
+impl Seat {
+    /// Returns whether the seat takes requests.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        now >= self.ready_at
+    }
+
+    /// Returns whether the platform's list shows it.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+}
+
+impl EndpointState {
+    fn new(endpoint: Endpoint, now: Instant) -> EndpointState {
+        let mut state = EndpointState {
+            endpoint: endpoint.clone(),
+            own_in_flight: 0,
+            others_in_flight: 0,
+            health: Health::default(),
+            seats: HashMap::new(),
+            removed: HashMap::new(),
+            warm: VecDeque::new(),
+        };
+        state.list(endpoint, now);
+        state
+    }
+
+    /// Returns the requests of all instances under way there.
+    pub fn in_flight(&self) -> u32 {
+        self.own_in_flight + self.others_in_flight
+    }
+
+    /// Returns the requests under way as a part of its slots.
+    pub fn load(&self) -> f64 {
+        f64::from(self.in_flight()) / f64::from(self.endpoint.slots.max(1))
+    }
+
+    /// Returns whether it may get requests.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.endpoint.is_draining && self.health.is_usable(now)
+    }
+
+    /// Returns whether it holds a base model.
+    pub fn has_model(&self, model: &str) -> bool {
+        self.endpoint.models.iter().any(|hosted| hosted.key.model == model)
+    }
+
+    /// Returns the adapters that are there or on their way.
+    pub fn seats(&self) -> impl Iterator<Item = (&AdapterKey, &Seat)> {
+        self.seats.iter()
+    }
+
+    /// Returns one adapter that is there or on its way.
+    pub fn seat(&self, key: &AdapterKey) -> Option<&Seat> {
+        self.seats.get(key)
+    }
+
+    /// Returns whether the engine is likely to have an adapter at hand.
+    pub fn is_warm(&self, key: &AdapterKey) -> bool {
+        self.warm.contains(key)
+    }
+
+    fn list(&mut self, endpoint: Endpoint, now: Instant) {
+        let holds = |at: Instant| now - at < NOTE_HOLDS;
+        self.removed.retain(|_, at| holds(*at));
+        let mut seats = HashMap::new();
+        for model in &endpoint.models {
+            let own = (model.key.clone(), model.version);
+            for (key, version) in
+                model.adapters.iter().chain(std::iter::once(&own))
+            {
+                if self.removed.contains_key(key) {
+                    continue;
+                }
+                let seat = Seat {
+                    version: *version,
+                    ready_at: now,
+                    noted: now,
+                    is_listed: true,
+                };
+                seats.insert(key.clone(), seat);
+            }
+        }
+        for (key, seat) in &self.seats {
+            let is_newer = seats
+                .get(key)
+                .is_none_or(|listed| listed.version < seat.version);
+            if is_newer && !seat.is_listed && holds(seat.noted) {
+                seats.insert(key.clone(), seat.clone());
+            }
+        }
+        for key in seats.keys() {
+            if !self.seats.contains_key(key) {
+                note_warm(&mut self.warm, key);
+            }
+        }
+        self.seats = seats;
+        self.endpoint = endpoint;
+    }
+}
+
+fn note_warm(warm: &mut VecDeque<AdapterKey>, key: &AdapterKey) {
+    warm.retain(|held| held != key);
+    warm.push_back(key.clone());
+    if warm.len() > WARM_ADAPTERS {
+        warm.pop_front();
+    }
+}
+
+impl FleetView {
+    /// Returns an empty table for an instance in this zone.
+    pub fn new(zone: &str) -> FleetView {
+        FleetView {
+            zone: zone.to_owned(),
+            endpoints: BTreeMap::new(),
+            peers: HashMap::new(),
+            newest: HashMap::new(),
+        }
+    }
+
+    /// Replaces the whole list.
+    pub fn list_all(&mut self, endpoints: Vec<Endpoint>, now: Instant) {
+        self.endpoints.retain(|id, _| endpoints.iter().any(|e| e.id == *id));
+        for endpoint in endpoints {
+            self.list(endpoint, now);
+        }
+    }
+
+    /// Takes in one endpoint's entry.
+    pub fn list(&mut self, endpoint: Endpoint, now: Instant) {
+        match self.endpoints.get_mut(&endpoint.id) {
+            Some(state) => state.list(endpoint, now),
+            None => {
+                let id = endpoint.id.clone();
+                let mut state = EndpointState::new(endpoint, now);
+                state.others_in_flight = self.others_in_flight(&id);
+                self.endpoints.insert(id, state);
+            }
+        }
+    }
+
+    /// Takes an endpoint out whose entry is gone.
+    pub fn unlist(&mut self, id: &EndpointId) {
+        self.endpoints.remove(id);
+    }
+
+    /// Notes the newest version of a model or adapter.
+    pub fn name_version(
+        &mut self,
+        key: &AdapterKey,
+        version: WeightVersion,
+        now: Instant,
+    ) {
+        let known = self.newest.get(key).map_or(0, |(known, _)| *known);
+        if version > known {
+            self.newest.insert(key.clone(), (version, now));
+        }
+    }
+
+    /// Returns the newest version that was named, and when we heard of it.
+    pub fn newest(&self, key: &AdapterKey) -> Option<(WeightVersion, Instant)> {
+        self.newest.get(key).copied()
+    }
+
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values()
+    }
+
+    /// Returns one endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointState> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns one endpoint, to note outcomes.
+    pub fn get_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointState> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// Takes in what another instance has under way. Older notes than the
+    /// last one change nothing.
+    pub fn hear_status(&mut self, status: Status, now: Instant) {
+        if let Some(last) = self.peers.get(&status.from)
+            && last.sequence >= status.sequence
+            && now - last.heard < STATUS_HOLDS
+        {
+            return;
+        }
+        let load = PeerLoad {
+            sequence: status.sequence,
+            heard: now,
+            in_flight: status.in_flight.into_iter().collect(),
+        };
+        self.peers.insert(status.from, load);
+        self.sum_others(now);
+    }
+
+    /// Returns how many other instances were heard lately.
+    pub fn live_peers(&self, now: Instant) -> usize {
+        let holds = |load: &&PeerLoad| now - load.heard < STATUS_HOLDS;
+        self.peers.values().filter(holds).count()
+    }
+
+    /// Takes in that an adapter is on its way.
+    pub fn hear_placed(&mut self, placed: &Placed, now: Instant) {
+        let Some(state) = self.endpoints.get_mut(&placed.endpoint) else {
+            return;
+        };
+        state.removed.remove(&placed.key);
+        let seat = Seat {
+            version: placed.version,
+            ready_at: now + Duration::from_millis(placed.ready_in_ms),
+            noted: now,
+            is_listed: false,
+        };
+        state.seats.insert(placed.key.clone(), seat);
+        note_warm(&mut state.warm, &placed.key);
+    }
+
+    /// Takes in that an adapter leaves an engine.
+    pub fn hear_removed(&mut self, removed: &Removed, now: Instant) {
+        if let Some(state) = self.endpoints.get_mut(&removed.endpoint) {
+            state.seats.remove(&removed.key);
+            state.removed.insert(removed.key.clone(), now);
+        }
+    }
+
+    /// Takes an adapter out that a load did not bring after all.
+    pub fn take_back(&mut self, id: &EndpointId, key: &AdapterKey) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.seats.remove(key);
+            state.warm.retain(|held| held != key);
+        }
+    }
+
+    /// Notes that an engine turned a request down because it does not hold an
+    /// adapter, or not yet. It is tried again after a pause, or when the list
+    /// shows the adapter again.
+    pub fn note_absent(
+        &mut self,
+        id: &EndpointId,
+        key: &AdapterKey,
+        pause: Duration,
+        now: Instant,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else { return };
+        let Some(seat) = state.seats.get_mut(key) else { return };
+        if seat.is_listed {
+            state.seats.remove(key);
+            state.removed.insert(key.clone(), now);
+        } else {
+            seat.ready_at = now + pause;
+        }
+    }
+
+    /// Chooses an endpoint for a request.
+    pub fn choose(&self, need: Need<'_>, now: Instant) -> Choice {
+        let mut found = Choice::Nobody;
+        let mut best: Option<(f64, &EndpointState)> = None;
+        for state in self.endpoints.values() {
+            if state.endpoint.service != need.service {
+                continue;
+            }
+            if !state.is_usable(now) || need.exclude.contains(state.id()) {
+                continue;
+            }
+            match self.fit(state, need, now) {
+                Choice::Send(_) => {
+                    let cost = self.cost(state, need.draw);
+                    if best.is_none_or(|(least, _)| cost < least) {
+                        best = Some((cost, state));
+                    }
+                }
+                other => found = nearer(found, other),
+            }
+        }
+        match best {
+            Some((_, state)) => Choice::Send(self.target(state, need, now)),
+            None => found,
+        }
+    }
+
+    fn fit(
+        &self,
+        state: &EndpointState,
+        need: Need<'_>,
+        now: Instant,
+    ) -> Choice {
+        let fill = match need.key {
+            Some(_) => ENGINE_FILL,
+            None => SERVICE_FILL,
+        };
+        let is_full = state.load() >= fill;
+        let Some(key) = need.key else {
+            return if is_full { Choice::Full } else { self.sent(state) };
+        };
+        let Some(seat) = state.seats.get(key) else { return Choice::Absent };
+        if self.is_outdated(key, seat.version, now) {
+            return Choice::Absent;
+        }
+        if !seat.is_ready(now) {
+            return Choice::Coming(seat.ready_at - now);
+        }
+        if is_full { Choice::Full } else { self.sent(state) }
+    }
+
+    fn sent(&self, state: &EndpointState) -> Choice {
+        Choice::Send(Target {
+            id: state.endpoint.id.clone(),
+            address: state.endpoint.address,
+            expect_version: None,
+            in_flight: state.in_flight(),
+        })
+    }
+
+    fn target(
+        &self,
+        state: &EndpointState,
+        need: Need<'_>,
+        now: Instant,
+    ) -> Target {
+        let newest = need.key.and_then(|key| self.newest.get(key));
+        let expect_version = newest
+            .filter(|(_, named)| now - *named >= OLD_VERSION_GRACE)
+            .map(|(version, _)| *version);
+        Target {
+            id: state.endpoint.id.clone(),
+            address: state.endpoint.address,
+            expect_version,
+            in_flight: state.in_flight(),
+        }
+    }
+
+    fn is_outdated(
+        &self,
+        key: &AdapterKey,
+        version: WeightVersion,
+        now: Instant,
+    ) -> bool {
+        let Some((newest, named)) = self.newest.get(key) else { return false };
+        version < *newest && now - *named >= OLD_VERSION_GRACE
+    }
+
+    fn cost(&self, state: &EndpointState, draw: u64) -> f64 {
+        let zone = match state.endpoint.zone == self.zone {
+            true => 0.0,
+            false => OTHER_ZONE_COST,
+        };
+        // Equal endpoints are told apart by the draw, so that instances with
+        // the same table do not all choose the same one.
+        let hash = xxh3_64(state.endpoint.id.as_bytes()) ^ draw;
+        let spread = xxh3_64(&hash.to_le_bytes()) as f64 / u64::MAX as f64;
+        state.load() + zone + spread * 0.05
+    }
+
+    fn others_in_flight(&self, id: &EndpointId) -> u32 {
+        let of = |load: &PeerLoad| load.in_flight.get(id).copied();
+        self.peers.values().filter_map(of).sum()
+    }
+
+    fn sum_others(&mut self, now: Instant) {
+        self.peers.retain(|_, load| now - load.heard < STATUS_HOLDS);
+        let mut sums: HashMap<EndpointId, u32> = HashMap::new();
+        for load in self.peers.values() {
+            for (id, count) in &load.in_flight {
+                *sums.entry(id.clone()).or_default() += count;
+            }
+        }
+        for (id, state) in &mut self.endpoints {
+            state.others_in_flight = sums.get(id).copied().unwrap_or(0);
+        }
+    }
+}
+
+impl EndpointState {
+    fn id(&self) -> &EndpointId {
+        &self.endpoint.id
+    }
+}
+
+/// Returns which of two reasons not to send is nearer to a send.
+fn nearer(a: Choice, b: Choice) -> Choice {
+    let rank = |choice: &Choice| match choice {
+        Choice::Send(_) => 0,
+        Choice::Full => 1,
+        Choice::Coming(_) => 2,
+        Choice::Absent => 3,
+        Choice::Nobody => 4,
+    };
+    match (&a, &b) {
+        (Choice::Coming(x), Choice::Coming(y)) => Choice::Coming(*x.min(y)),
+        _ if rank(&b) < rank(&a) => b,
+        _ => a,
+    }
+}
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -38,6 +38,29 @@
     /// The log level: `error`, `warn`, `info`, `debug`.
     #[serde(default = "default_log_level")]
     pub log_level: String,
+    /// What a deployment on an operator's platform sets; without it the
+    /// instance speaks its own interface and asks shard leaders.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetSettings>,
+}
+
+/// What all instances of a deployment share, as its platform states it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Requests that may be sent once more, as a share of all requests.
+    pub retry_share: f64,
+    /// Requests that may be sent once more beyond the share, in one window.
+    pub retry_slack: f64,
+    /// The window of the two, in seconds.
+    pub retry_window_s: f64,
+    /// The pause between orders of two holders to one engine, in
+    /// milliseconds.
+    pub order_turn_ms: u64,
+    /// The window over which loads from the weight store count, in seconds.
+    pub store_window_s: f64,
+    /// A planned stop is cut off after this long, in seconds.
+    pub grace_s: f64,
 }
 
 /// What bounds one instance.
@@ -241,6 +264,25 @@
             (0.0..=1.0).contains(&limits.retry_share),
             "limits.retry_share: must be between 0 and 1",
         );
+        if let Some(fleet) = &self.fleet {
+            rule(
+                (0.0..=1.0).contains(&fleet.retry_share),
+                "fleet.retry_share: must be between 0 and 1",
+            );
+            rule(
+                fleet.retry_slack >= 0.0,
+                "fleet.retry_slack: must not be negative",
+            );
+            rule(
+                fleet.retry_window_s > 0.0,
+                "fleet.retry_window_s: must be above 0",
+            );
+            rule(
+                fleet.store_window_s > 0.0,
+                "fleet.store_window_s: must be above 0",
+            );
+            rule(fleet.grace_s > 0.0, "fleet.grace_s: must be above 0");
+        }
         rule(
             self.log_level.parse::<LogLevel>().is_ok(),
             "log_level: must be error, warn, info or debug",
--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -38,6 +38,8 @@
     Peers(PeerError),
     /// cannot set up HTTP: {0}
     Http(CallError),
+    /// platform_url: {0} is not http://IP:PORT
+    StoreAddress(String),
     /// cannot set up metrics: {0}
     Metrics(String),
 }
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -0,0 +1,243 @@
+//! One send of a request to one endpoint, and what its end means.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    route::{Repetition, Route},
+    view::Target,
+};
+use sedgewall_platform::{
+    AnswerFacts, CallFacts,
+    call::{Handover, to_endpoint},
+};
+use sedgewall_transport::{PooledAnswer, SendError};
+
+use super::node::{FleetNode, UnderWay};
+
+/// The longest time for a connection to an endpoint. Within a region a
+/// connection takes milliseconds; a lost packet costs a second.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+/// An adapter on its way that is not there yet is tried again after this.
+const NOT_YET_PAUSE: Duration = Duration::from_millis(40);
+
+/// What a request is, once it was read.
+pub(crate) struct CallerRequest {
+    pub(crate) facts: CallFacts,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) service: String,
+    pub(crate) is_engine: bool,
+    pub(crate) arrived: Instant,
+    /// When it must have its final answer.
+    pub(crate) end: Instant,
+}
+
+/// How a send ended without an answer to pass on.
+#[derive(Clone, Debug)]
+pub(crate) enum AttemptError {
+    /// The endpoint does not hold the adapter, or is another one.
+    Misdirected,
+    /// The endpoint has no room.
+    Busy,
+    /// No connection could be made.
+    Unreachable(String),
+    /// The endpoint may have run it.
+    Unclear(String),
+    /// The time for this send passed; the endpoint may have run it.
+    TimedOut,
+}
+
+impl AttemptError {
+    /// Returns whether the endpoint certainly did not run the request.
+    pub(crate) fn is_not_run(&self) -> bool {
+        match self {
+            AttemptError::Misdirected
+            | AttemptError::Busy
+            | AttemptError::Unreachable(_) => true,
+            AttemptError::Unclear(_) | AttemptError::TimedOut => false,
+        }
+    }
+
+    /// What is known of the cause.
+    pub(crate) fn detail(&self) -> &str {
+        match self {
+            AttemptError::Unreachable(cause)
+            | AttemptError::Unclear(cause) => cause,
+            _ => "",
+        }
+    }
+
+    /// The name in logs and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            AttemptError::Misdirected => "misdirected",
+            AttemptError::Busy => "busy",
+            AttemptError::Unreachable(_) => "unreachable",
+            AttemptError::Unclear(_) => "unclear",
+            AttemptError::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// An endpoint's answer that may be passed on.
+pub(crate) struct GoodAnswer {
+    pub(crate) answer: PooledAnswer,
+    pub(crate) under_way: UnderWay,
+}
+
+impl CallerRequest {
+    /// Returns what is left of the request's time.
+    pub(crate) fn left(&self) -> Duration {
+        self.end.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the model or adapter, if an engine serves the request.
+    pub(crate) fn key(&self) -> Option<&AdapterKey> {
+        self.facts.key.as_ref().filter(|_| self.is_engine)
+    }
+
+    /// Returns whether the request may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.repetition == Repetition::Repeatable
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+pub(crate) async fn send(
+    node: &Rc<FleetNode>,
+    call: &CallerRequest,
+    target: &Target,
+    last_event: Option<&str>,
+    within: Duration,
+) -> Result<GoodAnswer, AttemptError> {
+    let under_way = UnderWay::begin(node, &target.id);
+    let request = build(call, target, last_event);
+    let sending = node.pool.send(target.address, request, CONNECT_TIME);
+    let ended = match compio::time::timeout(within, sending).await {
+        Ok(Ok(answer)) => judge(call, answer),
+        Ok(Err(SendError::NotSent(cause))) => {
+            Err(AttemptError::Unreachable(cause))
+        }
+        Ok(Err(SendError::Broken(cause))) => Err(AttemptError::Unclear(cause)),
+        Err(_) => Err(AttemptError::TimedOut),
+    };
+    note(node, call, target, &ended);
+    ended.map(|answer| GoodAnswer { answer, under_way })
+}
+
+fn build(
+    call: &CallerRequest,
+    target: &Target,
+    last_event: Option<&str>,
+) -> Request<http_body_util::Full<Bytes>> {
+    let handover = Handover {
+        endpoint: &target.id,
+        left: call.left(),
+        priority: call.key().map(|_| call.route.priority),
+        expect_version: target.expect_version,
+        last_event,
+    };
+    let mut request = Request::new(call.body.clone().into());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = to_endpoint(&call.headers, &handover);
+    request
+}
+
+/// Tells answers that may be passed on from those that say or mean that
+/// something went wrong.
+fn judge(
+    call: &CallerRequest,
+    mut answer: PooledAnswer,
+) -> Result<PooledAnswer, AttemptError> {
+    answer.settle();
+    let facts = AnswerFacts::read(&answer.headers);
+    let status = answer.status;
+    if facts.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(match status {
+            StatusCode::MISDIRECTED_REQUEST => AttemptError::Misdirected,
+            _ => AttemptError::Busy,
+        });
+    }
+    // An endpoint may send an answer twice; the second one then lies where
+    // the next request's answer is due.
+    let is_ours =
+        facts.request_id.as_deref() == Some(call.facts.request_id.as_str());
+    if !is_ours {
+        answer.distrust();
+        let of = facts.request_id.unwrap_or_default();
+        return Err(AttemptError::Unclear(format!("the answer is to {of:?}")));
+    }
+    if status.is_success() && !facts.is_proven {
+        answer.distrust();
+        return Err(AttemptError::Unclear("a success without proof".into()));
+    }
+    if status.is_server_error() && (call.is_repeatable() || !facts.is_proven) {
+        return Err(AttemptError::Unclear(format!("it answered {status}")));
+    }
+    Ok(answer)
+}
+
+fn note(
+    node: &FleetNode,
+    call: &CallerRequest,
+    target: &Target,
+    ended: &Result<PooledAnswer, AttemptError>,
+) {
+    let now = Instant::now();
+    let mut view = node.view.borrow_mut();
+    if let (Err(AttemptError::Misdirected | AttemptError::Busy), Some(key)) =
+        (ended, call.key())
+    {
+        let is_absent = matches!(ended, Err(AttemptError::Misdirected));
+        let is_coming = view
+            .get(&target.id)
+            .and_then(|state| state.seat(key))
+            .is_some_and(|seat| !seat.is_listed());
+        if is_absent || is_coming {
+            view.note_absent(&target.id, key, NOT_YET_PAUSE, now);
+        }
+    }
+    let Some(state) = view.get_mut(&target.id) else { return };
+    let is_ejected = match ended {
+        Ok(answer) if answer.status.is_server_error() => {
+            state.health.failed(now)
+        }
+        Ok(_) => {
+            state.health.succeeded();
+            false
+        }
+        Err(AttemptError::Busy) => false,
+        Err(AttemptError::Misdirected) => {
+            // Where no adapter is named, another endpoint has the address.
+            call.key().is_none() && state.health.failed(now)
+        }
+        Err(AttemptError::Unreachable(_)) => {
+            state.health.unreachable(now);
+            !state.health.is_usable(now)
+        }
+        Err(AttemptError::Unclear(_) | AttemptError::TimedOut) => {
+            state.health.failed(now)
+        }
+    };
+    if is_ejected {
+        let cause = ended.as_ref().err().map_or("failed", |err| err.name());
+        tracing::warn!(
+            event = "endpoint_ejected",
+            endpoint = target.id,
+            cause,
+            request = call.facts.request_id,
+        );
+        metrics::counter!("sedgewall_ejections_total").increment(1);
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -0,0 +1,450 @@
+//! One request of a caller: routed, sent, answered.
+//!
+//! The module keeps the rules on repetition: a request goes to another
+//! endpoint only if it certainly did not run, or may run again, and only
+//! within the allowance that all instances share. A refusal says "not run"
+//! only if no endpoint can have run the request.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::{Request, Response, header};
+use hyper::body::Incoming;
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    view::{Choice, Need, Target},
+};
+use sedgewall_platform::{CallFacts, call::to_caller};
+use sedgewall_state::id::EndpointId;
+use sedgewall_transport::{
+    LocalBody,
+    server::{BodyError, read_body},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    attempt::{self, AttemptError, CallerRequest, GoodAnswer},
+    node::{FleetNode, OpenRequest, Stage},
+    refusal::{self, Reason},
+    relay,
+};
+
+/// How long a body may take to come in.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// The time of a request that states none.
+const PATIENCE_UNSTATED: Duration = Duration::from_secs(10);
+
+/// An answer of ours must leave this long before the caller's time is over.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// The part of the target latency for which a request may wait unsent; what
+/// is refused within it and comes back in time keeps most of its worth.
+const WAIT_PART: f64 = 0.22;
+
+/// The part of the target latency within which a coming adapter is waited
+/// for; the rest is for the prompt and the queue at the engine.
+const COMING_PART: f64 = 0.75;
+
+/// How often a request looks again for a place at full endpoints.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+
+/// A repeatable request without an answer goes to another endpoint after this
+/// many times its target latency.
+const PATIENCE_TARGETS: f64 = 2.5;
+
+/// Sends of one request at most, those that were turned away included.
+const MOST_SENDS: u32 = 6;
+
+/// Answers one request.
+pub(crate) async fn answer(
+    node: Rc<FleetNode>,
+    request: Request<Incoming>,
+) -> Response<LocalBody> {
+    let open = OpenRequest::begin(&node);
+    let arrived = Instant::now();
+    let mut response = match read(&node, request, arrived).await {
+        Ok(call) => serve(&node, Rc::new(call), open).await,
+        Err(refused) => refuse_unread(refused, arrived),
+    };
+    if node.stage.get() == Stage::Leaving {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// A request that was refused before it was routed.
+struct Unread {
+    reason: Reason,
+    request_id: String,
+    path: String,
+}
+
+fn refuse_unread(refused: Unread, arrived: Instant) -> Response<LocalBody> {
+    tracing::info!(
+        event = "refused",
+        request = refused.request_id,
+        path = refused.path,
+        reason = refused.reason.name(),
+        held_ms = arrived.elapsed().as_millis() as u64,
+    );
+    refusal::answer(refused.reason, PATIENCE_UNSTATED)
+}
+
+async fn read(
+    node: &FleetNode,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<CallerRequest, Unread> {
+    let (head, body) = request.into_parts();
+    let facts = CallFacts::read(&head.headers);
+    let path = head.uri.path().to_owned();
+    let request_id =
+        facts.as_ref().map_or(String::new(), |f| f.request_id.clone());
+    let refuse = |reason| Unread {
+        reason,
+        request_id: request_id.clone(),
+        path: path.clone(),
+    };
+    let deployment =
+        node.deployment().ok_or_else(|| refuse(Reason::NoConfiguration))?;
+    let host = host_of(&head);
+    let route = deployment
+        .route(&host, &path)
+        .ok_or_else(|| refuse(Reason::NoRoute))?
+        .clone();
+    let facts = facts.ok_or_else(|| refuse(Reason::NoRequestId))?;
+    let most = deployment.limits.body_bytes;
+    let body = read_body(body, most, BODY_TIME).await.map_err(|err| {
+        refuse(match err {
+            BodyError::TooLong(_) => Reason::BodyTooLong,
+            BodyError::TooSlow(_) | BodyError::Broken(_) => Reason::BodyBroken,
+        })
+    })?;
+    let patience = facts.patience.unwrap_or(PATIENCE_UNSTATED);
+    let end = arrived + patience.min(route.timeout) - ANSWER_MARGIN;
+    let draw = xxh3_64(facts.request_id.as_bytes());
+    let service = route
+        .pick_service(draw as f64 / u64::MAX as f64)
+        .ok_or_else(|| refuse(Reason::NobodyThere))?
+        .clone();
+    let is_engine = deployment.engine_group(&service).is_some();
+    Ok(CallerRequest {
+        facts,
+        method: head.method,
+        uri: origin_form(head.uri),
+        headers: head.headers,
+        body,
+        route,
+        service,
+        is_engine,
+        arrived,
+        end,
+    })
+}
+
+fn host_of(head: &http::request::Parts) -> String {
+    let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_owned()
+}
+
+/// Endpoints get path and query, also if the caller named a whole URL.
+fn origin_form(uri: http::Uri) -> http::Uri {
+    if uri.authority().is_none() {
+        return uri;
+    }
+    let path = uri.path_and_query().cloned();
+    path.map_or(uri, http::Uri::from)
+}
+
+/// What happened to a request so far.
+pub(crate) struct Progress {
+    pub(crate) tried: Vec<EndpointId>,
+    pub(crate) sends: u32,
+    /// Sends that may have run.
+    pub(crate) runs: u32,
+    pub(crate) waited: Duration,
+}
+
+async fn serve(
+    node: &Rc<FleetNode>,
+    call: Rc<CallerRequest>,
+    open: OpenRequest,
+) -> Response<LocalBody> {
+    node.budget.borrow_mut().count_request(call.arrived);
+    if let Some(key) = call.key() {
+        *node.asked.borrow_mut().entry(key.clone()).or_default() += 1;
+    }
+    let mut progress = Progress {
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        waited: Duration::ZERO,
+    };
+    let last_event = call.facts.last_event.clone();
+    let found = obtain(node, &call, &mut progress, last_event.as_deref());
+    match found.await {
+        Ok((good, target)) => {
+            pass_on(node, call, progress, good, target, open).await
+        }
+        Err(reason) => {
+            log_refused(&call, &progress, reason);
+            refusal::answer(reason, call.left())
+        }
+    }
+}
+
+/// Finds an endpoint that answers; tries others as far as that is allowed.
+pub(crate) async fn obtain(
+    node: &Rc<FleetNode>,
+    call: &CallerRequest,
+    progress: &mut Progress,
+    last_event: Option<&str>,
+) -> Result<(GoodAnswer, Target), Reason> {
+    loop {
+        let target = match find(node, call, progress).await {
+            Ok(target) => target,
+            Err(_) if progress.runs > 0 => return Err(Reason::OutcomeUnknown),
+            Err(reason) => return Err(reason),
+        };
+        let is_first = progress.sends == 0;
+        let now = Instant::now();
+        if !is_first
+            && !node.budget.borrow_mut().take(now, node.instances())
+        {
+            return Err(match progress.runs {
+                0 => Reason::RetriesSpent,
+                _ => Reason::OutcomeUnknown,
+            });
+        }
+        progress.sends += 1;
+        let within = send_time(call, progress);
+        let sent =
+            attempt::send(node, call, &target, last_event, within).await;
+        let err = match sent {
+            Ok(good) => return Ok((good, target)),
+            Err(err) => err,
+        };
+        log_attempt(call, progress, &target, &err);
+        progress.runs += u32::from(!err.is_not_run());
+        if !matches!(err, AttemptError::Misdirected) || call.key().is_none() {
+            progress.tried.push(target.id.clone());
+        }
+        after_failure(call, progress, &err)?;
+    }
+}
+
+/// Returns whether there may be another send, or the final answer.
+fn after_failure(
+    call: &CallerRequest,
+    progress: &Progress,
+    err: &AttemptError,
+) -> Result<(), Reason> {
+    let is_over = call.left().is_zero();
+    if progress.runs == 0 {
+        return match (is_over, progress.sends >= MOST_SENDS) {
+            (true, _) => Err(Reason::TooLate),
+            (_, true) => Err(Reason::RetriesSpent),
+            _ => Ok(()),
+        };
+    }
+    let may_repeat = call.is_repeatable()
+        && progress.runs < call.route.max_attempts
+        && progress.sends < MOST_SENDS;
+    if may_repeat && !is_over {
+        return Ok(());
+    }
+    Err(match err {
+        AttemptError::TimedOut => Reason::TimedOut,
+        _ => Reason::OutcomeUnknown,
+    })
+}
+
+/// Returns how long a send may take until the head of its answer.
+fn send_time(call: &CallerRequest, progress: &Progress) -> Duration {
+    let left = call.left();
+    let may_go_elsewhere = call.is_repeatable()
+        && progress.runs + 1 < call.route.max_attempts;
+    if may_go_elsewhere {
+        left.min(call.route.target_latency.mul_f64(PATIENCE_TARGETS))
+    } else {
+        left
+    }
+}
+
+/// Waits for an endpoint that can take the request.
+async fn find(
+    node: &Rc<FleetNode>,
+    call: &CallerRequest,
+    progress: &mut Progress,
+) -> Result<Target, Reason> {
+    let draw = xxh3_64(call.facts.request_id.as_bytes());
+    let began = Instant::now();
+    let target = call.route.target_latency;
+    let wait_until = call.arrived + target.mul_f64(WAIT_PART);
+    let coming_until = call.arrived + target.mul_f64(COMING_PART);
+    loop {
+        let now = Instant::now();
+        let need = Need {
+            service: &call.service,
+            key: call.key(),
+            exclude: &progress.tried,
+            draw,
+        };
+        let choice = node.view.borrow().choose(need, now);
+        progress.waited = now - began;
+        let (reason, until, pause) = match choice {
+            Choice::Send(found) => return Ok(found),
+            Choice::Coming(ready_in) => {
+                (Reason::AdapterAbsent, coming_until, ready_in)
+            }
+            Choice::Absent => {
+                ask_for(node, call);
+                (Reason::AdapterAbsent, wait_until, target)
+            }
+            Choice::Full => (Reason::Full, wait_until, LOOK_AGAIN),
+            Choice::Nobody => (Reason::NobodyThere, wait_until, LOOK_AGAIN),
+        };
+        let until = until.min(call.end);
+        let is_too_far = matches!(choice, Choice::Coming(_))
+            && now + pause > until;
+        if now >= until || is_too_far {
+            return Err(reason);
+        }
+        let pause = pause.min(until - now) + Duration::from_millis(1);
+        match call.key() {
+            Some(key) => node.wait_for(key, pause).await,
+            None => compio::time::sleep(pause).await,
+        }
+    }
+}
+
+/// Asks the holder of the lease for an adapter.
+fn ask_for(node: &FleetNode, call: &CallerRequest) {
+    let Some(key) = call.key() else { return };
+    let rank = call.route.priority;
+    let mut waiting = node.waiting.borrow_mut();
+    let is_new = !waiting.contains_key(key);
+    let known = waiting.entry(key.clone()).or_insert(rank);
+    *known = rank.min(*known);
+    drop(waiting);
+    if is_new {
+        node.ring_notes();
+    }
+}
+
+async fn pass_on(
+    node: &Rc<FleetNode>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    good: GoodAnswer,
+    target: Target,
+    open: OpenRequest,
+) -> Response<LocalBody> {
+    let status = good.answer.status;
+    let headers = to_caller(&good.answer.headers);
+    if call.route.is_stream && status.is_success() {
+        let stream = relay::stream(
+            node.clone(),
+            call,
+            progress,
+            good,
+            target,
+            open,
+        );
+        let mut response = Response::new(stream);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        return response;
+    }
+    let head_ms = call.arrived.elapsed();
+    let whole =
+        compio::time::timeout(call.left(), good.answer.whole()).await;
+    match whole {
+        Ok(Ok(body)) => {
+            log_served(&call, &progress, &target, head_ms, body.len());
+            let mut response = Response::new(LocalBody::whole(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Ok(Err(_)) | Err(_) => {
+            let reason = match whole.is_err() {
+                true => Reason::TimedOut,
+                false => Reason::OutcomeUnknown,
+            };
+            log_refused(&call, &progress, reason);
+            refusal::answer(reason, call.left())
+        }
+    }
+}
+
+fn log_attempt(
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    err: &AttemptError,
+) {
+    metrics::counter!("sedgewall_sends_failed_total", "cause" => err.name())
+        .increment(1);
+    tracing::info!(
+        event = "send_failed",
+        request = call.facts.request_id,
+        endpoint = target.id,
+        send = progress.sends,
+        cause = err.name(),
+        detail = err.detail(),
+        in_flight = target.in_flight,
+    );
+}
+
+/// One line for each request that an endpoint served.
+pub(crate) fn log_served(
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    head: Duration,
+    bytes: usize,
+) {
+    metrics::counter!("sedgewall_served_total").increment(1);
+    metrics::histogram!("sedgewall_first_byte_seconds")
+        .record(head.as_secs_f64());
+    tracing::info!(
+        event = "served",
+        request = call.facts.request_id,
+        route = call.route.name,
+        key = call.facts.key.as_ref().map(AdapterKey::to_string),
+        endpoint = target.id,
+        in_flight = target.in_flight,
+        sends = progress.sends,
+        waited_ms = progress.waited.as_millis() as u64,
+        head_ms = head.as_millis() as u64,
+        took_ms = call.arrived.elapsed().as_millis() as u64,
+        bytes,
+    );
+}
+
+/// One line for each request that got an answer of our own.
+pub(crate) fn log_refused(
+    call: &CallerRequest,
+    progress: &Progress,
+    reason: Reason,
+) {
+    metrics::counter!("sedgewall_refused_total", "reason" => reason.name())
+        .increment(1);
+    tracing::info!(
+        event = "refused",
+        request = call.facts.request_id,
+        route = call.route.name,
+        key = call.facts.key.as_ref().map(AdapterKey::to_string),
+        reason = reason.name(),
+        sends = progress.sends,
+        runs = progress.runs,
+        held_ms = call.arrived.elapsed().as_millis() as u64,
+    );
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -0,0 +1,336 @@
+//! Follows the platform's store: configuration, endpoints, versions of
+//! weights, and the other instances.
+//!
+//! Each kind is listed once and then watched. While the store is out, what was
+//! known stays in force. The invariant: a configuration is never replaced by
+//! an older one.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_platform::{
+    StoreError,
+    config::{
+        CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
+    },
+    endpoint::{ENDPOINTS_KIND, decode_endpoint},
+    store::{Change, StoredObject},
+};
+use serde::{Deserialize, Serialize};
+
+use super::node::{FleetNode, Stage};
+
+/// The kind of our own instances' entries.
+pub(crate) const INSTANCES_KIND: &str = "sedgewall-instances";
+
+/// How long a watch waits for a change. Each call has a price, and a channel
+/// that went dead without a word is given up after this time.
+const WATCH_TIME: Duration = Duration::from_secs(4);
+
+/// The pause between two watches of endpoints, so that many changes come in
+/// one call. A leaving endpoint may get work for 2 s.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(400);
+
+/// The first pause after a failed call; it doubles.
+const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
+
+/// The longest pause after failed calls.
+const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
+
+/// What an instance tells the others about itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct InstanceEntry {
+    /// Where its notes go.
+    notes_address: SocketAddr,
+    /// Changes with each start.
+    incarnation: u64,
+}
+
+/// Takes in the objects of one kind.
+trait Follower {
+    const KIND: &'static str;
+    const PAUSE: Duration;
+    /// Takes in all objects.
+    fn list(&self, objects: Vec<StoredObject>);
+    /// Takes in one change.
+    fn change(&self, change: Change);
+}
+
+struct Configuration(Rc<FleetNode>);
+struct Endpoints(Rc<FleetNode>);
+struct Versions(Rc<FleetNode>);
+struct Instances(Rc<FleetNode>);
+
+/// Starts to follow everything.
+pub(crate) fn start(node: &Rc<FleetNode>) {
+    spawn(node, Configuration(node.clone()));
+    spawn(node, Endpoints(node.clone()));
+    spawn(node, Versions(node.clone()));
+    spawn(node, Instances(node.clone()));
+    compio::runtime::spawn(announce(node.clone())).detach();
+}
+
+fn spawn<F: Follower + 'static>(node: &Rc<FleetNode>, follower: F) {
+    compio::runtime::spawn(follow(node.clone(), follower)).detach();
+}
+
+async fn follow<F: Follower>(node: Rc<FleetNode>, follower: F) {
+    let mut back_off = FIRST_BACK_OFF;
+    let mut since = None;
+    let mut is_out = false;
+    loop {
+        let done = match since {
+            None => node.store.list(F::KIND).await.map(|listing| {
+                follower.list(listing.objects);
+                listing.revision
+            }),
+            Some(revision) => {
+                let watch = node.store.watch(F::KIND, revision, WATCH_TIME);
+                watch.await.map(|changes| {
+                    for change in changes.changes {
+                        follower.change(change);
+                    }
+                    changes.revision
+                })
+            }
+        };
+        match done {
+            Ok(revision) => {
+                if is_out {
+                    tracing::info!(event = "store_regained", kind = F::KIND);
+                    is_out = false;
+                }
+                since = Some(revision);
+                back_off = FIRST_BACK_OFF;
+                compio::time::sleep(F::PAUSE).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                tracing::warn!(event = "history_gone", kind = F::KIND);
+                since = None;
+            }
+            Err(err) => {
+                if !is_out {
+                    let cause = err.to_string();
+                    tracing::warn!(
+                        event = "store_lost",
+                        kind = F::KIND,
+                        cause
+                    );
+                    is_out = true;
+                }
+                compio::time::sleep(back_off).await;
+                back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+            }
+        }
+    }
+}
+
+impl Follower for Configuration {
+    const KIND: &'static str = CONFIG_KIND;
+    const PAUSE: Duration = Duration::ZERO;
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        // A configuration that is gone stays in force.
+        if !change.is_deleted {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Configuration {
+    fn take(&self, object: &StoredObject) {
+        if object.name != CONFIG_NAME {
+            return;
+        }
+        let node = &self.0;
+        let deployment = match decode_config(&object.spec) {
+            Ok(deployment) => deployment,
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "configuration_unreadable", cause);
+                return;
+            }
+        };
+        let known = node.deployment().map_or(0, |known| known.version);
+        if deployment.version <= known {
+            return;
+        }
+        tracing::info!(
+            event = "configuration",
+            version = deployment.version,
+            routes = deployment.routes.len(),
+            replaces = known,
+        );
+        *node.deployment.borrow_mut() = Some(Rc::new(deployment));
+        if node.stage.get() == Stage::Starting {
+            node.stage.set(Stage::Ready);
+        }
+        node.wake_all();
+    }
+}
+
+impl Follower for Endpoints {
+    const KIND: &'static str = ENDPOINTS_KIND;
+    const PAUSE: Duration = ENDPOINTS_PAUSE;
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        let read = objects.iter().filter_map(decoded).collect();
+        self.0.view.borrow_mut().list_all(read, Instant::now());
+        self.0.wake_all();
+        self.0.ring_loader();
+    }
+
+    fn change(&self, change: Change) {
+        let node = &self.0;
+        let id = &change.object.name;
+        if change.is_deleted {
+            tracing::info!(event = "endpoint_gone", endpoint = id);
+            node.view.borrow_mut().unlist(id);
+            return;
+        }
+        let Some(endpoint) = decoded(&change.object) else { return };
+        let mut view = node.view.borrow_mut();
+        let was_draining =
+            view.get(id).map(|state| state.endpoint.is_draining);
+        if was_draining != Some(endpoint.is_draining) {
+            tracing::info!(
+                event = "endpoint",
+                endpoint = id,
+                service = endpoint.service,
+                zone = endpoint.zone,
+                is_draining = endpoint.is_draining,
+                revision = change.object.revision,
+            );
+        }
+        view.list(endpoint, Instant::now());
+        drop(view);
+        node.wake_all();
+    }
+}
+
+fn decoded(
+    object: &StoredObject,
+) -> Option<sedgewall_fleet::endpoint::Endpoint> {
+    match decode_endpoint(&object.name, &object.spec) {
+        Ok(endpoint) => Some(endpoint),
+        Err(err) => {
+            let cause = err.to_string();
+            tracing::error!(event = "endpoint_unreadable", cause);
+            None
+        }
+    }
+}
+
+impl Follower for Versions {
+    const KIND: &'static str = VERSIONS_KIND;
+    const PAUSE: Duration = Duration::ZERO;
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        if !change.is_deleted {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Versions {
+    fn take(&self, object: &StoredObject) {
+        match decode_version(&object.name, &object.spec) {
+            Ok((key, version)) => {
+                let name = key.to_string();
+                tracing::info!(event = "version", key = name, version);
+                let mut view = self.0.view.borrow_mut();
+                view.name_version(&key, version, Instant::now());
+                drop(view);
+                self.0.ring_loader();
+            }
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "version_unreadable", cause);
+            }
+        }
+    }
+}
+
+impl Follower for Instances {
+    const KIND: &'static str = INSTANCES_KIND;
+    const PAUSE: Duration = Duration::ZERO;
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        self.0.peers.borrow_mut().clear();
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        if change.is_deleted {
+            self.0.peers.borrow_mut().remove(&change.object.name);
+        } else {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Instances {
+    fn take(&self, object: &StoredObject) {
+        if object.name == *self.0.id() {
+            return;
+        }
+        match InstanceEntry::deserialize(&object.spec) {
+            Ok(entry) => {
+                let mut peers = self.0.peers.borrow_mut();
+                peers.insert(object.name.clone(), entry.notes_address);
+            }
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "instance_unreadable", cause);
+            }
+        }
+    }
+}
+
+/// Writes our own entry, until the store has it.
+async fn announce(node: Rc<FleetNode>) {
+    let entry = InstanceEntry {
+        notes_address: node.settings.peer_listen,
+        incarnation: node.incarnation,
+    };
+    let Ok(spec) = serde_json::to_value(&entry) else { return };
+    let mut back_off = FIRST_BACK_OFF;
+    while let Err(err) = write_entry(&node, &spec).await {
+        let cause = err.to_string();
+        tracing::warn!(event = "announce_failed", cause);
+        compio::time::sleep(back_off).await;
+        back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+    }
+}
+
+async fn write_entry(
+    node: &FleetNode,
+    spec: &serde_json::Value,
+) -> Result<(), StoreError> {
+    let written = node.store.create(INSTANCES_KIND, node.id(), spec).await;
+    match written {
+        Err(StoreError::Conflict(Some(known))) => {
+            let revision = known.revision;
+            let (kind, name) = (INSTANCES_KIND, node.id());
+            node.store.replace(kind, name, revision, spec).await.map(|_| ())
+        }
+        written => written.map(|_| ()),
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -0,0 +1,52 @@
+//! Decides what engines hold, while this instance has the lease on orders.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_fleet::loader::Loader;
+
+use super::{node::FleetNode, orders::Orders};
+
+/// How often the holder looks at demand when nothing waits.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// How often demand that has faded is forgotten.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
+
+/// Decides and gives orders, for ever.
+pub(crate) async fn run(node: Rc<FleetNode>, orders: Orders) {
+    let mut last_forgotten = Instant::now();
+    let mut epoch = None;
+    loop {
+        node.loader_rung(LOOK_EVERY).await;
+        let now = Instant::now();
+        if now - last_forgotten >= FORGET_EVERY {
+            last_forgotten = now;
+            node.demand.borrow_mut().forget(now);
+            orders.forget_gone();
+        }
+        let Some(held) = node.current_lease(now) else { continue };
+        if now < held.order_from {
+            continue;
+        }
+        if epoch != Some(held.epoch) {
+            epoch = Some(held.epoch);
+            let window = Duration::from_secs_f64(node.fleet.store_window_s);
+            let loader = Loader::new(held.epoch, window, now);
+            *orders.loader.borrow_mut() = Some(loader);
+        }
+        let Some(deployment) = node.deployment() else { continue };
+        let planned = match orders.loader.borrow_mut().as_mut() {
+            Some(loader) => loader.plan(
+                &deployment,
+                &mut node.view.borrow_mut(),
+                &mut node.demand.borrow_mut(),
+                now,
+            ),
+            None => continue,
+        };
+        orders.give(held.epoch, planned);
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -0,0 +1,242 @@
+//! The lease on orders to engines, kept in the platform's store.
+//!
+//! The rules are those of [`sedgewall_coordination::lease`]; here they meet
+//! the store. Engines that do not check epochs must hear one holder at a time,
+//! so a new holder waits until the last order of the one before is a whole
+//! turn old. An instance whose own record stands there, from a life before or
+//! from before an outage, is the same holder to the engines and need not wait.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_coordination::lease::{
+    Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
+    LeaseWrite, Renewed, StoredLease, Watching, WriteAnswer,
+};
+use sedgewall_platform::{StoreError, store::StoredObject};
+use serde::Deserialize;
+
+use super::node::{FleetNode, HeldLease, Stage};
+
+/// The kind of leases in the store.
+const LEASES_KIND: &str = "sedgewall-leases";
+
+/// The name of the lease on orders.
+const ORDERS_LEASE: &str = "orders";
+
+/// How long the lease holds after its last renewal. A slow store answers in
+/// some 300 ms; a holder that dies stops all loads for this long.
+const TIME_TO_LIVE: Duration = Duration::from_millis(1_300);
+
+/// How often it is renewed. Each renewal is a priced call.
+const RENEW_EVERY: Duration = Duration::from_millis(450);
+
+/// What a challenger waits beyond the time to live: steady clocks agree to
+/// within a few per cent, and an order travels for some milliseconds.
+const MARGIN: Duration = Duration::from_millis(250);
+
+/// What a new holder waits beyond the turn between two holders.
+const TURN_MARGIN: Duration = Duration::from_millis(200);
+
+/// How often an instance that hears no holder looks at the record.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// How often the holder looks whether a renewal is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Takes the lease when nobody holds it, and keeps it, for ever.
+pub(crate) async fn run(node: Rc<FleetNode>) {
+    let mut watching = new_lease();
+    loop {
+        compio::time::sleep(LOOK_EVERY).await;
+        if node.stage.get() != Stage::Ready
+            || node.live_leader(Instant::now()).is_some()
+        {
+            continue;
+        }
+        if let Some(taken) = take(&node, watching).await {
+            keep(&node, taken).await;
+        }
+        watching = new_lease();
+    }
+}
+
+fn new_lease() -> Lease<Watching> {
+    let times = LeaseTimes {
+        time_to_live: TIME_TO_LIVE,
+        renew_every: RENEW_EVERY,
+        margin: MARGIN,
+    };
+    Lease::new(ORDERS_LEASE.to_owned(), times)
+}
+
+/// A lease that was just taken.
+struct Taken {
+    lease: Lease<Held>,
+    /// The record that stood there before.
+    before: Option<LeaseRecord>,
+    /// When the write was sent, from which the time to live counts.
+    sent: Instant,
+}
+
+/// Watches the record until it is free or somebody is heard to hold it, and
+/// tries to take it.
+async fn take(
+    node: &FleetNode,
+    mut watching: Lease<Watching>,
+) -> Option<Taken> {
+    loop {
+        if node.stage.get() != Stage::Ready
+            || node.live_leader(Instant::now()).is_some()
+        {
+            return None;
+        }
+        let stored = read(node).await.ok()?;
+        let now = Instant::now();
+        watching.observe(stored, now);
+        let before = watching.seen().cloned();
+        let is_own =
+            before.as_ref().is_some_and(|record| record.holder == *node.id());
+        if is_own || watching.is_free(now) {
+            let acquiring = watching.acquire(&candidate(node), now);
+            let lease = acquire(node, acquiring).await?;
+            return Some(Taken { lease, before, sent: now });
+        }
+        compio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn acquire(
+    node: &FleetNode,
+    acquiring: Lease<Acquiring>,
+) -> Option<Lease<Held>> {
+    let answer = write(node, acquiring.write()).await;
+    match acquiring.answer(answer, Instant::now()) {
+        Acquired::Held(held) => Some(held),
+        Acquired::Lost(_) => None,
+        Acquired::Unclear(acquiring) => {
+            let stored = read(node).await.ok()?;
+            match acquiring.settle(stored, Instant::now()) {
+                Acquired::Held(held) => Some(held),
+                Acquired::Lost(_) | Acquired::Unclear(_) => None,
+            }
+        }
+    }
+}
+
+/// Renews the lease until it is lost or this instance leaves.
+async fn keep(node: &FleetNode, taken: Taken) {
+    let Taken { lease: mut held, before, sent: mut renewed_at } = taken;
+    let now = Instant::now();
+    let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
+    let before = before.map(|record| record.holder);
+    let is_turn = before.as_ref().is_some_and(|holder| holder != node.id());
+    let order_from = if is_turn { now + turn } else { now };
+    tracing::info!(
+        event = "lease_taken",
+        epoch = held.epoch(),
+        before,
+        orders_in_ms = order_from.duration_since(now).as_millis() as u64,
+    );
+    loop {
+        let now = Instant::now();
+        if !held.is_current(now) {
+            node.held.set(None);
+            tracing::warn!(event = "lease_lapsed", epoch = held.epoch());
+            return;
+        }
+        node.held.set(Some(HeldLease {
+            epoch: held.epoch(),
+            current_until: renewed_at + TIME_TO_LIVE,
+            order_from,
+        }));
+        if node.stage.get() == Stage::Leaving {
+            node.held.set(None);
+            let answer = write(node, &held.release()).await;
+            tracing::info!(
+                event = "lease_released",
+                epoch = held.epoch(),
+                answer = ?answer,
+            );
+            return;
+        }
+        if !held.is_renewal_due(now) {
+            compio::time::sleep(TICK).await;
+            continue;
+        }
+        let renewal = held.renewal();
+        let sent = Instant::now();
+        let answer = write(node, &renewal).await;
+        let is_done = matches!(answer, WriteAnswer::Done(_));
+        let now = Instant::now();
+        held = match held.renewed(renewal, answer, sent, now) {
+            Renewed::Held(held) if is_done => {
+                renewed_at = sent;
+                held
+            }
+            Renewed::Held(held) => match read(node).await {
+                Ok(stored) => match held.reconcile(stored, Instant::now()) {
+                    Renewed::Held(held) => held,
+                    Renewed::Lost(_) => return lost(node),
+                },
+                Err(_) => {
+                    compio::time::sleep(TICK).await;
+                    held
+                }
+            },
+            Renewed::Lost(_) => return lost(node),
+        };
+    }
+}
+
+fn lost(node: &FleetNode) {
+    node.held.set(None);
+    tracing::warn!(event = "lease_lost");
+}
+
+fn candidate(node: &FleetNode) -> Candidate {
+    Candidate {
+        instance: node.id().clone(),
+        incarnation: node.incarnation,
+        peer_url: node.settings.peer_listen.to_string(),
+    }
+}
+
+async fn read(node: &FleetNode) -> Result<Option<StoredLease>, StoreError> {
+    let object = node.store.get(LEASES_KIND, ORDERS_LEASE).await?;
+    Ok(object.and_then(|object| decode(&object)))
+}
+
+fn decode(object: &StoredObject) -> Option<StoredLease> {
+    match LeaseRecord::deserialize(&object.spec) {
+        Ok(record) => Some(StoredLease { record, version: object.revision }),
+        Err(err) => {
+            tracing::error!(event = "lease_unreadable", cause = %err);
+            None
+        }
+    }
+}
+
+async fn write(node: &FleetNode, write: &LeaseWrite) -> WriteAnswer {
+    let spec = match serde_json::to_value(&write.record) {
+        Ok(spec) => spec,
+        Err(err) => {
+            tracing::error!(event = "lease_not_encoded", cause = %err);
+            return WriteAnswer::Unclear;
+        }
+    };
+    let (kind, name) = (LEASES_KIND, ORDERS_LEASE);
+    let written = match write.expected {
+        Some(revision) => node.store.replace(kind, name, revision, &spec).await,
+        None => node.store.create(kind, name, &spec).await,
+    };
+    match written {
+        Ok(object) => WriteAnswer::Done(object.revision),
+        Err(StoreError::Conflict(_) | StoreError::Missing) => {
+            WriteAnswer::Conflict
+        }
+        Err(_) => WriteAnswer::Unclear,
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -0,0 +1,19 @@
+//! An instance on an operator's platform.
+//!
+//! Each instance dispatches by itself on a table of endpoints; one of them at
+//! a time holds the lease on orders to engines. [`node`] holds what all parts
+//! share; [`caller`], [`leader`], [`follow`] and [`notes`] stand beside each
+//! other above it, and [`daemon`] starts them.
+
+mod attempt;
+mod caller;
+pub(crate) mod daemon;
+mod follow;
+mod leader;
+mod lease;
+mod log_buffer;
+mod node;
+mod notes;
+mod orders;
+mod refusal;
+mod relay;
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -0,0 +1,273 @@
+//! What all parts of an instance share, and nothing that acts on its own.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    demand::Demand,
+    retry_budget::{RetryAllowance, RetryBudget},
+    route::Deployment,
+    view::FleetView,
+};
+use sedgewall_platform::Store;
+use sedgewall_protocol::settings::{FleetSettings, Settings};
+use sedgewall_state::id::{EndpointId, Epoch, Incarnation, InstanceId};
+use sedgewall_transport::EndpointPool;
+
+/// How long a holder's word that it leads is believed.
+const LEADER_HOLDS: Duration = Duration::from_millis(700);
+
+/// Where an instance is in its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Stage {
+    /// It knows no configuration yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+}
+
+/// The instance that gives orders.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaderSeen {
+    pub(crate) instance: InstanceId,
+    pub(crate) epoch: Epoch,
+    pub(crate) heard: Instant,
+}
+
+/// The lease on orders, as its holder sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct HeldLease {
+    pub(crate) epoch: Epoch,
+    /// Until then, nobody else can have it.
+    pub(crate) current_until: Instant,
+    /// Before that, engines may still hear the holder before us.
+    pub(crate) order_from: Instant,
+}
+
+/// What all parts of an instance share.
+pub(crate) struct FleetNode {
+    pub(crate) settings: Settings,
+    pub(crate) fleet: FleetSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) stage: Cell<Stage>,
+    pub(crate) deployment: RefCell<Option<Rc<Deployment>>>,
+    pub(crate) view: RefCell<FleetView>,
+    pub(crate) demand: RefCell<Demand>,
+    pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
+    pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    /// The other instances and where their notes go.
+    pub(crate) peers: RefCell<BTreeMap<InstanceId, SocketAddr>>,
+    pub(crate) leader: RefCell<Option<LeaderSeen>>,
+    /// Our own lease on orders, if we have it.
+    pub(crate) held: Cell<Option<HeldLease>>,
+    pub(crate) pool: EndpointPool,
+    pub(crate) store: Store,
+    /// Requests that were read and are not answered to the end.
+    pub(crate) open: Cell<usize>,
+    waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
+    loader_bell: Bell,
+    notes_bell: Bell,
+}
+
+impl FleetNode {
+    pub(crate) fn new(
+        settings: Settings,
+        fleet: FleetSettings,
+        store_address: SocketAddr,
+    ) -> Rc<FleetNode> {
+        let allowance = RetryAllowance {
+            share: fleet.retry_share,
+            slack: fleet.retry_slack,
+            window: Duration::from_secs_f64(fleet.retry_window_s),
+        };
+        let view = FleetView::new(&settings.zone);
+        let pool = EndpointPool::new();
+        Rc::new(FleetNode {
+            settings,
+            fleet,
+            incarnation: rand::random(),
+            stage: Cell::new(Stage::Starting),
+            deployment: RefCell::default(),
+            view: RefCell::new(view),
+            demand: RefCell::default(),
+            asked: RefCell::default(),
+            waiting: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(allowance)),
+            peers: RefCell::default(),
+            leader: RefCell::default(),
+            held: Cell::new(None),
+            store: Store::new(EndpointPool::new(), store_address),
+            pool,
+            open: Cell::new(0),
+            waiters: RefCell::default(),
+            loader_bell: Bell::default(),
+            notes_bell: Bell::default(),
+        })
+    }
+
+    pub(crate) fn id(&self) -> &InstanceId {
+        &self.settings.instance
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn deployment(&self) -> Option<Rc<Deployment>> {
+        self.deployment.borrow().clone()
+    }
+
+    /// Returns our lease on orders, while it is sure to be ours.
+    pub(crate) fn current_lease(&self, now: Instant) -> Option<HeldLease> {
+        self.held.get().filter(|held| now < held.current_until)
+    }
+
+    /// Returns the instance that gives orders, if it was heard lately.
+    pub(crate) fn live_leader(&self, now: Instant) -> Option<LeaderSeen> {
+        let leader = self.leader.borrow().clone()?;
+        (now - leader.heard < LEADER_HOLDS).then_some(leader)
+    }
+
+    /// Notes who gives orders; an older epoch than the known one is ignored.
+    pub(crate) fn hear_leader(&self, instance: &str, epoch: Epoch) {
+        let mut leader = self.leader.borrow_mut();
+        if leader.as_ref().is_some_and(|known| known.epoch > epoch) {
+            return;
+        }
+        let is_new = leader.as_ref().is_none_or(|known| known.epoch < epoch);
+        if is_new {
+            tracing::info!(event = "leader_heard", instance, epoch);
+        }
+        let (instance, heard) = (instance.to_owned(), Instant::now());
+        *leader = Some(LeaderSeen { instance, epoch, heard });
+    }
+
+    /// Returns how many instances share what all may do together. One more is
+    /// counted for those that we do not hear.
+    pub(crate) fn instances(&self) -> usize {
+        let known = self.peers.borrow().len();
+        let live = self.view.borrow().live_peers(Instant::now());
+        known.max(live) + 1
+    }
+
+    /// Waits until something is heard of an adapter, or for a time.
+    pub(crate) async fn wait_for(&self, key: &AdapterKey, within: Duration) {
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().entry(key.clone()).or_default().push(tx);
+        // Either way the request looks again.
+        let _ = compio::time::timeout(within, rx).await;
+    }
+
+    /// Wakes the requests that wait for an adapter.
+    pub(crate) fn wake(&self, key: &AdapterKey) {
+        let waiting = self.waiters.borrow_mut().remove(key);
+        for tx in waiting.into_iter().flatten() {
+            // Its request may be gone.
+            let _ = tx.send(());
+        }
+    }
+
+    /// Wakes the requests whose adapters the table now shows.
+    pub(crate) fn wake_all(&self) {
+        let waiting: Vec<_> = self.waiters.borrow_mut().drain().collect();
+        for tx in waiting.into_iter().flat_map(|(_, waiters)| waiters) {
+            let _ = tx.send(());
+        }
+    }
+
+    /// Wakes the part that gives orders.
+    pub(crate) fn ring_loader(&self) {
+        self.loader_bell.ring();
+    }
+
+    /// Waits for [`FleetNode::ring_loader`], or for a time.
+    pub(crate) async fn loader_rung(&self, within: Duration) {
+        self.loader_bell.wait(within).await;
+    }
+
+    /// Wakes the part that sends notes.
+    pub(crate) fn ring_notes(&self) {
+        self.notes_bell.ring();
+    }
+
+    /// Waits for [`FleetNode::ring_notes`], or for a time; returns whether it
+    /// was rung.
+    pub(crate) async fn notes_rung(&self, within: Duration) -> bool {
+        self.notes_bell.wait(within).await
+    }
+}
+
+/// Wakes one waiting part of the instance.
+#[derive(Default)]
+struct Bell {
+    is_rung: Cell<bool>,
+    waiting: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+impl Bell {
+    fn ring(&self) {
+        self.is_rung.set(true);
+        if let Some(tx) = self.waiting.borrow_mut().take() {
+            // The part may have woken by its time.
+            let _ = tx.send(());
+        }
+    }
+
+    async fn wait(&self, within: Duration) -> bool {
+        if !self.is_rung.get() {
+            let (tx, rx) = oneshot::channel();
+            *self.waiting.borrow_mut() = Some(tx);
+            let _ = compio::time::timeout(within, rx).await;
+        }
+        self.is_rung.replace(false)
+    }
+}
+
+/// A request under way at an endpoint; dropping it counts it out.
+pub(crate) struct UnderWay {
+    node: Rc<FleetNode>,
+    endpoint: EndpointId,
+}
+
+impl UnderWay {
+    pub(crate) fn begin(node: &Rc<FleetNode>, endpoint: &str) -> UnderWay {
+        if let Some(state) =
+            node.view.borrow_mut().get_mut(&endpoint.to_owned())
+        {
+            state.own_in_flight += 1;
+        }
+        UnderWay { node: node.clone(), endpoint: endpoint.to_owned() }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut view = self.node.view.borrow_mut();
+        if let Some(state) = view.get_mut(&self.endpoint) {
+            state.own_in_flight = state.own_in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// A request that was read; dropping it counts it out.
+pub(crate) struct OpenRequest(Rc<FleetNode>);
+
+impl OpenRequest {
+    pub(crate) fn begin(node: &Rc<FleetNode>) -> OpenRequest {
+        node.open.set(node.open.get() + 1);
+        OpenRequest(node.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -0,0 +1,202 @@
+//! Notes between instances, as datagrams.
+//!
+//! A datagram fits what they say: sums that replace each other, where the
+//! newest counts and a lost one is repaired by the next. It needs no
+//! connection to hang when a machine loses power.
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::BufResult;
+use sedgewall_fleet::note::{Asked, Note, Status};
+
+use super::node::FleetNode;
+
+/// How often each instance says what it has under way.
+const STATUS_EVERY: Duration = Duration::from_millis(150);
+
+/// How often it says what was asked for, if nothing waits.
+const ASKED_EVERY: u64 = 2;
+
+/// The longest datagram that IPv4 carries, less some room for its head.
+const LARGEST_NOTE: usize = 60_000;
+
+/// Sends notes.
+pub(crate) struct NoteSender {
+    socket: UdpSocket,
+}
+
+impl NoteSender {
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        // A note that cannot be sent now is like one that was lost.
+        if let Err(err) = self.socket.send_to(bytes, to) {
+            tracing::debug!(event = "note_not_sent", cause = %err);
+        }
+    }
+
+    /// Sends a note to all other instances.
+    pub(crate) fn broadcast(&self, node: &FleetNode, note: &Note) {
+        let Some(bytes) = encode(note) else { return };
+        for address in node.peers.borrow().values() {
+            self.send(*address, &bytes);
+        }
+    }
+
+    fn send_to(&self, to: SocketAddr, note: &Note) {
+        if let Some(bytes) = encode(note) {
+            self.send(to, &bytes);
+        }
+    }
+}
+
+fn encode(note: &Note) -> Option<Vec<u8>> {
+    match rmp_serde::to_vec(note) {
+        Ok(bytes) if bytes.len() <= LARGEST_NOTE => Some(bytes),
+        Ok(bytes) => {
+            let len = bytes.len();
+            tracing::error!(event = "note_too_large", len);
+            None
+        }
+        Err(err) => {
+            tracing::error!(event = "note_not_encoded", cause = %err);
+            None
+        }
+    }
+}
+
+/// Opens the socket for notes.
+pub(crate) fn open(
+    node: &FleetNode,
+) -> io::Result<(Rc<NoteSender>, compio::net::UdpSocket)> {
+    let socket = UdpSocket::bind(node.settings.peer_listen)?;
+    socket.set_nonblocking(true)?;
+    let sender = socket.try_clone()?;
+    let receiver = compio::net::UdpSocket::from_std(socket)?;
+    Ok((Rc::new(NoteSender { socket: sender }), receiver))
+}
+
+/// Receives notes for ever.
+pub(crate) async fn receive(
+    node: Rc<FleetNode>,
+    socket: compio::net::UdpSocket,
+) {
+    let mut buf = Vec::with_capacity(LARGEST_NOTE);
+    loop {
+        buf.clear();
+        let BufResult(received, back) = socket.recv_from(buf).await;
+        buf = back;
+        match received {
+            Ok((len, _)) => match rmp_serde::from_slice(&buf[..len]) {
+                Ok(note) => hear(&node, note),
+                Err(err) => {
+                    tracing::warn!(event = "note_unreadable", cause = %err);
+                }
+            },
+            Err(err) => {
+                // A dead peer's port answers so; nothing is lost by it.
+                tracing::debug!(event = "note_error", cause = %err);
+                compio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+fn hear(node: &FleetNode, note: Note) {
+    let now = Instant::now();
+    match note {
+        Note::Status(status) => {
+            if let Some(epoch) = status.leads {
+                node.hear_leader(&status.from, epoch);
+            }
+            node.view.borrow_mut().hear_status(status, now);
+        }
+        Note::Asked(asked) => hear_asked(node, &asked, now),
+        Note::Placed(placed) => {
+            node.view.borrow_mut().hear_placed(&placed, now);
+            node.wake(&placed.key);
+        }
+        Note::Removed(removed) => {
+            node.view.borrow_mut().hear_removed(&removed, now);
+        }
+    }
+}
+
+fn hear_asked(node: &FleetNode, asked: &Asked, now: Instant) {
+    let mut demand = node.demand.borrow_mut();
+    for (key, count) in &asked.counts {
+        demand.add(key, *count, &asked.zone, now);
+    }
+    for (key, rank) in &asked.waiting {
+        demand.wait(key, *rank, now);
+    }
+    drop(demand);
+    if !asked.waiting.is_empty() {
+        node.ring_loader();
+    }
+}
+
+/// Sends what this instance has to say, for ever.
+pub(crate) async fn tell(node: Rc<FleetNode>, sender: Rc<NoteSender>) {
+    let mut sequence = start_sequence();
+    let mut turn = 0;
+    let mut next_status = Instant::now();
+    loop {
+        let left = next_status.saturating_duration_since(Instant::now());
+        let is_urgent = node.notes_rung(left).await;
+        if Instant::now() >= next_status {
+            next_status = Instant::now() + STATUS_EVERY;
+            sequence += 1;
+            turn += 1;
+            tell_status(&node, &sender, sequence);
+        }
+        if is_urgent || turn >= ASKED_EVERY {
+            turn = 0;
+            tell_asked(&node, &sender);
+        }
+    }
+}
+
+/// A restart begins above what its last life can have reached.
+fn start_sequence() -> u64 {
+    let since = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
+
+fn tell_status(node: &FleetNode, sender: &NoteSender, sequence: u64) {
+    let in_flight = node
+        .view
+        .borrow()
+        .endpoints()
+        .filter(|state| state.own_in_flight > 0)
+        .map(|state| (state.endpoint.id.clone(), state.own_in_flight))
+        .collect();
+    let from = node.id().clone();
+    let leads = node.current_lease(Instant::now()).map(|held| held.epoch);
+    let status = Status { from, sequence, leads, in_flight };
+    sender.broadcast(node, &Note::Status(status));
+}
+
+fn tell_asked(node: &FleetNode, sender: &NoteSender) {
+    let counts: Vec<_> = node.asked.borrow_mut().drain().collect();
+    let waiting: Vec<_> = node.waiting.borrow_mut().drain().collect();
+    if counts.is_empty() && waiting.is_empty() {
+        return;
+    }
+    let zone = node.settings.zone.clone();
+    let asked = Asked { zone, counts, waiting };
+    if node.held.get().is_some() {
+        hear_asked(node, &asked, Instant::now());
+        return;
+    }
+    let Some(leader) = node.live_leader(Instant::now()) else { return };
+    let address = node.peers.borrow().get(&leader.instance).copied();
+    if let Some(address) = address {
+        sender.send_to(address, &Note::Asked(asked));
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -0,0 +1,211 @@
+//! The body of a streamed answer, passed on as it comes.
+//!
+//! A stream that may be resumed goes on at another engine after its last whole
+//! event when its engine fails; any other ends where it broke, and never looks
+//! complete.
+
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use sedgewall_fleet::{events::EventCutter, view::Target};
+use sedgewall_transport::{LocalBody, PooledBody, SendError};
+
+use super::{
+    attempt::{CallerRequest, GoodAnswer},
+    caller::{self, Progress},
+    node::{FleetNode, OpenRequest, UnderWay},
+};
+
+/// A caller gives a stream up after a pause of this long at the least.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// It waits this many times its target latency.
+const TARGETS: u32 = 4;
+
+/// It waits this many times the longest pause that is in time.
+const GAPS: u32 = 8;
+
+struct Relay {
+    node: Rc<FleetNode>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    target: Target,
+    body: PooledBody,
+    _under_way: UnderWay,
+    _open: OpenRequest,
+    cutter: Option<EventCutter>,
+    head: Duration,
+    bytes: usize,
+    is_over: bool,
+}
+
+/// How a stream stopped before its end.
+enum Stopped {
+    Broken(SendError),
+    Silent,
+    TimeOver,
+}
+
+/// Returns a body that passes an engine's events on.
+pub(crate) fn stream(
+    node: Rc<FleetNode>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    good: GoodAnswer,
+    target: Target,
+    open: OpenRequest,
+) -> LocalBody {
+    let cutter = call
+        .route
+        .is_resumable
+        .then(|| EventCutter::after(call.facts.last_event.clone()));
+    let relay = Relay {
+        head: call.arrived.elapsed(),
+        node,
+        call,
+        progress,
+        target,
+        body: good.answer.body,
+        _under_way: good.under_way,
+        _open: open,
+        cutter,
+        bytes: 0,
+        is_over: false,
+    };
+    LocalBody::chunks(stream::unfold(relay, |mut relay| async move {
+        let item = relay.next().await?;
+        Some((item, relay))
+    }))
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Ok(Some(bytes)) => {
+                    let whole = match &mut self.cutter {
+                        Some(cutter) => cutter.push(&bytes).into(),
+                        None => bytes,
+                    };
+                    if !whole.is_empty() {
+                        self.bytes += whole.len();
+                        return Some(Ok(whole));
+                    }
+                }
+                Ok(None) => return self.finish(),
+                Err(stopped) => {
+                    if !self.resume(&stopped).await {
+                        return Some(Err(self.give_up(&stopped)));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, Stopped> {
+        let left = self.call.left();
+        let patience = self.patience();
+        let within = patience.min(left);
+        match compio::time::timeout(within, self.body.next()).await {
+            Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
+            Ok(Some(Err(err))) => Err(Stopped::Broken(err)),
+            Ok(None) => Ok(None),
+            Err(_) if left <= patience => Err(Stopped::TimeOver),
+            Err(_) => Err(Stopped::Silent),
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        let route = &self.call.route;
+        let gap = route.gap.unwrap_or_default();
+        LEAST_PATIENCE.max(route.target_latency * TARGETS).max(gap * GAPS)
+    }
+
+    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+        self.is_over = true;
+        caller::log_served(
+            &self.call,
+            &self.progress,
+            &self.target,
+            self.head,
+            self.bytes,
+        );
+        let rest = self.cutter.as_mut().map(EventCutter::rest)?;
+        (!rest.is_empty()).then(|| Ok(rest.into()))
+    }
+
+    /// Goes on at another engine, if the route and the allowance permit.
+    async fn resume(&mut self, stopped: &Stopped) -> bool {
+        if self.cutter.is_none() || matches!(stopped, Stopped::TimeOver) {
+            return false;
+        }
+        self.progress.runs += 1;
+        self.progress.tried.push(self.target.id.clone());
+        self.note_failure();
+        if self.progress.runs >= self.call.route.max_attempts {
+            return false;
+        }
+        let Some(cutter) = self.cutter.as_mut() else { return false };
+        cutter.restart();
+        let last_event = cutter.last_id().map(str::to_owned);
+        let call = self.call.clone();
+        let found = caller::obtain(
+            &self.node,
+            &call,
+            &mut self.progress,
+            last_event.as_deref(),
+        );
+        let Ok((good, target)) = found.await else { return false };
+        if !good.answer.status.is_success() {
+            return false;
+        }
+        tracing::info!(
+            event = "resumed",
+            request = call.facts.request_id,
+            from = self.target.id,
+            to = target.id,
+            after_event = last_event,
+        );
+        self.body = good.answer.body;
+        self._under_way = good.under_way;
+        self.target = target;
+        true
+    }
+
+    fn note_failure(&self) {
+        let mut view = self.node.view.borrow_mut();
+        if let Some(state) = view.get_mut(&self.target.id) {
+            state.health.failed(Instant::now());
+        }
+    }
+
+    fn give_up(&mut self, stopped: &Stopped) -> io::Error {
+        self.is_over = true;
+        if self.cutter.is_none() && !matches!(stopped, Stopped::TimeOver) {
+            self.note_failure();
+        }
+        let cause = match stopped {
+            Stopped::Broken(err) => err.to_string(),
+            Stopped::Silent => "no event for too long".to_owned(),
+            Stopped::TimeOver => "the time is over".to_owned(),
+        };
+        metrics::counter!("sedgewall_streams_broken_total").increment(1);
+        tracing::warn!(
+            event = "stream_broken",
+            request = self.call.facts.request_id,
+            endpoint = self.target.id,
+            cause,
+            bytes = self.bytes,
+            held_ms = self.call.arrived.elapsed().as_millis() as u64,
+        );
+        io::Error::other(cause)
+    }
+}
--- a/crates/sedgewalld/src/main.rs
+++ b/crates/sedgewalld/src/main.rs
@@ -11,6 +11,7 @@
 mod election;
 mod entry;
 mod explain;
+mod fleet;
 mod heartbeat;
 mod inbox;
 mod instances;
@@ -90,11 +91,18 @@
         println!("{}: settings are sound.", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    start_log(&settings.log_level);
-    match daemon::run(settings) {
+    let ended = match settings.fleet {
+        Some(fleet) => fleet::daemon::run(settings, fleet),
+        None => {
+            start_log(&settings.log_level);
+            daemon::run(settings)
+        }
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("daemon: {err}.");
+            eprintln!("sedgewalld: {err}");
             ExitCode::from(EXIT_FAILED)
         }
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine_client;
 pub mod peer;
 pub mod platform_client;
+pub mod pool;
 pub mod server;
 
 pub use crate::{
@@ -19,5 +20,6 @@
     engine_client::EngineClient,
     peer::{PeerListener, PeerSender},
     platform_client::{PlatformClient, PlatformError},
-    server::{Handler, ServerLimits, serve},
+    pool::{EndpointPool, PooledAnswer, PooledBody, SendError},
+    server::{Handler, ServerLimits, Stop, serve, serve_until, stop_signal},
 };
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,312 @@
+//! A pool of HTTP/1.1 connections to endpoints, by address.
+//!
+//! Unlike a general client, it tells for each request whether it can have
+//! reached the endpoint, and it never sends one twice. The invariant: a
+//! connection goes back to the pool only after a whole answer, and dropping an
+//! answer before its end closes the connection, which tells the endpoint that
+//! nobody waits any more.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{net::TcpStream, runtime::JoinHandle};
+use cyper_core::HyperStream;
+use http::{HeaderMap, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use log::debug;
+use socket2::SockRef;
+
+/// A connection without a stated time to rest is kept this long.
+const REST_UNSTATED: Duration = Duration::from_secs(20);
+
+/// What is taken off a stated time to rest, so that a request does not cross
+/// the endpoint's close.
+const REST_MARGIN: Duration = Duration::from_millis(500);
+
+/// Bytes that are not acknowledged for this long end a connection: a machine
+/// without power says nothing.
+pub const UNACKNOWLEDGED_FOR: Duration = Duration::from_millis(1_500);
+
+/// Error of sending a request to an endpoint.
+#[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq)]
+pub enum SendError {
+    /// cannot connect: {0}
+    NotSent(String),
+    /// the connection failed: {0}
+    Broken(String),
+}
+
+impl std::error::Error for SendError {}
+
+impl SendError {
+    /// Returns whether the endpoint certainly did not get the request.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, SendError::NotSent(_))
+    }
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Dropping the task closes the socket.
+    _task: JoinHandle<()>,
+    rest_until: Instant,
+}
+
+type Idle = Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>;
+
+/// A pool of connections.
+#[derive(Clone, Default)]
+pub struct EndpointPool {
+    idle: Idle,
+    opened: Rc<Cell<u64>>,
+}
+
+/// The answer of an endpoint, with its body still to be read.
+pub struct PooledAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: PooledBody,
+}
+
+/// The body of an answer.
+pub struct PooledBody {
+    incoming: Incoming,
+    connection: Option<(SocketAddr, Connection)>,
+    idle: Idle,
+}
+
+impl EndpointPool {
+    /// Returns an empty pool.
+    pub fn new() -> EndpointPool {
+        EndpointPool::default()
+    }
+
+    /// Returns how many connections were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Closes the resting connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// When no connection can be made within `connect_within`, or the
+    /// connection fails before the head has come.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        connect_within: Duration,
+    ) -> Result<PooledAnswer, SendError> {
+        while let Some(connection) = self.take(address) {
+            match self.send_on(address, connection, request).await {
+                Ok(answer) => return Ok(answer),
+                Err(Unsent::Returned(back)) => request = *back,
+                Err(Unsent::Failed(err)) => return Err(err),
+            }
+        }
+        let connection = self.open(address, connect_within).await?;
+        match self.send_on(address, connection, request).await {
+            Ok(answer) => Ok(answer),
+            Err(Unsent::Returned(_)) => {
+                let cause = "closed before the request was sent".to_owned();
+                Err(SendError::NotSent(cause))
+            }
+            Err(Unsent::Failed(err)) => Err(err),
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let resting = idle.get_mut(&address)?;
+        let now = Instant::now();
+        resting.retain(|c| !c.sender.is_closed() && now < c.rest_until);
+        let idx = resting.iter().rposition(|c| c.sender.is_ready())?;
+        Some(resting.remove(idx))
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        within: Duration,
+    ) -> Result<Connection, SendError> {
+        let not_sent = |err: String| SendError::NotSent(err);
+        let stream = compio::time::timeout(within, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent(format!("not within {within:?}")))?
+            .map_err(|err| not_sent(err.to_string()))?;
+        bound_silence(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|err| not_sent(err.to_string()))?;
+        let task = compio::runtime::spawn(async move {
+            if let Err(err) = connection.await {
+                debug!("pool: a connection to {address} ended: {err}.");
+            }
+        });
+        self.opened.set(self.opened.get() + 1);
+        let rest_until = Instant::now() + REST_UNSTATED;
+        Ok(Connection { sender, _task: task, rest_until })
+    }
+
+    async fn send_on(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<PooledAnswer, Unsent> {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => {
+                let (head, incoming) = response.into_parts();
+                let connection = kept(connection, &head.headers);
+                let connection = connection.map(|c| (address, c));
+                let idle = self.idle.clone();
+                let body = PooledBody { incoming, connection, idle };
+                let (status, headers) = (head.status, head.headers);
+                Ok(PooledAnswer { status, headers, body })
+            }
+            Err(mut err) => Err(match err.take_message() {
+                Some(request) => Unsent::Returned(Box::new(request)),
+                None => {
+                    let cause = err.into_error().to_string();
+                    Unsent::Failed(SendError::Broken(cause))
+                }
+            }),
+        }
+    }
+}
+
+enum Unsent {
+    Returned(Box<Request<Full<Bytes>>>),
+    Failed(SendError),
+}
+
+/// Makes a silent peer end the connection. A failure to set the option leaves
+/// the connection as it is, which the request's own time bounds.
+pub(crate) fn bound_silence(stream: &TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        debug!("pool: cannot set TCP_NODELAY: {err}.");
+    }
+    let socket = SockRef::from(stream);
+    if let Err(err) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR)) {
+        debug!("pool: cannot set TCP_USER_TIMEOUT: {err}.");
+    }
+}
+
+/// Notes how long the endpoint lets the connection rest. The task goes on
+/// either way until the body has been read.
+fn kept(mut connection: Connection, headers: &HeaderMap) -> Option<Connection> {
+    let rest = match stated_rest(headers) {
+        Some(stated) => stated.saturating_sub(REST_MARGIN),
+        None => REST_UNSTATED,
+    };
+    connection.rest_until = Instant::now() + rest;
+    Some(connection)
+}
+
+/// Reads `Keep-Alive: timeout=N`.
+fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::CONNECTION).iter();
+    values.any(|value| {
+        value.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close"))
+    })
+}
+
+impl PooledAnswer {
+    /// Closes the connection instead of keeping it, because what comes on it
+    /// cannot be trusted.
+    pub fn distrust(&mut self) {
+        self.body.connection = None;
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// When the connection fails before the end.
+    pub async fn whole(mut self) -> Result<Bytes, SendError> {
+        let mut parts: Vec<Bytes> = Vec::new();
+        self.settle();
+        while let Some(part) = self.body.next().await {
+            parts.push(part?);
+        }
+        Ok(match parts.len() {
+            0 => Bytes::new(),
+            1 => parts.remove(0),
+            _ => parts.concat().into(),
+        })
+    }
+
+    /// Gives up the connection after this answer if the endpoint says so.
+    pub fn settle(&mut self) {
+        if says_close(&self.headers)
+            && let Some((_, connection)) = &mut self.body.connection
+        {
+            connection.rest_until = Instant::now();
+        }
+    }
+}
+
+impl PooledBody {
+    /// Returns the next bytes, or nothing after the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// When the connection fails before the end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, SendError>> {
+        loop {
+            match self.incoming.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if data.is_empty() => {}
+                    Ok(data) => return Some(Ok(data)),
+                    Err(_) => {}
+                },
+                Some(Err(err)) => {
+                    self.connection = None;
+                    return Some(Err(SendError::Broken(err.to_string())));
+                }
+                None => {
+                    self.give_back();
+                    return None;
+                }
+            }
+        }
+    }
+
+    fn give_back(&mut self) {
+        let Some((address, connection)) = self.connection.take() else {
+            return;
+        };
+        if Instant::now() < connection.rest_until {
+            let mut idle = self.idle.borrow_mut();
+            idle.entry(address).or_default().push(connection);
+        }
+    }
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -5,19 +5,25 @@
 //! body's stream, and their destructors cancel what they stood for.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, pin::Pin, rc::Rc,
+    cell::Cell,
+    convert::Infallible,
+    future::Future,
+    pin::{Pin, pin},
+    rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
+use futures_channel::oneshot;
+use futures_util::{FutureExt, future::Shared, select};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use log::{debug, warn};
 
-use crate::body::LocalBody;
+use crate::{body::LocalBody, pool::bound_silence};
 
 /// The answer that a handler is working on.
 pub type Answer = Pin<Box<dyn Future<Output = Response<LocalBody>>>>;
@@ -50,11 +56,34 @@
 /// How long to wait after an accept failed, for lack of descriptors mostly.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Tells a server to stop.
+pub type Stop = Shared<oneshot::Receiver<()>>;
+
+/// Returns what tells a server to stop, and what it listens to. Dropping the
+/// sender stops the server too.
+pub fn stop_signal() -> (oneshot::Sender<()>, Stop) {
+    let (tx, rx) = oneshot::channel();
+    (tx, rx.shared())
+}
+
 /// Accepts connections for ever.
 pub async fn serve(
     listener: TcpListener,
     limits: ServerLimits,
     handler: Handler,
+) {
+    let (_running, stop) = stop_signal();
+    serve_until(listener, limits, handler, stop).await;
+}
+
+/// Accepts connections until it is told to stop. From then on each connection
+/// is closed as soon as its request has been answered; a request that was read
+/// is never left without its answer.
+pub async fn serve_until(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: Handler,
+    stop: Stop,
 ) {
     let open = Rc::new(Cell::new(0usize));
     loop {
@@ -73,8 +102,9 @@
         open.set(open.get() + 1);
         let slot = OpenSlot(open.clone());
         let handler = handler.clone();
+        let stop = stop.clone();
         compio::runtime::spawn(async move {
-            serve_connection(stream, limits, handler).await;
+            serve_connection(stream, limits, handler, stop).await;
             drop(slot);
         })
         .detach();
@@ -85,18 +115,32 @@
     stream: TcpStream,
     limits: ServerLimits,
     handler: Handler,
+    mut stop: Stop,
 ) {
-    // Tokens are small and must not wait for each other.
-    let _ = stream.set_nodelay(true);
+    // Tokens are small and must not wait for each other, and a caller that
+    // lost power says nothing.
+    bound_silence(&stream);
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let served = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_time)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(limits.header_time)
+            .serve_connection(HyperStream::new_plain(stream), service)
+    );
+    let ended = select! {
+        served = (&mut connection).fuse() => Some(served),
+        _ = stop => None,
+    };
+    let served = match ended {
+        Some(served) => served,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(err) = served {
         debug!("http: a connection ended: {err}.");
     }
