Loader: rates and holders are computed once a look

Cause: the holder's processor was used up by decisions: for each waiting adapter the demand on each engine was summed anew over all seats and holders. Change: one index a look. A line a second says what engines hold. Most is lost by requests that come back after a refusal and are refused again.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -109,9 +109,17 @@
     ) -> Vec<Order> {
         self.forget(now);
         let mut orders = Vec::new();
-        for (service, group) in engine_groups(deployment) {
-            let mut turn =
-                Turn { loader: self, service, group, view, demand, now };
+        for (service, group) in deployment.engines() {
+            let index = Index::new(service, view, demand, now);
+            let mut turn = Turn {
+                loader: self,
+                service,
+                group,
+                view,
+                demand,
+                now,
+                index,
+            };
             turn.load_models(&mut orders);
             turn.replace_versions(&mut orders);
             turn.serve_waiting(&mut orders);
@@ -120,6 +128,11 @@
         orders
     }
 
+    /// Returns how many loads the weight store allows now.
+    pub fn loads_left(&mut self, loads_per_s: f64, now: Instant) -> u32 {
+        self.store.available(now, loads_per_s)
+    }
+
     /// Notes that nobody knows whether an order was or will be carried out.
     pub fn unclear(&mut self, order: &Order, now: Instant) {
         let key = match &order.task {
@@ -146,12 +159,75 @@
     }
 }
 
-fn engine_groups(
-    deployment: &Deployment,
-) -> impl Iterator<Item = (&str, &EngineGroup)> {
-    deployment.services.iter().filter_map(|(name, service)| {
-        service.engine.as_ref().map(|group| (name.as_str(), group))
-    })
+/// What one look computes once: rates, and who holds what.
+struct Index {
+    rates: HashMap<AdapterKey, f64>,
+    holders: HashMap<AdapterKey, u32>,
+    /// Requests a second that an engine's adapters stand for.
+    engine_rates: HashMap<EndpointId, f64>,
+}
+
+impl Index {
+    fn new(
+        service: &str,
+        view: &FleetView,
+        demand: &Demand,
+        now: Instant,
+    ) -> Index {
+        let rates: HashMap<AdapterKey, f64> = demand
+            .iter()
+            .map(|(key, d)| (key.clone(), d.rate_per_s(now)))
+            .collect();
+        let engines = || {
+            view.endpoints()
+                .filter(|state| state.endpoint.service == service)
+                .filter(|state| state.is_usable(now))
+        };
+        let mut holders: HashMap<AdapterKey, u32> = HashMap::new();
+        for state in engines() {
+            for (key, _) in state.seats() {
+                if let Some(count) = holders.get_mut(key) {
+                    *count += 1;
+                } else {
+                    holders.insert(key.clone(), 1);
+                }
+            }
+        }
+        let engine_rates = engines()
+            .map(|state| {
+                let shares = state.seats().map(|(key, _)| {
+                    let rate = rates.get(key).copied().unwrap_or(0.0);
+                    let held = holders.get(key).copied().unwrap_or(1);
+                    rate / f64::from(held.max(1))
+                });
+                (state.endpoint.id.clone(), shares.sum())
+            })
+            .collect();
+        Index { rates, holders, engine_rates }
+    }
+
+    fn rate(&self, key: &AdapterKey) -> f64 {
+        self.rates.get(key).copied().unwrap_or(0.0)
+    }
+
+    fn holders(&self, key: &AdapterKey) -> u32 {
+        self.holders.get(key).copied().unwrap_or(0)
+    }
+
+    fn engine_rate(&self, id: &EndpointId) -> f64 {
+        self.engine_rates.get(id).copied().unwrap_or(0.0)
+    }
+
+    /// Notes that an engine gets an adapter.
+    fn add(&mut self, id: &EndpointId, key: &AdapterKey) {
+        let held = self.holders.entry(key.clone()).or_default();
+        *held += 1;
+        let share =
+            self.rates.get(key).copied().unwrap_or(0.0) / f64::from(*held);
+        if let Some(rate) = self.engine_rates.get_mut(id) {
+            *rate += share;
+        }
+    }
 }
 
 /// One look at the engines of one service.
@@ -162,6 +238,7 @@
     view: &'a mut FleetView,
     demand: &'a mut Demand,
     now: Instant,
+    index: Index,
 }
 
 impl Turn<'_> {
@@ -233,7 +310,7 @@
             .collect();
         waiting.sort();
         for (_, _, key) in waiting {
-            let is_there = self.holders(&key).next().is_some();
+            let is_there = self.index.holders(&key) > 0;
             if is_there || self.place(&key, orders) {
                 self.demand.settled(&key);
             }
@@ -244,13 +321,13 @@
     fn add_replicas(&mut self, orders: &mut Vec<Order>) {
         let slots = f64::from(self.group.slots.max(1));
         let mut short = Vec::new();
-        for (key, demand) in self.demand.iter() {
+        for (key, _) in self.demand.iter() {
             if !self.is_ours(key) || key.adapter.is_none() {
                 continue;
             }
-            let under_way = demand.rate_per_s(self.now) * SERVICE_TIME_S;
+            let under_way = self.index.rate(key) * SERVICE_TIME_S;
             let wanted = (under_way / (slots * SHARE_OF_ENGINE)).ceil();
-            let has = self.holders(key).count() as f64;
+            let has = f64::from(self.index.holders(key));
             if has >= 1.0 && has < wanted {
                 short.push((under_way / has, key.clone()));
             }
@@ -280,6 +357,7 @@
         let takes = if home.is_warm { WARM_LOAD } else { COLD_LOAD };
         let placed = self.placed(&home.endpoint, key, version, takes);
         self.view.hear_placed(&placed, self.now);
+        self.index.add(&home.endpoint, key);
         let task = Task::Load(key.clone(), version);
         orders.push(home.order(task, !home.is_warm));
         true
@@ -300,7 +378,9 @@
             let Some(victim) = self.make_room(state) else { continue };
             let is_warm = state.is_warm(key);
             let is_near = Some(state.endpoint.zone.as_str()) == zone;
-            let cost = self.demand_on(state) / f64::from(self.group.slots)
+            let expected =
+                self.index.engine_rate(&state.endpoint.id) * SERVICE_TIME_S;
+            let cost = expected / f64::from(self.group.slots)
                 + state.load()
                 + if is_warm { 0.0 } else { 2.0 }
                 + if is_near { 0.0 } else { 0.3 };
@@ -329,7 +409,7 @@
         adapters()
             .filter(|(_, seat)| seat.is_ready(self.now))
             .filter(|(key, _)| !self.may_be_in_use(key))
-            .min_by(|a, b| self.rate(a.0).total_cmp(&self.rate(b.0)))
+            .min_by(|a, b| self.index.rate(a.0).total_cmp(&self.index.rate(b.0)))
             .map(|(key, _)| Some(key.clone()))
     }
 
@@ -339,19 +419,6 @@
             || self.now - demand.last_asked < IN_USE_FOR
     }
 
-    fn rate(&self, key: &AdapterKey) -> f64 {
-        self.demand.get(key).map_or(0.0, |d| d.rate_per_s(self.now))
-    }
-
-    /// Returns the requests under way that an engine's adapters stand for.
-    fn demand_on(&self, state: &EndpointState) -> f64 {
-        let rates = state.seats().map(|(key, _)| {
-            let holders = self.holders(key).count().max(1) as f64;
-            self.rate(key) / holders
-        });
-        rates.sum::<f64>() * SERVICE_TIME_S
-    }
-
     fn coming(&self, state: &EndpointState) -> bool {
         let on_their_way =
             state.seats().filter(|(_, seat)| !seat.is_ready(self.now));
@@ -369,13 +436,6 @@
         self.view.endpoints().filter(is_ours).filter(stays)
     }
 
-    /// Returns the usable engines that hold an adapter, or will soon.
-    fn holders(&self, key: &AdapterKey) -> impl Iterator<Item = &EndpointState> {
-        self.engines().filter(move |state| {
-            state.is_usable(self.now) && state.seat(key).is_some()
-        })
-    }
-
     fn remove(&mut self, endpoint: &EndpointId, key: &AdapterKey) {
         let removed = Removed {
             epoch: self.loader.epoch,
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -141,6 +141,13 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns the services with engines.
+    pub fn engines(&self) -> impl Iterator<Item = (&str, &EngineGroup)> {
+        self.services.iter().filter_map(|(name, service)| {
+            service.engine.as_ref().map(|group| (name.as_str(), group))
+        })
+    }
+
     /// Returns what the engines of a service have in common.
     pub fn engine_group(&self, service: &str) -> Option<&EngineGroup> {
         self.services.get(service)?.engine.as_ref()
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -208,6 +208,7 @@
                 service = endpoint.service,
                 zone = endpoint.zone,
                 is_draining = endpoint.is_draining,
+                adapters = adapter_count(&endpoint),
                 revision = change.object.revision,
             );
         }
@@ -217,6 +218,10 @@
     }
 }
 
+fn adapter_count(endpoint: &sedgewall_fleet::endpoint::Endpoint) -> usize {
+    endpoint.models.iter().map(|model| model.adapters.len()).sum()
+}
+
 fn decoded(
     object: &StoredObject,
 ) -> Option<sedgewall_fleet::endpoint::Endpoint> {
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -26,6 +26,7 @@
             last_forgotten = now;
             node.demand.borrow_mut().forget(now);
             orders.forget_gone();
+            log_state(&node, &orders, now);
         }
         let Some(held) = node.current_lease(now) else { continue };
         if now < held.order_from {
@@ -50,3 +51,36 @@
         orders.give(held.epoch, planned);
     }
 }
+
+/// One line a second: what is asked for and what the engines hold.
+fn log_state(node: &FleetNode, orders: &Orders, now: Instant) {
+    if node.current_lease(now).is_none() {
+        return;
+    }
+    let Some(deployment) = node.deployment() else { return };
+    let demand = node.demand.borrow();
+    let view = node.view.borrow();
+    for (service, group) in deployment.engines() {
+        let engines =
+            || view.endpoints().filter(|s| s.endpoint.service == service);
+        let adapters: usize = engines()
+            .map(|s| s.seats().filter(|(k, _)| k.adapter.is_some()).count())
+            .sum();
+        let loads_left = orders
+            .loader
+            .borrow_mut()
+            .as_mut()
+            .map(|loader| loader.loads_left(group.loads_per_s, now));
+        tracing::info!(
+            event = "holdings",
+            service,
+            engines = engines().count(),
+            usable = engines().filter(|s| s.is_usable(now)).count(),
+            adapters,
+            places = group.adapter_slots as usize * engines().count(),
+            asked_for = demand.iter().count(),
+            waiting = demand.iter().filter(|(_, d)| d.waiting.is_some()).count(),
+            loads_left,
+        );
+    }
+}
