--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -96,8 +96,7 @@
 impl Loader {
     /// Returns the loader of a new epoch. Whoever held the lease before may
     /// have used the weight store's whole rate until now.
-    pub fn new(epoch: Epoch, window: Duration, now: Instant) -> Loader {
-        let mut store = StoreRate::new(window);
+    pub fn new(epoch: Epoch, mut store: StoreRate, now: Instant) -> Loader {
         if epoch > 1 {
             store.assume_used(now);
         }
--- a/crates/fleet/src/store_rate.rs
+++ b/crates/fleet/src/store_rate.rs
@@ -5,13 +5,16 @@
     time::{Duration, Instant},
 };
 
-/// The part of the rate that we use; loads may begin later than their orders.
-const USED_PART: f64 = 0.95;
+/// The part of what is allowed that we use; a load may begin later than its
+/// order, and then counts in another window.
+const USED_PART: f64 = 0.96;
 
 /// Counts the loads of a sliding window.
 #[derive(Clone, Debug)]
 pub struct StoreRate {
     window: Duration,
+    /// What a window allows, as a multiple of the rate.
+    overage: f64,
     begun: VecDeque<Instant>,
     /// Loads that a holder before us may have begun, by when they count no
     /// longer.
@@ -19,9 +22,11 @@
 }
 
 impl StoreRate {
-    /// Returns a count for windows of this length.
-    pub fn new(window: Duration) -> StoreRate {
-        StoreRate { window, begun: VecDeque::new(), inherited: None }
+    /// Returns a count for windows of this length, in which loads may begin
+    /// this many times as fast as the rate says.
+    pub fn new(window: Duration, overage: f64) -> StoreRate {
+        let (begun, inherited) = (VecDeque::new(), None);
+        StoreRate { window, overage, begun, inherited }
     }
 
     /// Assumes that somebody else used the whole rate until now.
@@ -34,7 +39,8 @@
         while self.begun.front().is_some_and(|at| now - *at >= self.window) {
             self.begun.pop_front();
         }
-        let most = loads_per_s * self.window.as_secs_f64() * USED_PART;
+        let allowed = loads_per_s * self.window.as_secs_f64() * self.overage;
+        let most = allowed * USED_PART;
         let left = most - self.begun.len() as f64 - self.inherited(now, most);
         left.max(0.0) as u32
     }
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -59,6 +59,8 @@
     pub order_turn_ms: u64,
     /// The window over which loads from the weight store count, in seconds.
     pub store_window_s: f64,
+    /// What such a window allows, as a multiple of the weight store's rate.
+    pub store_overage: f64,
     /// A planned stop is cut off after this long, in seconds.
     pub grace_s: f64,
 }
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use sedgewall_fleet::loader::Loader;
+use sedgewall_fleet::{loader::Loader, store_rate::StoreRate};
 
 use super::{node::FleetNode, orders::Orders};
 
@@ -35,7 +35,8 @@
         if epoch != Some(held.epoch) {
             epoch = Some(held.epoch);
             let window = Duration::from_secs_f64(node.fleet.store_window_s);
-            let loader = Loader::new(held.epoch, window, now);
+            let rate = StoreRate::new(window, node.fleet.store_overage);
+            let loader = Loader::new(held.epoch, rate, now);
             *orders.loader.borrow_mut() = Some(loader);
         }
         let Some(deployment) = node.deployment() else { continue };
