Orders name how many orders their engine has taken; standing of adapters

Change: an engine gets orders only after it has reported, and each order names the count of orders taken, so one that comes late finds another count.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,17 +9,21 @@
 
 use crate::adapter::AdapterKey;
 
-/// The time over which demand is forgotten to a third. Popularity shifts
-/// within seconds on the days that we were shown; a longer memory keeps what
-/// nobody asks for, a shorter one forgets what comes every few seconds.
+/// The time over which the rate forgets to a third. Popularity shifts within
+/// seconds on the days that we were shown; a longer memory keeps what nobody
+/// asks for, a shorter one forgets what comes every few seconds.
 const MEMORY: Duration = Duration::from_secs(6);
 
+/// The time over which the standing of an adapter forgets to a third: the tail
+/// is asked for every ten seconds or so.
+const LONG_MEMORY: Duration = Duration::from_secs(30);
+
 /// How long an adapter counts as waited for after it was last asked for. A
 /// caller that was refused comes back within a third of its time, some 1.7 s.
 const WAITED_FOR: Duration = Duration::from_millis(2_000);
 
-/// Below this rate an adapter is forgotten, in requests a second.
-const FORGOTTEN_RATE_PER_S: f64 = 0.002;
+/// Below this standing an adapter is forgotten, in requests.
+const FORGOTTEN_STANDING: f64 = 0.1;
 
 /// The demand for all adapters.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +35,7 @@
 #[derive(Clone, Debug)]
 pub struct AdapterDemand {
     weight: f64,
+    long_weight: f64,
     updated: Instant,
     /// When it was last asked for.
     pub last_asked: Instant,
@@ -43,9 +48,18 @@
 impl AdapterDemand {
     /// Returns the rate, in requests a second.
     pub fn rate_per_s(&self, now: Instant) -> f64 {
+        self.faded(self.weight, MEMORY, now) / MEMORY.as_secs_f64()
+    }
+
+    /// Returns how often it was asked for lately, in requests; by this the
+    /// weight store's rate is given out.
+    pub fn standing(&self, now: Instant) -> f64 {
+        self.faded(self.long_weight, LONG_MEMORY, now)
+    }
+
+    fn faded(&self, weight: f64, memory: Duration, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.weight * (-age / MEMORY.as_secs_f64()).exp()
-            / MEMORY.as_secs_f64()
+        weight * (-age / memory.as_secs_f64()).exp()
     }
 
     /// Returns whether requests wait for it, or will come back for it.
@@ -54,7 +68,9 @@
     }
 
     fn add(&mut self, count: f64, now: Instant) {
-        self.weight = self.rate_per_s(now) * MEMORY.as_secs_f64() + count;
+        self.weight = self.faded(self.weight, MEMORY, now) + count;
+        self.long_weight =
+            self.faded(self.long_weight, LONG_MEMORY, now) + count;
         self.updated = now;
         self.last_asked = now;
     }
@@ -72,6 +88,7 @@
         let entry =
             self.adapters.entry(key.clone()).or_insert_with(|| AdapterDemand {
                 weight: 0.0,
+                long_weight: 0.0,
                 updated: now,
                 last_asked: now,
                 zone: zone.to_owned(),
@@ -108,6 +125,6 @@
     /// Forgets what is no longer asked for.
     pub fn forget(&mut self, now: Instant) {
         self.adapters
-            .retain(|_, entry| entry.rate_per_s(now) >= FORGOTTEN_RATE_PER_S);
+            .retain(|_, entry| entry.standing(now) >= FORGOTTEN_STANDING);
     }
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -40,3 +40,16 @@
     /// The adapters that are ready, with their versions.
     pub adapters: Vec<(AdapterKey, WeightVersion)>,
 }
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineReport {
+    /// The base models that it holds.
+    pub models: Vec<HostedModel>,
+    /// The adapters on their way to it.
+    pub coming: Vec<(AdapterKey, WeightVersion)>,
+    /// Whether it carries out an order that it can do only one of.
+    pub is_busy: bool,
+    /// The orders that it has taken in this life.
+    pub orders_taken: u64,
+}
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -4,16 +4,17 @@
 //! more where an engine would fill up. The tail gets one home, and keeps it:
 //! an engine that lately held an adapter loads it again from its own memory,
 //! without the weight store. The invariants: no engine is ordered to hold more
-//! adapters than it has places, counting orders whose fate is unknown; and
+//! adapters than it has places, and none before it is known what it holds; and
 //! the loads from the weight store stay within its rate.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use sedgewall_state::id::{EndpointId, Epoch, ModelName};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
@@ -27,10 +28,6 @@
 /// Adapters on their way to one engine at once; the platform allows this many.
 const COMING_PER_ENGINE: usize = 4;
 
-/// An order that was not answered may be carried out for this long. The
-/// platform says up to 12 s.
-const UNCLEAR_FOR: Duration = Duration::from_secs(13);
-
 /// An adapter that was asked for within this time may be in use.
 const IN_USE_FOR: Duration = Duration::from_millis(1_200);
 
@@ -50,6 +47,9 @@
 /// The part of the weight store's window that is kept for requests that wait.
 const KEPT_FOR_WAITING: f64 = 0.4;
 
+/// An engine that has not reported is asked again after this long.
+const SYNC_AGAIN: Duration = Duration::from_millis(700);
+
 /// Loads under way at once, in seconds of the weight store's rate. The store's
 /// rate and what it does at full speed at once go together: 9.3 a second with
 /// 4, 4.4 with 3 on the deployments that we know.
@@ -61,6 +61,8 @@
 /// What an engine is told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
+    /// Report what it holds, before it gets orders.
+    Sync,
     /// Load a base model.
     LoadModel(ModelName),
     /// Load an adapter, or replace it by its newest version.
@@ -87,8 +89,11 @@
 pub struct Loader {
     epoch: Epoch,
     store: StoreRate,
-    unclear: HashMap<EndpointId, Vec<(AdapterKey, Instant)>>,
+    /// The engines of which we know what they hold.
+    synced: HashSet<EndpointId>,
     ordered: HashMap<(EndpointId, AdapterKey), Instant>,
+    /// Adapters that nobody asked for yet, in the order of loading them ahead.
+    spread: Vec<AdapterKey>,
     /// When the loads from the weight store that are under way will be done.
     cold_until: Vec<Instant>,
 }
@@ -100,9 +105,14 @@
         if epoch > 1 {
             store.assume_used(now);
         }
-        let (unclear, ordered) = (HashMap::new(), HashMap::new());
-        let cold_until = Vec::new();
-        Loader { epoch, store, unclear, ordered, cold_until }
+        Loader {
+            epoch,
+            store,
+            synced: HashSet::new(),
+            ordered: HashMap::new(),
+            spread: Vec::new(),
+            cold_until: Vec::new(),
+        }
     }
 
     /// Decides what to order now. The view is changed as if all orders were
@@ -127,10 +137,12 @@
                 now,
                 index,
             };
+            turn.sync_engines(&mut orders);
             turn.load_models(&mut orders);
             turn.replace_versions(&mut orders);
             turn.serve_demand(&mut orders);
             turn.add_replicas(&mut orders);
+            turn.fill_places(&mut orders);
         }
         orders
     }
@@ -140,30 +152,24 @@
         self.store.available(now, loads_per_s)
     }
 
-    /// Notes that nobody knows whether an order was or will be carried out.
-    pub fn unclear(&mut self, order: &Order, now: Instant) {
-        let key = match &order.task {
-            Task::LoadModel(model) => AdapterKey::base(model),
-            Task::Load(key, _) | Task::Unload(key) => key.clone(),
-        };
-        let orders = self.unclear.entry(order.endpoint.clone()).or_default();
-        orders.push((key, now + UNCLEAR_FOR));
+    /// Notes that what an engine holds is known, so that it may get orders.
+    pub fn synced(&mut self, endpoint: &EndpointId) {
+        self.synced.insert(endpoint.clone());
+    }
+
+    /// Notes that nobody knows what an engine holds, until it has reported.
+    pub fn unsynced(&mut self, endpoint: &EndpointId) {
+        self.synced.remove(endpoint);
+    }
+
+    /// Returns whether it is known what an engine holds.
+    pub fn is_synced(&self, endpoint: &EndpointId) -> bool {
+        self.synced.contains(endpoint)
     }
 
     fn forget(&mut self, now: Instant) {
         self.ordered.retain(|_, at| now - *at < ORDER_AGAIN);
         self.cold_until.retain(|until| now < *until);
-        for orders in self.unclear.values_mut() {
-            orders.retain(|(_, until)| now < *until);
-        }
-        self.unclear.retain(|_, orders| !orders.is_empty());
-    }
-
-    fn unclear_len(&self, state: &EndpointState) -> usize {
-        let Some(orders) = self.unclear.get(&state.endpoint.id) else {
-            return 0;
-        };
-        orders.iter().filter(|(key, _)| state.seat(key).is_none()).count()
     }
 }
 
@@ -238,6 +244,21 @@
     }
 }
 
+/// Returns all adapters of a service in an order that depends on their names
+/// only, so that each holder of the lease goes on where the last one was.
+fn spread_adapters(group: &EngineGroup) -> Vec<AdapterKey> {
+    let mut keys: Vec<AdapterKey> = group
+        .models
+        .iter()
+        .flat_map(|model| {
+            let key = |name: &String| AdapterKey::new(&model.name, name);
+            model.adapters.iter().map(key)
+        })
+        .collect();
+    keys.sort_by_cached_key(|key| xxh3_64(key.to_string().as_bytes()));
+    keys
+}
+
 /// One look at the engines of one service.
 struct Turn<'a> {
     loader: &'a mut Loader,
@@ -250,6 +271,30 @@
 }
 
 impl Turn<'_> {
+    /// Engines of which nobody knows what they hold are asked.
+    fn sync_engines(&mut self, orders: &mut Vec<Order>) {
+        let asked = AdapterKey::base("");
+        let unknown: Vec<(EndpointId, SocketAddr)> = self
+            .view
+            .endpoints()
+            .filter(|state| state.endpoint.service == self.service)
+            .filter(|state| !state.endpoint.is_draining)
+            .filter(|state| !self.loader.is_synced(&state.endpoint.id))
+            .map(|state| (state.endpoint.id.clone(), state.endpoint.address))
+            .collect();
+        for (endpoint, address) in unknown {
+            let id = (endpoint.clone(), asked.clone());
+            if let Some(at) = self.loader.ordered.get(&id)
+                && self.now - *at < SYNC_AGAIN
+            {
+                continue;
+            }
+            self.loader.ordered.insert(id, self.now);
+            let task = Task::Sync;
+            orders.push(Order { endpoint, address, task, is_cold: false });
+        }
+    }
+
     /// Engines that came empty get a base model.
     fn load_models(&mut self, orders: &mut Vec<Order>) {
         let Some(model) = self.group.models.first() else { return };
@@ -316,8 +361,8 @@
         for (key, demand) in self.demand.iter() {
             if self.is_ours(key) && self.index.holders(key) == 0 {
                 let is_waited_for = demand.is_waited_for(self.now);
-                let rate = self.index.rate(key);
-                wanted.push((is_waited_for, rate, key.clone()));
+                let standing = demand.standing(self.now);
+                wanted.push((is_waited_for, standing, key.clone()));
             }
         }
         wanted.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
@@ -362,6 +407,27 @@
         }
     }
 
+    /// While nobody asks for anything that is not there, empty places are
+    /// filled with adapters that may be asked for.
+    fn fill_places(&mut self, orders: &mut Vec<Order>) {
+        if self.loader.spread.is_empty() {
+            self.loader.spread = spread_adapters(self.group);
+        }
+        while self.may_load_ahead() {
+            let Some(key) = self.loader.spread.pop() else { return };
+            if self.index.holders(&key) > 0 || !self.has_empty_place() {
+                continue;
+            }
+            self.place(&key, orders);
+        }
+    }
+
+    fn has_empty_place(&self) -> bool {
+        let places = self.group.adapter_slots as usize;
+        // One place stays free on each engine for what is asked for.
+        self.engines().any(|state| state.seats().count() < places)
+    }
+
     /// Puts an adapter on one more engine; returns whether it could.
     fn place(&mut self, key: &AdapterKey, orders: &mut Vec<Order>) -> bool {
         let Some(home) = self.find_home(key) else { return false };
@@ -418,11 +484,10 @@
     fn make_room(&self, state: &EndpointState) -> Option<Option<AdapterKey>> {
         let places = self.group.adapter_slots as usize;
         let adapters = || state.seats().filter(|(k, _)| k.adapter.is_some());
-        let taken = adapters().count() + self.loader.unclear_len(state);
+        let taken = adapters().count();
         if taken < places {
             return Some(None);
         }
-        // With an order of unknown fate, even an unload may come late.
         if taken > places {
             return None;
         }
@@ -452,7 +517,10 @@
         let is_ours =
             |state: &&EndpointState| state.endpoint.service == self.service;
         let stays = |state: &&EndpointState| !state.endpoint.is_draining;
-        self.view.endpoints().filter(is_ours).filter(stays)
+        let is_known =
+            |state: &&EndpointState| self.loader.is_synced(&state.endpoint.id);
+        let engines = self.view.endpoints().filter(is_ours);
+        engines.filter(stays).filter(is_known)
     }
 
     fn remove(&mut self, endpoint: &EndpointId, key: &AdapterKey) {
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use sedgewall_state::id::ModelName;
+use sedgewall_state::id::{AdapterName, ModelName};
 
 /// The name of a service.
 pub type ServiceName = String;
@@ -102,6 +102,8 @@
     pub weights_mb: f64,
     /// How long a load from the weight store takes.
     pub load_time: Duration,
+    /// The names of its adapters.
+    pub adapters: Vec<AdapterName>,
     /// The size of one adapter, in megabytes.
     pub adapter_mb: f64,
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
-    endpoint::Endpoint,
+    endpoint::{Endpoint, EngineReport},
     health::Health,
     note::{Placed, Removed, Status},
 };
@@ -49,6 +49,9 @@
 /// behind each slot still come in time.
 const SERVICE_FILL: f64 = 4.0;
 
+/// When an adapter that a report shows on its way is looked for again.
+const COMING_FOR: Duration = Duration::from_millis(300);
+
 /// What an endpoint has kept in memory of the adapters it held, in adapters.
 /// Measured on the bench: engines keep about 96.
 const WARM_ADAPTERS: usize = 80;
@@ -281,6 +284,30 @@
         }
     }
 
+    /// Takes in an engine's own report, which is newer than its entry.
+    pub fn hear_report(
+        &mut self,
+        id: &EndpointId,
+        report: &EngineReport,
+        now: Instant,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else { return };
+        state.removed.clear();
+        state.seats.clear();
+        let mut endpoint = state.endpoint.clone();
+        endpoint.models.clone_from(&report.models);
+        state.list(endpoint, now);
+        for (key, version) in &report.coming {
+            let seat = Seat {
+                version: *version,
+                ready_at: now + COMING_FOR,
+                noted: now,
+                is_listed: false,
+            };
+            state.seats.insert(key.clone(), seat);
+        }
+    }
+
     /// Takes an endpoint out whose entry is gone.
     pub fn unlist(&mut self, id: &EndpointId) {
         self.endpoints.remove(id);
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -1,8 +1,9 @@
 //! Sends orders to engines, one after the other for each engine.
 //!
-//! The invariant: an order goes out only while the lease is current on our own
-//! clock, and a load that needs a place goes out only after the place was
-//! seen to be free.
+//! The invariants: an order goes out only while the lease is current on our own
+//! clock, and each names how many orders its engine has taken, so that an order
+//! whose answer was lost is never carried out after a newer one. When the
+//! count is not known, the engine's report gives it.
 
 use std::{
     cell::RefCell,
@@ -30,6 +31,18 @@
 /// are not sent.
 type Batch = (Epoch, Vec<Order>);
 
+/// A report shows orders that are this old. The platform says some hundred
+/// milliseconds.
+const REPORT_LAG: Duration = Duration::from_millis(450);
+
+/// How many orders an engine has taken, as its queue knows it.
+#[derive(Default)]
+struct OrdersTaken {
+    epoch: Epoch,
+    count: Option<u64>,
+    last_sent: Option<Instant>,
+}
+
 /// The queues of orders, by engine.
 #[derive(Clone)]
 pub(crate) struct Orders {
@@ -85,19 +98,86 @@
     }
 
     async fn work(self, mut rx: mpsc::UnboundedReceiver<Batch>) {
+        let mut taken = OrdersTaken::default();
         while let Some((epoch, batch)) = rx.next().await {
+            if taken.epoch != epoch {
+                taken = OrdersTaken { epoch, ..OrdersTaken::default() };
+            }
+            let Some(first) = batch.first() else {
+                continue;
+            };
+            if matches!(first.task, Task::Sync) {
+                self.sync(first, &mut taken).await;
+                continue;
+            }
             let mut is_stopped = false;
             for order in batch {
                 if is_stopped || !self.may_order(epoch) {
                     self.take_back(&order);
                     is_stopped = true;
-                } else {
-                    is_stopped = !self.send(epoch, &order).await;
+                    continue;
                 }
+                let Some(count) = taken.count else {
+                    self.take_back(&order);
+                    is_stopped = true;
+                    continue;
+                };
+                taken.last_sent = Some(Instant::now());
+                match self.send(epoch, &order, count).await {
+                    Some(count) => taken.count = Some(count),
+                    None => {
+                        taken.count = None;
+                        self.set_synced(&order.endpoint, false);
+                        is_stopped = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks an engine what it holds, once its report shows our last order.
+    async fn sync(&self, order: &Order, taken: &mut OrdersTaken) {
+        let since = taken.last_sent.map_or(Duration::MAX, |at| at.elapsed());
+        compio::time::sleep(REPORT_LAG.saturating_sub(since)).await;
+        let report = engine::report(&self.node.pool, order.address).await;
+        match report {
+            Ok(report) if !report.is_busy => {
+                tracing::info!(
+                    event = "engine_synced",
+                    endpoint = order.endpoint,
+                    orders_taken = report.orders_taken,
+                    coming = report.coming.len(),
+                );
+                taken.count = Some(report.orders_taken);
+                let now = Instant::now();
+                let mut view = self.node.view.borrow_mut();
+                view.hear_report(&order.endpoint, &report, now);
+                drop(view);
+                self.set_synced(&order.endpoint, true);
+            }
+            Ok(_) => {
+                tracing::info!(
+                    event = "engine_busy",
+                    endpoint = order.endpoint
+                );
+            }
+            Err(cause) => {
+                let endpoint = &order.endpoint;
+                tracing::warn!(event = "report_failed", endpoint, cause);
             }
         }
     }
 
+    fn set_synced(&self, id: &EndpointId, is_synced: bool) {
+        let mut loader = self.loader.borrow_mut();
+        let Some(loader) = loader.as_mut() else { return };
+        if is_synced {
+            loader.synced(id);
+        } else {
+            loader.unsynced(id);
+        }
+    }
+
     fn may_order(&self, epoch: Epoch) -> bool {
         let now = Instant::now();
         self.node.current_lease(now + ORDER_MARGIN).is_some_and(|held| {
@@ -105,8 +185,14 @@
         })
     }
 
-    /// Returns whether what follows in the batch may be sent.
-    async fn send(&self, epoch: Epoch, order: &Order) -> bool {
+    /// Returns how many orders the engine has taken after this one, or nothing
+    /// if that is not known; then nothing more may be sent.
+    async fn send(
+        &self,
+        epoch: Epoch,
+        order: &Order,
+        taken: u64,
+    ) -> Option<u64> {
         if let Task::Unload(key) = &order.task {
             let (endpoint, key) = (order.endpoint.clone(), key.clone());
             let removed = Removed { epoch, endpoint, key };
@@ -121,6 +207,7 @@
             &order.endpoint,
             &order.task,
             &holder,
+            taken,
         )
         .await;
         tracing::info!(
@@ -133,32 +220,21 @@
             took_ms = sent.elapsed().as_millis() as u64,
         );
         metrics::counter!("sedgewall_orders_total").increment(1);
-        self.settle(epoch, order, &answer)
-    }
-
-    fn settle(
-        &self,
-        epoch: Epoch,
-        order: &Order,
-        answer: &OrderAnswer,
-    ) -> bool {
-        let is_unload = matches!(order.task, Task::Unload(_));
         match answer {
-            OrderAnswer::Done => self.tell_placed(epoch, order),
-            OrderAnswer::Accepted if !is_unload => {
+            OrderAnswer::Done | OrderAnswer::Accepted => {
                 self.tell_placed(epoch, order);
             }
-            // The place is free only after the runs there have ended.
-            OrderAnswer::Accepted | OrderAnswer::Unclear(_) => {
-                self.note_unclear(order);
-                return false;
-            }
-            OrderAnswer::Refused(_) => {
+            OrderAnswer::Refused(_) | OrderAnswer::Unclear(_) => {
                 self.take_back(order);
-                return false;
             }
         }
-        true
+        match (answer, &order.task) {
+            (OrderAnswer::Done, _) => Some(taken + 1),
+            // The place is free only after the runs there have ended.
+            (OrderAnswer::Accepted, Task::Unload(_)) => None,
+            (OrderAnswer::Accepted, _) => Some(taken + 1),
+            (OrderAnswer::Refused(_) | OrderAnswer::Unclear(_), _) => None,
+        }
     }
 
     fn tell_placed(&self, epoch: Epoch, order: &Order) {
@@ -184,15 +260,6 @@
         self.node.wake(key);
     }
 
-    fn note_unclear(&self, order: &Order) {
-        if let Some(loader) = self.loader.borrow_mut().as_mut() {
-            loader.unclear(order, Instant::now());
-        }
-        if let Task::Load(key, _) = &order.task {
-            self.forget_seat(order, key);
-        }
-    }
-
     /// An order that was not carried out leaves the table as it was.
     fn take_back(&self, order: &Order) {
         if let Task::Load(key, _) = &order.task {
