An engine whose entry went and came back is asked anew; a stop takes no more connections

Ruled out: a send turned away that took a seat out of the holder's table (also mended), notes of an older holder (now ignored). Change: the table itself says whether an engine is known, and a new entry is not. Change: the listener closes when the balancer has had its time.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -85,15 +85,16 @@
         zone: &str,
         now: Instant,
     ) {
-        let entry =
-            self.adapters.entry(key.clone()).or_insert_with(|| AdapterDemand {
+        let entry = self.adapters.entry(key.clone()).or_insert_with(|| {
+            AdapterDemand {
                 weight: 0.0,
                 long_weight: 0.0,
                 updated: now,
                 last_asked: now,
                 zone: zone.to_owned(),
                 waiting: None,
-            });
+            }
+        });
         entry.add(f64::from(count), now);
         zone.clone_into(&mut entry.zone);
     }
--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -56,6 +56,7 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let text = String::from_utf8_lossy(events);
-    let value = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
+    let value =
+        text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
     Some(value.trim().to_owned())
 }
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -8,7 +8,7 @@
 //! loads of base models stay within the weight store's rate.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -90,8 +90,6 @@
 pub struct Loader {
     epoch: Epoch,
     store: StoreRate,
-    /// The engines of which we know what they hold.
-    synced: HashSet<EndpointId>,
     ordered: HashMap<(EndpointId, AdapterKey), Instant>,
     /// When the loads from the weight store that are under way will be done.
     cold_until: Vec<Instant>,
@@ -107,7 +105,6 @@
         Loader {
             epoch,
             store,
-            synced: HashSet::new(),
             ordered: HashMap::new(),
             cold_until: Vec::new(),
         }
@@ -149,21 +146,6 @@
         self.store.available(now, loads_per_s)
     }
 
-    /// Notes that what an engine holds is known, so that it may get orders.
-    pub fn synced(&mut self, endpoint: &EndpointId) {
-        self.synced.insert(endpoint.clone());
-    }
-
-    /// Notes that nobody knows what an engine holds, until it has reported.
-    pub fn unsynced(&mut self, endpoint: &EndpointId) {
-        self.synced.remove(endpoint);
-    }
-
-    /// Returns whether it is known what an engine holds.
-    pub fn is_synced(&self, endpoint: &EndpointId) -> bool {
-        self.synced.contains(endpoint)
-    }
-
     fn forget(&mut self, now: Instant) {
         self.ordered.retain(|_, at| now - *at < ORDER_AGAIN);
         self.cold_until.retain(|until| now < *until);
@@ -261,7 +243,7 @@
             .endpoints()
             .filter(|state| state.endpoint.service == self.service)
             .filter(|state| !state.endpoint.is_draining)
-            .filter(|state| !self.loader.is_synced(&state.endpoint.id))
+            .filter(|state| !state.is_ordered_by_us())
             .map(|state| (state.endpoint.id.clone(), state.endpoint.address))
             .collect();
         for (endpoint, address) in unknown {
@@ -436,14 +418,18 @@
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let endpoint = state.endpoint.id.clone();
                 let address = state.endpoint.address;
-                best = Some((cost, Home { endpoint, address, victim, is_warm }));
+                best =
+                    Some((cost, Home { endpoint, address, victim, is_warm }));
             }
         }
         best.map(|(_, home)| home)
     }
 
     /// Returns the engines that could hold one more adapter and serve it.
-    fn candidates(&self, key: &AdapterKey) -> impl Iterator<Item = &EndpointState> {
+    fn candidates(
+        &self,
+        key: &AdapterKey,
+    ) -> impl Iterator<Item = &EndpointState> {
         self.engines().filter(move |state| {
             state.is_usable(self.now)
                 && state.has_model(&key.model)
@@ -467,7 +453,9 @@
         adapters()
             .filter(|(_, seat)| seat.is_ready(self.now))
             .filter(|(key, _)| !self.may_be_in_use(key))
-            .min_by(|a, b| self.index.rate(a.0).total_cmp(&self.index.rate(b.0)))
+            .min_by(|a, b| {
+                self.index.rate(a.0).total_cmp(&self.index.rate(b.0))
+            })
             .map(|(key, _)| Some(key.clone()))
     }
 
@@ -490,8 +478,7 @@
         let is_ours =
             |state: &&EndpointState| state.endpoint.service == self.service;
         let stays = |state: &&EndpointState| !state.endpoint.is_draining;
-        let is_known =
-            |state: &&EndpointState| self.loader.is_synced(&state.endpoint.id);
+        let is_known = |state: &&EndpointState| state.is_ordered_by_us();
         let engines = self.view.endpoints().filter(is_ours);
         engines.filter(stays).filter(is_known)
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -194,6 +194,12 @@
         self.endpoint.models.iter().any(|hosted| hosted.key.model == model)
     }
 
+    /// Returns whether we know what it holds from its report and our orders.
+    /// An endpoint whose entry went and came back is not known.
+    pub fn is_ordered_by_us(&self) -> bool {
+        self.is_ordered_by_us
+    }
+
     /// Returns the adapters that are there or on their way.
     pub fn seats(&self) -> impl Iterator<Item = (&AdapterKey, &Seat)> {
         self.seats.iter()
@@ -318,6 +324,13 @@
         state.is_ordered_by_us = true;
     }
 
+    /// Notes that nobody knows what an engine holds, until it reports again.
+    pub fn lose_track(&mut self, id: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.is_ordered_by_us = false;
+        }
+    }
+
     /// Believes the platform's list again about what engines hold, because
     /// another instance may order them.
     pub fn stop_ordering(&mut self, now: Instant) {
@@ -347,7 +360,10 @@
     }
 
     /// Returns the newest version that was named, and when we heard of it.
-    pub fn newest(&self, key: &AdapterKey) -> Option<(WeightVersion, Instant)> {
+    pub fn newest(
+        &self,
+        key: &AdapterKey,
+    ) -> Option<(WeightVersion, Instant)> {
         self.newest.get(key).copied()
     }
 
@@ -434,7 +450,8 @@
     ) {
         let Some(state) = self.endpoints.get_mut(id) else { return };
         let Some(seat) = state.seats.get_mut(key) else { return };
-        if seat.is_listed {
+        // The holder's table must not lose what takes a place.
+        if seat.is_listed && !state.is_ordered_by_us {
             state.seats.remove(key);
             state.removed.insert(key.clone(), now);
         } else {
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -214,9 +214,7 @@
         };
         let is_first = progress.sends == 0;
         let now = Instant::now();
-        if !is_first
-            && !node.budget.borrow_mut().take(now, node.instances())
-        {
+        if !is_first && !node.budget.borrow_mut().take(now, node.instances()) {
             return Err(match progress.runs {
                 0 => Reason::RetriesSpent,
                 _ => Reason::OutcomeUnknown,
@@ -267,8 +265,8 @@
 
 fn send_limits(call: &CallerRequest, progress: &Progress) -> SendLimits {
     let left = call.left();
-    let is_last = !call.is_repeatable()
-        || progress.runs + 1 >= call.route.max_attempts;
+    let is_last =
+        !call.is_repeatable() || progress.runs + 1 >= call.route.max_attempts;
     let patience = call.route.target_latency.mul_f64(PATIENCE_TARGETS);
     let within = if is_last { left } else { left.min(patience) };
     SendLimits { within, is_last }
@@ -311,8 +309,8 @@
             Choice::Nobody => (Reason::NobodyThere, wait_until, LOOK_AGAIN),
         };
         let until = until.min(call.end);
-        let is_too_far = matches!(choice, Choice::Coming(_))
-            && now + pause > until;
+        let is_too_far =
+            matches!(choice, Choice::Coming(_)) && now + pause > until;
         if now >= until || is_too_far {
             return Err(reason);
         }
@@ -349,22 +347,15 @@
     let status = good.answer.status;
     let headers = to_caller(&good.answer.headers);
     if call.route.is_stream && status.is_success() {
-        let stream = relay::stream(
-            node.clone(),
-            call,
-            progress,
-            good,
-            target,
-            open,
-        );
+        let stream =
+            relay::stream(node.clone(), call, progress, good, target, open);
         let mut response = Response::new(stream);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         return response;
     }
     let head_ms = call.arrived.elapsed();
-    let whole =
-        compio::time::timeout(call.left(), good.answer.whole()).await;
+    let whole = compio::time::timeout(call.left(), good.answer.whole()).await;
     match whole {
         Ok(Ok(body)) => {
             log_served(&call, &progress, &target, head_ms, body.len());
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -184,8 +184,7 @@
     let mut interrupt = Box::pin(compio::signal::ctrl_c()).fuse();
     let mut terminate = Box::pin(compio::signal::unix::signal(SIGTERM)).fuse();
     loop {
-        let mut reload =
-            Box::pin(compio::signal::unix::signal(SIGHUP)).fuse();
+        let mut reload = Box::pin(compio::signal::unix::signal(SIGHUP)).fuse();
         select! {
             _ = interrupt => return,
             _ = terminate => return,
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -39,6 +39,7 @@
         }
         if epoch != Some(held.epoch) {
             epoch = Some(held.epoch);
+            node.view.borrow_mut().stop_ordering(now);
             let window = Duration::from_secs_f64(node.fleet.store_window_s);
             let rate = StoreRate::new(window, node.fleet.store_overage);
             let loader = Loader::new(held.epoch, rate, now);
@@ -85,7 +86,8 @@
             adapters,
             places = group.adapter_slots as usize * engines().count(),
             asked_for = demand.iter().count(),
-            waiting = demand.iter().filter(|(_, d)| d.is_waited_for(now)).count(),
+            waiting =
+                demand.iter().filter(|(_, d)| d.is_waited_for(now)).count(),
             loads_left,
         );
     }
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -229,7 +229,9 @@
     };
     let (kind, name) = (LEASES_KIND, ORDERS_LEASE);
     let written = match write.expected {
-        Some(revision) => node.store.replace(kind, name, revision, &spec).await,
+        Some(revision) => {
+            node.store.replace(kind, name, revision, &spec).await
+        }
         None => node.store.create(kind, name, &spec).await,
     };
     match written {
--- a/crates/sedgewalld/src/fleet/log_buffer.rs
+++ b/crates/sedgewalld/src/fleet/log_buffer.rs
@@ -38,8 +38,7 @@
 
 impl Write for LineWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let mut buffer =
-            self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if buffer.bytes.len() + line.len() > BUFFER_BYTES {
             buffer.dropped += 1;
         } else {
@@ -96,8 +95,7 @@
 
     /// Writes out what the reader takes now.
     pub(crate) fn flush(&self) {
-        let mut buffer =
-            self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if buffer.dropped > 0 {
             let line = format!(
                 "{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{}}}\n",
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -115,6 +115,9 @@
             node.view.borrow_mut().hear_status(status, now);
         }
         Note::Asked(asked) => hear_asked(node, &asked, now),
+        // Whoever gives orders knows better than a note from before.
+        Note::Placed(_) | Note::Removed(_)
+            if node.current_lease(now).is_some() => {}
         Note::Placed(placed) => {
             node.view.borrow_mut().hear_placed(&placed, now);
             node.wake(&placed.key);
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -127,7 +127,8 @@
                     Some(count) => taken.count = Some(count),
                     None => {
                         taken.count = None;
-                        self.set_synced(&order.endpoint, false);
+                        let mut view = self.node.view.borrow_mut();
+                        view.lose_track(&order.endpoint);
                         is_stopped = true;
                     }
                 }
@@ -152,8 +153,6 @@
                 let now = Instant::now();
                 let mut view = self.node.view.borrow_mut();
                 view.hear_report(&order.endpoint, &report, now);
-                drop(view);
-                self.set_synced(&order.endpoint, true);
             }
             Ok(_) => {
                 tracing::info!(
@@ -168,21 +167,11 @@
         }
     }
 
-    fn set_synced(&self, id: &EndpointId, is_synced: bool) {
-        let mut loader = self.loader.borrow_mut();
-        let Some(loader) = loader.as_mut() else { return };
-        if is_synced {
-            loader.synced(id);
-        } else {
-            loader.unsynced(id);
-        }
-    }
-
     fn may_order(&self, epoch: Epoch) -> bool {
         let now = Instant::now();
-        self.node.current_lease(now + ORDER_MARGIN).is_some_and(|held| {
-            held.epoch == epoch && now >= held.order_from
-        })
+        self.node
+            .current_lease(now + ORDER_MARGIN)
+            .is_some_and(|held| held.epoch == epoch && now >= held.order_from)
     }
 
     /// Returns how many orders the engine has taken after this one, or nothing
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -102,12 +102,8 @@
 /// Returns the answer for a reason. `left` is the time that the caller still
 /// has, of which it will wait a part only.
 pub(crate) fn answer(reason: Reason, left: Duration) -> Response<LocalBody> {
-    let mut problem = Problem::new(
-        reason.status(),
-        reason.name(),
-        reason.run_state(),
-        "",
-    );
+    let mut problem =
+        Problem::new(reason.status(), reason.name(), reason.run_state(), "");
     let retry_after = reason.retry_after(left);
     problem.retry_after_ms = retry_after.map(|d| d.as_millis() as u64);
     let mut response = responses::problem(&problem);
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -149,10 +149,11 @@
         within: Duration,
     ) -> Result<Connection, SendError> {
         let not_sent = |err: String| SendError::NotSent(err);
-        let stream = compio::time::timeout(within, TcpStream::connect(address))
-            .await
-            .map_err(|_| not_sent(format!("not within {within:?}")))?
-            .map_err(|err| not_sent(err.to_string()))?;
+        let stream =
+            compio::time::timeout(within, TcpStream::connect(address))
+                .await
+                .map_err(|_| not_sent(format!("not within {within:?}")))?
+                .map_err(|err| not_sent(err.to_string()))?;
         bound_silence(&stream);
         let (sender, connection) = http1::Builder::new()
             .handshake(HyperStream::new_plain(stream))
@@ -214,7 +215,10 @@
 
 /// Notes how long the endpoint lets the connection rest. The task goes on
 /// either way until the body has been read.
-fn kept(mut connection: Connection, headers: &HeaderMap) -> Option<Connection> {
+fn kept(
+    mut connection: Connection,
+    headers: &HeaderMap,
+) -> Option<Connection> {
     let rest = match stated_rest(headers) {
         Some(stated) => stated.saturating_sub(REST_MARGIN),
         None => REST_UNSTATED,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -76,9 +76,9 @@
     serve_until(listener, limits, handler, stop).await;
 }
 
-/// Accepts connections until it is told to stop. From then on each connection
-/// is closed as soon as its request has been answered; a request that was read
-/// is never left without its answer.
+/// Accepts connections until it is told to stop. Then it accepts no more, and
+/// each connection is closed as soon as its request has been answered; a
+/// request that was read is never left without its answer.
 pub async fn serve_until(
     listener: TcpListener,
     limits: ServerLimits,
@@ -86,8 +86,17 @@
     stop: Stop,
 ) {
     let open = Rc::new(Cell::new(0usize));
+    let mut stopped = stop.clone();
     loop {
-        let stream = match listener.accept().await {
+        let mut accept = Box::pin(listener.accept()).fuse();
+        let accepted = select! {
+            accepted = accept => accepted,
+            // Dropping the listener turns away who still comes, instead of
+            // taking requests that cannot be finished.
+            _ = stopped => return,
+        };
+        drop(accept);
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
                 warn!("http: accept failed: {err}.");
