--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -56,6 +56,10 @@
 /// leaves 0.035 of requests refused, 4 s and 10 s leave 0.019.
 const LOADS_AT_ONCE_S: f64 = 10.0;
 
+/// What the removal of an adapter costs, in parts of an engine's load: a free
+/// place is taken first.
+const EVICTION_COST: f64 = 0.1;
+
 /// An order that shows no effect is given again after this long.
 const ORDER_AGAIN: Duration = Duration::from_secs(4);
 
@@ -410,7 +414,9 @@
             let is_near = Some(state.endpoint.zone.as_str()) == zone;
             let expected =
                 self.index.engine_rate(&state.endpoint.id) * SERVICE_TIME_S;
-            let lost = victim.as_ref().map_or(0.0, |v| self.index.rate(v));
+            let lost = victim
+                .as_ref()
+                .map_or(0.0, |v| EVICTION_COST + self.index.rate(v));
             let cost = expected / f64::from(self.group.slots)
                 + state.load()
                 + lost
--- /dev/null
+++ b/crates/fleet/tests/budget_rules.rs
@@ -0,0 +1,156 @@
+//! Allowances that all instances share, health, and streams of events.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use sedgewall_fleet::{
+    events::EventCutter,
+    health::Health,
+    retry_budget::{RetryAllowance, RetryBudget},
+    store_rate::StoreRate,
+};
+
+const ALLOWANCE: RetryAllowance = RetryAllowance {
+    share: 0.2,
+    slack: 52.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn instances_together_stay_within_the_slack() {
+    let now = Instant::now();
+    for instances in [1, 2, 6, 40] {
+        let mut taken = 0;
+        for _ in 0..instances {
+            let mut budget = RetryBudget::new(ALLOWANCE);
+            while budget.take(now, instances) {
+                taken += 1;
+            }
+        }
+        assert!(f64::from(taken) <= ALLOWANCE.slack, "{taken}");
+    }
+}
+
+#[test]
+fn repeats_come_back_after_the_window() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(ALLOWANCE);
+    while budget.take(now, 6) {}
+    assert!(!budget.take(now + Duration::from_secs(9), 6));
+    assert!(budget.take(now + Duration::from_secs(11), 6));
+}
+
+proptest! {
+    #[test]
+    fn repeats_never_exceed_the_share_and_the_slack(
+        steps in proptest::collection::vec((0u64..400, any::<bool>()), 1..300),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut budget = RetryBudget::new(ALLOWANCE);
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (ms, is_request) in steps {
+            now += Duration::from_millis(ms);
+            if is_request {
+                budget.count_request(now);
+                requests.push(now);
+            } else if budget.take(now, 1) {
+                repeats.push(now);
+            }
+            let within =
+                |times: &[Instant]| times
+                    .iter()
+                    .filter(|at| now - **at <= ALLOWANCE.window)
+                    .count() as f64;
+            let allowed =
+                ALLOWANCE.slack + ALLOWANCE.share * within(&requests);
+            prop_assert!(within(&repeats) <= allowed);
+        }
+    }
+
+    #[test]
+    fn loads_never_exceed_what_a_window_allows(
+        steps in proptest::collection::vec(0u64..600, 1..300),
+    ) {
+        let window = Duration::from_secs(5);
+        let mut now = Instant::now();
+        let mut rate = StoreRate::new(window, 1.1);
+        let mut begun: Vec<Instant> = Vec::new();
+        for ms in steps {
+            now += Duration::from_millis(ms);
+            for _ in 0..rate.available(now, 9.3) {
+                rate.count(now);
+                begun.push(now);
+            }
+            let within =
+                begun.iter().filter(|at| now - **at < window).count();
+            prop_assert!(within as f64 <= 9.3 * 5.0 * 1.1);
+        }
+    }
+
+    #[test]
+    fn events_come_out_whole_however_they_come_in(
+        cuts in proptest::collection::vec(1usize..40, 1..40),
+    ) {
+        let stream: String =
+            (1..=8).map(|n| format!("id: {n}\ndata: t{n}\n\n")).collect();
+        let mut cutter = EventCutter::default();
+        let mut rest = stream.as_bytes();
+        let mut out = Vec::new();
+        for cut in cuts {
+            let (part, left) = rest.split_at(cut.min(rest.len()));
+            out.extend(cutter.push(part));
+            rest = left;
+            let text = String::from_utf8_lossy(&out);
+            prop_assert!(text.is_empty() || text.ends_with("\n\n"));
+            let last = text.matches("id: ").count();
+            let known = cutter.last_id().map(str::to_owned);
+            prop_assert_eq!(known, (last > 0).then(|| last.to_string()));
+        }
+        out.extend(cutter.push(rest));
+        prop_assert_eq!(out, stream.as_bytes());
+    }
+}
+
+#[test]
+fn what_a_broken_stream_left_unfinished_is_thrown_away() {
+    let mut cutter = EventCutter::after(Some("4".to_owned()));
+    assert_eq!(cutter.push(b"id: 5\ndata: x\n\nid: 6\nda"), {
+        b"id: 5\ndata: x\n\n".to_vec()
+    });
+    cutter.restart();
+    assert_eq!(cutter.last_id(), Some("5"));
+    assert_eq!(cutter.push(b"id: 6\ndata: y\n\n"), b"id: 6\ndata: y\n\n");
+}
+
+#[test]
+fn failures_in_a_row_eject_and_one_success_brings_back() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    for _ in 0..4 {
+        assert!(!health.failed(now));
+    }
+    assert!(health.failed(now));
+    assert!(!health.is_usable(now));
+    let back = now + Duration::from_millis(1_100);
+    assert!(health.is_usable(back));
+    assert!(health.failed(back));
+    assert!(!health.is_usable(back + Duration::from_millis(1_100)));
+    health.succeeded();
+    assert!(health.is_usable(back));
+}
+
+/// Captain picks fail in one run of seven wherever they run.
+#[test]
+fn failures_that_come_with_any_run_do_not_eject() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    for n in 0..700 {
+        if n % 7 < 1 {
+            health.failed(now);
+        } else {
+            health.succeeded();
+        }
+        assert!(health.is_usable(now));
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! Endpoints and configurations for tests.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    endpoint::{Endpoint, EngineReport, HostedModel},
+    route::{BaseModel, CallerLimits, Deployment, EngineGroup, Service},
+    view::{Choice, FleetView, Need},
+};
+
+pub const SERVICE: &str = "coach";
+pub const MODEL: &str = "m";
+pub const SLOTS: u32 = 32;
+pub const PLACES: u32 = 4;
+
+pub fn key(n: u32) -> AdapterKey {
+    AdapterKey::new(MODEL, &format!("a{n}"))
+}
+
+pub fn endpoint(id: &str, zone: &str, adapters: &[u32]) -> Endpoint {
+    let port = 8_000 + id.bytes().map(u16::from).sum::<u16>();
+    Endpoint {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.to_owned(),
+        slots: SLOTS,
+        is_draining: false,
+        remaining: None,
+        models: vec![hosted(adapters)],
+    }
+}
+
+pub fn hosted(adapters: &[u32]) -> HostedModel {
+    HostedModel {
+        key: AdapterKey::base(MODEL),
+        version: 1,
+        adapters: adapters.iter().map(|n| (key(*n), 1)).collect(),
+    }
+}
+
+pub fn report(adapters: &[u32], orders_taken: u64) -> EngineReport {
+    EngineReport {
+        models: vec![hosted(adapters)],
+        coming: Vec::new(),
+        is_busy: false,
+        orders_taken,
+    }
+}
+
+pub fn deployment() -> Deployment {
+    let model = BaseModel {
+        name: MODEL.to_owned(),
+        weights_mb: 65_000.0,
+        load_time: Duration::from_millis(600),
+        adapters: (1..=100).map(|n| format!("a{n}")).collect(),
+        adapter_mb: 12.0,
+    };
+    let engine = EngineGroup {
+        slots: SLOTS,
+        kv_tokens: 200_000,
+        adapter_slots: PLACES,
+        weights_mb: 67_000.0,
+        loads_per_s: 9.3,
+        models: vec![model],
+    };
+    let service = Service { max_connections: 200, engine: Some(engine) };
+    Deployment {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(SERVICE.to_owned(), service)]),
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn choose(
+    view: &FleetView,
+    key: &AdapterKey,
+    now: std::time::Instant,
+) -> Choice {
+    let need =
+        Need { service: SERVICE, key: Some(key), exclude: &[], draw: 7 };
+    view.choose(need, now)
+}
+
+pub fn sent_to(choice: &Choice) -> Option<&str> {
+    match choice {
+        Choice::Send(target) => Some(&target.id),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/loader_rules.rs
@@ -0,0 +1,258 @@
+//! What the holder of the lease orders.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{MODEL, PLACES, deployment, endpoint, key, report};
+use proptest::prelude::*;
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    demand::Demand,
+    loader::{Loader, Order, Task},
+    store_rate::StoreRate,
+    view::FleetView,
+};
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn loader(epoch: u64, now: Instant) -> Loader {
+    Loader::new(epoch, StoreRate::new(WINDOW, 1.1), now)
+}
+
+fn asked(demand: &mut Demand, n: u32, times: u32, now: Instant) {
+    demand.add(&key(n), times, "z1", now);
+    demand.wait(&key(n), 1);
+}
+
+/// A table of engines that have all reported.
+fn synced(engines: &[(&str, &[u32])], now: Instant) -> FleetView {
+    let mut view = FleetView::new("z1");
+    for (id, adapters) in engines {
+        view.list(endpoint(id, "z1", adapters), now);
+        view.hear_report(&(*id).to_owned(), &report(adapters, 0), now);
+    }
+    view
+}
+
+fn loads(orders: &[Order]) -> Vec<(&str, AdapterKey)> {
+    orders
+        .iter()
+        .filter_map(|order| match &order.task {
+            Task::Load(key, _) => Some((&*order.endpoint, key.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn an_engine_gets_no_order_before_it_has_reported() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[]), now);
+    let mut demand = Demand::default();
+    asked(&mut demand, 1, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    let tasks: Vec<_> = orders.iter().map(|o| &o.task).collect();
+    assert_eq!(tasks, [&Task::Sync]);
+}
+
+#[test]
+fn what_a_request_waits_for_is_loaded_once() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[]), ("e2", &[])], now);
+    let mut demand = Demand::default();
+    asked(&mut demand, 1, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders).len(), 1);
+    asked(&mut demand, 1, 1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), []);
+}
+
+#[test]
+fn an_adapter_in_use_is_not_removed() {
+    let now = Instant::now();
+    let full: &[u32] = &[1, 2, 3, 4];
+    let mut view = synced(&[("e1", full)], now);
+    let mut demand = Demand::default();
+    for n in full {
+        demand.add(&key(*n), 1, "z1", now);
+    }
+    asked(&mut demand, 9, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(orders, []);
+    // Some seconds later the least asked for makes way.
+    let later = now + Duration::from_secs(3);
+    for n in [1, 2, 4] {
+        demand.add(&key(n), 5, "z1", later);
+    }
+    asked(&mut demand, 9, 1, later);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, later);
+    let tasks: Vec<_> = orders.iter().map(|o| o.task.clone()).collect();
+    assert_eq!(tasks, [Task::Unload(key(3)), Task::Load(key(9), 1)]);
+}
+
+#[test]
+fn an_adapter_goes_back_to_the_engine_that_held_it() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1, 2, 3, 4]), ("e2", &[])], now);
+    let mut demand = Demand::default();
+    let mut loader = loader(1, now);
+    asked(&mut demand, 9, 1, now);
+    view.list(endpoint("e3", "z1", &[]), now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e2", key(9))]);
+    let later = now + Duration::from_secs(4);
+    view.hear_report(&"e2".to_owned(), &report(&[], 2), later);
+    asked(&mut demand, 9, 1, later);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, later);
+    assert_eq!(loads(&orders), [("e2", key(9))]);
+    assert!(orders.iter().all(|order| !order.is_cold));
+}
+
+#[test]
+fn a_busy_adapter_gets_another_engine() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1]), ("e2", &[])], now);
+    let mut demand = Demand::default();
+    demand.add(&key(1), 200, "z1", now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e2", key(1))]);
+}
+
+#[test]
+fn a_new_version_replaces_the_old_one_in_place() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1])], now);
+    let mut demand = Demand::default();
+    demand.add(&key(1), 1, "z1", now);
+    view.name_version(&key(1), 2, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    let tasks: Vec<_> = orders.iter().map(|o| o.task.clone()).collect();
+    assert_eq!(tasks, [Task::Load(key(1), 2)]);
+}
+
+#[test]
+fn an_empty_engine_gets_its_base_model() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    let mut empty = endpoint("e1", "z1", &[]);
+    empty.models.clear();
+    view.list(empty, now);
+    let mut nothing = report(&[], 0);
+    nothing.models.clear();
+    view.hear_report(&"e1".to_owned(), &nothing, now);
+    let mut loader = loader(1, now);
+    let mut demand = Demand::default();
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    let tasks: Vec<_> = orders.iter().map(|o| o.task.clone()).collect();
+    assert_eq!(tasks, [Task::LoadModel(MODEL.to_owned())]);
+}
+
+#[test]
+fn a_draining_engine_gets_no_orders() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[])], now);
+    let mut leaving = endpoint("e1", "z1", &[]);
+    leaving.is_draining = true;
+    view.list(leaving, now);
+    let mut demand = Demand::default();
+    asked(&mut demand, 1, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(orders, []);
+}
+
+#[test]
+fn a_new_holder_assumes_that_the_rate_was_used() {
+    let now = Instant::now();
+    let mut used = loader(2, now);
+    assert_eq!(used.loads_left(9.3, now), 0);
+    assert!(used.loads_left(9.3, now + WINDOW) > 40);
+    let mut first = loader(1, now);
+    assert!(first.loads_left(9.3, now) > 40);
+}
+
+/// One step of a history of demand and time.
+#[derive(Clone, Debug)]
+enum Step {
+    Asked(u32, u32),
+    Later(u64),
+    Unlisted(usize),
+    Listed(usize, Vec<u32>),
+    TurnedAway(usize, u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let adapters = proptest::collection::vec(1u32..40, 0..4);
+    prop_oneof![
+        6 => (1u32..40, 1u32..30).prop_map(|(n, c)| Step::Asked(n, c)),
+        4 => (10u64..2_500).prop_map(Step::Later),
+        1 => (0usize..3).prop_map(Step::Unlisted),
+        1 => ((0usize..3), adapters).prop_map(|(e, a)| Step::Listed(e, a)),
+        1 => ((0usize..3), (1u32..40))
+            .prop_map(|(e, n)| Step::TurnedAway(e, n)),
+    ]
+}
+
+proptest! {
+    /// The engines here carry out each order; none may ever hold more than it
+    /// has places, whatever the late list says.
+    #[test]
+    fn no_engine_is_ordered_beyond_its_places(
+        steps in proptest::collection::vec(step(), 1..80),
+    ) {
+        let mut now = Instant::now();
+        let ids = ["e1", "e2", "e3"];
+        let mut held: Vec<Vec<AdapterKey>> = vec![Vec::new(); 3];
+        let mut view = FleetView::new("z1");
+        for id in ids {
+            view.list(endpoint(id, "z1", &[]), now);
+        }
+        let mut demand = Demand::default();
+        let mut loader = loader(1, now);
+        for step in steps {
+            match step {
+                Step::Asked(n, times) => asked(&mut demand, n, times, now),
+                Step::Later(ms) => now += Duration::from_millis(ms),
+                Step::Unlisted(e) => view.unlist(&ids[e].to_owned()),
+                Step::Listed(e, adapters) => {
+                    view.list(endpoint(ids[e], "z1", &adapters), now);
+                }
+                Step::TurnedAway(e, n) => {
+                    let pause = Duration::from_millis(40);
+                    let id = ids[e].to_owned();
+                    view.note_absent(&id, &key(n), pause, now);
+                }
+            }
+            let orders =
+                loader.plan(&deployment(), &mut view, &mut demand, now);
+            for order in orders {
+                let e = ids.iter().position(|id| **id == order.endpoint);
+                let Some(e) = e else { continue };
+                match order.task {
+                    Task::Sync => {
+                        let mut state = report(&[], 0);
+                        let adapters = &mut state.models[0].adapters;
+                        adapters.extend(held[e].iter().map(|k| (k.clone(), 1)));
+                        view.hear_report(&order.endpoint, &state, now);
+                    }
+                    Task::Load(key, _) => {
+                        if !held[e].contains(&key) {
+                            held[e].push(key);
+                        }
+                    }
+                    Task::Unload(key) => held[e].retain(|k| *k != key),
+                    Task::LoadModel(_) => {}
+                }
+                prop_assert!(held[e].len() <= PLACES as usize);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/view_rules.rs
@@ -0,0 +1,223 @@
+//! The table of endpoints: where a request may go, and what is believed.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{SERVICE, choose, endpoint, key, report, sent_to};
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    note::{Placed, Removed, Status},
+    view::{Choice, FleetView, Need},
+};
+
+fn placed(endpoint: &str, n: u32, ready_in_ms: u64) -> Placed {
+    Placed {
+        epoch: 1,
+        endpoint: endpoint.to_owned(),
+        key: key(n),
+        version: 1,
+        ready_in_ms,
+    }
+}
+
+#[test]
+fn a_request_goes_only_where_its_adapter_is() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.list(endpoint("e2", "z1", &[2]), now);
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e1"));
+    assert_eq!(sent_to(&choose(&view, &key(2), now)), Some("e2"));
+    assert_eq!(choose(&view, &key(3), now), Choice::Absent);
+}
+
+#[test]
+fn the_base_model_itself_needs_no_adapter() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[]), now);
+    let base = AdapterKey::base(common::MODEL);
+    assert_eq!(sent_to(&choose(&view, &base, now)), Some("e1"));
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    let mut leaving = endpoint("e1", "z1", &[1]);
+    view.list(leaving.clone(), now);
+    leaving.is_draining = true;
+    view.list(leaving, now);
+    assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+}
+
+#[test]
+fn an_endpoint_whose_entry_is_gone_gets_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.unlist(&"e1".to_owned());
+    assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+}
+
+#[test]
+fn a_coming_adapter_is_used_once_it_is_ready() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[]), now);
+    view.hear_placed(&placed("e1", 1, 270), now);
+    let wait = Duration::from_millis(270);
+    assert_eq!(choose(&view, &key(1), now), Choice::Coming(wait));
+    assert_eq!(sent_to(&choose(&view, &key(1), now + wait)), Some("e1"));
+}
+
+#[test]
+fn a_late_list_neither_hides_nor_shows_what_a_note_changed() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[2]), now);
+    view.hear_placed(&placed("e1", 1, 0), now);
+    let removed = Removed { epoch: 1, endpoint: "e1".to_owned(), key: key(2) };
+    view.hear_removed(&removed, now);
+    let soon = now + Duration::from_secs(1);
+    view.list(endpoint("e1", "z1", &[2]), soon);
+    assert_eq!(sent_to(&choose(&view, &key(1), soon)), Some("e1"));
+    assert_eq!(choose(&view, &key(2), soon), Choice::Absent);
+    let later = now + Duration::from_secs(10);
+    view.list(endpoint("e1", "z1", &[2]), later);
+    assert_eq!(choose(&view, &key(1), later), Choice::Absent);
+    assert_eq!(sent_to(&choose(&view, &key(2), later)), Some("e1"));
+}
+
+#[test]
+fn an_old_version_gets_work_for_a_while_and_then_none() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.name_version(&key(1), 2, now);
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e1"));
+    // The platform allows 5 s from the naming to the beginning of a run.
+    let late = now + Duration::from_millis(2_600);
+    assert_eq!(choose(&view, &key(1), late), Choice::Absent);
+    let mut new = endpoint("e2", "z1", &[]);
+    new.models[0].adapters = vec![(key(1), 2)];
+    view.list(new, late);
+    let Choice::Send(target) = choose(&view, &key(1), late) else {
+        panic!("the new version is there");
+    };
+    assert_eq!((&*target.id, target.expect_version), ("e2", Some(2)));
+}
+
+#[test]
+fn an_older_version_is_never_the_newest_again() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.name_version(&key(1), 3, now);
+    view.name_version(&key(1), 2, now);
+    assert_eq!(view.newest(&key(1)).map(|(version, _)| version), Some(3));
+}
+
+#[test]
+fn the_less_loaded_endpoint_gets_the_request() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.list(endpoint("e2", "z1", &[1]), now);
+    let status = Status {
+        from: "peer".to_owned(),
+        sequence: 1,
+        leads: None,
+        in_flight: vec![("e1".to_owned(), 20)],
+    };
+    view.hear_status(status, now);
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e2"));
+}
+
+#[test]
+fn an_older_status_of_a_peer_changes_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let status = |sequence, count| Status {
+        from: "peer".to_owned(),
+        sequence,
+        leads: None,
+        in_flight: vec![("e1".to_owned(), count)],
+    };
+    view.hear_status(status(2, 5), now);
+    view.hear_status(status(1, 9), now);
+    let in_flight = view.get(&"e1".to_owned()).map(|state| state.in_flight());
+    assert_eq!(in_flight, Some(5));
+}
+
+#[test]
+fn a_full_endpoint_gets_no_more() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let id = "e1".to_owned();
+    if let Some(state) = view.get_mut(&id) {
+        state.own_in_flight = 2 * common::SLOTS;
+    }
+    assert_eq!(choose(&view, &key(1), now), Choice::Full);
+}
+
+#[test]
+fn an_endpoint_that_turned_a_request_down_is_not_asked_again() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let exclude = ["e1".to_owned()];
+    let key = key(1);
+    let need =
+        Need { service: SERVICE, key: Some(&key), exclude: &exclude, draw: 1 };
+    assert_eq!(view.choose(need, now), Choice::Nobody);
+}
+
+/// LIMIT on lfg, mix --seed 542162032932.
+#[test]
+fn a_send_that_was_turned_away_frees_no_place_in_the_holders_table() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let id = "e1".to_owned();
+    view.hear_report(&id, &report(&[1], 3), now);
+    view.note_absent(&id, &key(1), Duration::from_millis(40), now);
+    let state = view.get(&id);
+    assert!(state.is_some_and(|state| state.seat(&key(1)).is_some()));
+}
+
+/// LIMIT on lfg, trouble-1: the list is a second late.
+#[test]
+fn the_holder_believes_its_own_orders_over_the_list() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[]), now);
+    let id = "e1".to_owned();
+    view.hear_report(&id, &report(&[1, 2], 2), now);
+    view.hear_placed(&placed("e1", 3, 0), now);
+    let late = now + Duration::from_secs(20);
+    view.list(endpoint("e1", "z1", &[1]), late);
+    let seats = view.get(&id).map(|s| s.seats().count());
+    // Three adapters and the base model.
+    assert_eq!(seats, Some(4));
+    view.stop_ordering(late);
+    let seats = view.get(&id).map(|s| s.seats().count());
+    assert_eq!(seats, Some(2));
+}
+
+/// LIMIT on lfg, mix --seed 542162032932: an entry went while the store was
+/// down, and came back.
+#[test]
+fn an_engine_whose_entry_came_back_is_not_known() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    let id = "e1".to_owned();
+    view.list(endpoint("e1", "z1", &[]), now);
+    view.hear_report(&id, &report(&[1], 1), now);
+    assert!(view.get(&id).is_some_and(|s| s.is_ordered_by_us()));
+    view.unlist(&id);
+    view.list(endpoint("e1", "z1", &[1]), now);
+    assert!(view.get(&id).is_some_and(|s| !s.is_ordered_by_us()));
+}
