--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -306,7 +306,13 @@
                 ask_for(node, call);
                 (Reason::Full, wait_until, LOOK_AGAIN)
             }
-            Choice::Nobody => (Reason::NobodyThere, wait_until, LOOK_AGAIN),
+            Choice::Nobody => {
+                // All have failed it; what may run again goes round again.
+                if progress.runs > 0 {
+                    progress.tried.clear();
+                }
+                (Reason::NobodyThere, wait_until, LOOK_AGAIN)
+            }
         };
         let until = until.min(call.end);
         let is_too_far =
