--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -189,6 +189,9 @@
 /// The wait of an idle engine before it looks again.
 const IDLE_WAIT: Duration = Duration::from_millis(200);
 
+/// How often an order for a load that is under way looks whether it is done.
+const LOADING_LOOK: Duration = Duration::from_millis(2);
+
 /// How often a report is made.
 const REPORT_EVERY: Duration = Duration::from_millis(50);
 
@@ -431,6 +434,11 @@
     }
 
     async fn load(&self, adapter: EngineAdapter) -> Option<OrderFailure> {
+        // An order is answered when it was carried out, also if the load was
+        // begun by somebody else's.
+        while self.is_loading(&adapter) {
+            compio::time::sleep(LOADING_LOOK).await;
+        }
         {
             let mut inner = self.inner.borrow_mut();
             if inner.slots.iter().any(|slot| slot.adapter == adapter) {
@@ -462,6 +470,12 @@
         None
     }
 
+    fn is_loading(&self, adapter: &EngineAdapter) -> bool {
+        let inner = self.inner.borrow();
+        let is_this = |slot: &&LoadedSlot| slot.adapter == *adapter;
+        inner.slots.iter().find(is_this).is_some_and(|slot| !slot.is_ready)
+    }
+
     async fn fetch(&self, adapter: &EngineAdapter) -> bool {
         {
             let mut inner = self.inner.borrow_mut();
