Notes are paced by the number of instances; decisions by what they take

Change: an instance hears a note each 25 ms at the most from all others together, sums change by differences, the holder looks again after eight times what a look took.

--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -30,6 +30,8 @@
     pub from: InstanceId,
     /// Rises with each note of one life of the instance.
     pub sequence: u64,
+    /// When the next such note is due, in milliseconds.
+    pub next_in_ms: u64,
     /// The epoch of the lease, while its holder is sure to hold it.
     pub leads: Option<Epoch>,
     /// Requests under way, by endpoint; those without are left out.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -25,8 +25,9 @@
 /// write their entries about once a second, and a load may wait its turn.
 const NOTE_HOLDS: Duration = Duration::from_millis(4_000);
 
-/// How long another instance's sums count without a new note.
-const STATUS_HOLDS: Duration = Duration::from_millis(1_500);
+/// Notes of another instance that may be lost in a row before its sums count
+/// no longer.
+const STATUS_LOSSES: u32 = 6;
 
 /// How long requests may go to the old version after a newer one was named.
 /// The platform allows 5 s; the rest is for queues at the engine.
@@ -133,8 +134,8 @@
 #[derive(Clone, Debug)]
 struct PeerLoad {
     sequence: u64,
-    heard: Instant,
-    in_flight: HashMap<EndpointId, u32>,
+    holds_until: Instant,
+    in_flight: Vec<(EndpointId, u32)>,
 }
 
 /// One instance's table of endpoints.
@@ -387,22 +388,51 @@
     pub fn hear_status(&mut self, status: Status, now: Instant) {
         if let Some(last) = self.peers.get(&status.from)
             && last.sequence >= status.sequence
-            && now - last.heard < STATUS_HOLDS
+            && now < last.holds_until
         {
             return;
         }
+        let holds = Duration::from_millis(status.next_in_ms) * STATUS_LOSSES;
         let load = PeerLoad {
             sequence: status.sequence,
-            heard: now,
-            in_flight: status.in_flight.into_iter().collect(),
+            holds_until: now + holds,
+            in_flight: status.in_flight,
         };
-        self.peers.insert(status.from, load);
-        self.sum_others(now);
+        self.count_peer(&load, u32::saturating_add);
+        if let Some(before) = self.peers.insert(status.from, load) {
+            self.count_peer(&before, u32::saturating_sub);
+        }
+    }
+
+    /// Forgets instances that were not heard for too long. Call it about once
+    /// a second.
+    pub fn forget_silent_peers(&mut self, now: Instant) {
+        let is_silent = |load: &PeerLoad| now >= load.holds_until;
+        let silent: Vec<InstanceId> = self
+            .peers
+            .iter()
+            .filter(|(_, load)| is_silent(load))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            if let Some(load) = self.peers.remove(&id) {
+                self.count_peer(&load, u32::saturating_sub);
+            }
+        }
+    }
+
+    fn count_peer(&mut self, load: &PeerLoad, count: fn(u32, u32) -> u32) {
+        for (id, in_flight) in &load.in_flight {
+            if let Some(state) = self.endpoints.get_mut(id) {
+                state.others_in_flight =
+                    count(state.others_in_flight, *in_flight);
+            }
+        }
     }
 
     /// Returns how many other instances were heard lately.
     pub fn live_peers(&self, now: Instant) -> usize {
-        let holds = |load: &&PeerLoad| now - load.heard < STATUS_HOLDS;
+        let holds = |load: &&PeerLoad| now < load.holds_until;
         self.peers.values().filter(holds).count()
     }
 
@@ -561,21 +591,8 @@
     }
 
     fn others_in_flight(&self, id: &EndpointId) -> u32 {
-        let of = |load: &PeerLoad| load.in_flight.get(id).copied();
-        self.peers.values().filter_map(of).sum()
-    }
-
-    fn sum_others(&mut self, now: Instant) {
-        self.peers.retain(|_, load| now - load.heard < STATUS_HOLDS);
-        let mut sums: HashMap<EndpointId, u32> = HashMap::new();
-        for load in self.peers.values() {
-            for (id, count) in &load.in_flight {
-                *sums.entry(id.clone()).or_default() += count;
-            }
-        }
-        for (id, state) in &mut self.endpoints {
-            state.others_in_flight = sums.get(id).copied().unwrap_or(0);
-        }
+        let all = self.peers.values().flat_map(|load| &load.in_flight);
+        all.filter(|(known, _)| known == id).map(|(_, count)| count).sum()
     }
 }
 
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -127,6 +127,7 @@
     let status = Status {
         from: "peer".to_owned(),
         sequence: 1,
+        next_in_ms: 150,
         leads: None,
         in_flight: vec![("e1".to_owned(), 20)],
     };
@@ -142,6 +143,7 @@
     let status = |sequence, count| Status {
         from: "peer".to_owned(),
         sequence,
+        next_in_ms: 150,
         leads: None,
         in_flight: vec![("e1".to_owned(), count)],
     };
@@ -151,6 +153,29 @@
     assert_eq!(in_flight, Some(5));
 }
 
+#[test]
+fn a_silent_peer_counts_no_longer() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let status = Status {
+        from: "peer".to_owned(),
+        sequence: 1,
+        next_in_ms: 150,
+        leads: None,
+        in_flight: vec![("e1".to_owned(), 5)],
+    };
+    view.hear_status(status, now);
+    let in_flight = |view: &FleetView| {
+        view.get(&"e1".to_owned()).map(|state| state.in_flight())
+    };
+    view.forget_silent_peers(now + Duration::from_millis(800));
+    assert_eq!(in_flight(&view), Some(5));
+    view.forget_silent_peers(now + Duration::from_millis(1_000));
+    assert_eq!(in_flight(&view), Some(0));
+    assert_eq!(view.live_peers(now), 0);
+}
+
 #[test]
 fn a_full_endpoint_gets_no_more() {
     let now = Instant::now();
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -31,8 +31,9 @@
 const WATCH_TIME: Duration = Duration::from_secs(4);
 
 /// The pause between two watches of endpoints, so that many changes come in
-/// one call. A leaving endpoint may get work for 2 s.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(400);
+/// one call. A leaving endpoint may get work for 2 s after the store has taken
+/// its word.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(650);
 
 /// The first pause after a failed call; it doubles.
 const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -12,6 +12,14 @@
 /// How often the holder looks at demand when nothing waits.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// The least pause between two looks, so that many requests that wait are
+/// looked at together.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// The pause after a look, as a multiple of what the look took: decisions use
+/// a ninth of the processor at most.
+const PAUSE_FACTOR: u32 = 8;
+
 /// How often demand that has faded is forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
@@ -56,6 +64,8 @@
             None => continue,
         };
         orders.give(held.epoch, planned);
+        let pause = LOOK_PAUSE.max(now.elapsed() * PAUSE_FACTOR);
+        compio::time::sleep(pause).await;
     }
 }
 
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -21,8 +21,8 @@
 use sedgewall_state::id::{EndpointId, Epoch, Incarnation, InstanceId};
 use sedgewall_transport::EndpointPool;
 
-/// How long a holder's word that it leads is believed.
-const LEADER_HOLDS: Duration = Duration::from_millis(700);
+/// Notes of the holder that may be lost in a row before it is missed.
+const LEADER_LOSSES: u32 = 4;
 
 /// Where an instance is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -40,7 +40,7 @@
 pub(crate) struct LeaderSeen {
     pub(crate) instance: InstanceId,
     pub(crate) epoch: Epoch,
-    pub(crate) heard: Instant,
+    pub(crate) holds_until: Instant,
 }
 
 /// The lease on orders, as its holder sees it.
@@ -132,11 +132,16 @@
     /// Returns the instance that gives orders, if it was heard lately.
     pub(crate) fn live_leader(&self, now: Instant) -> Option<LeaderSeen> {
         let leader = self.leader.borrow().clone()?;
-        (now - leader.heard < LEADER_HOLDS).then_some(leader)
+        (now < leader.holds_until).then_some(leader)
     }
 
     /// Notes who gives orders; an older epoch than the known one is ignored.
-    pub(crate) fn hear_leader(&self, instance: &str, epoch: Epoch) {
+    pub(crate) fn hear_leader(
+        &self,
+        instance: &str,
+        epoch: Epoch,
+        next_in: Duration,
+    ) {
         let mut leader = self.leader.borrow_mut();
         if leader.as_ref().is_some_and(|known| known.epoch > epoch) {
             return;
@@ -145,8 +150,9 @@
         if is_new {
             tracing::info!(event = "leader_heard", instance, epoch);
         }
-        let (instance, heard) = (instance.to_owned(), Instant::now());
-        *leader = Some(LeaderSeen { instance, epoch, heard });
+        let instance = instance.to_owned();
+        let holds_until = Instant::now() + next_in * LEADER_LOSSES;
+        *leader = Some(LeaderSeen { instance, epoch, holds_until });
     }
 
     /// Returns how many instances share what all may do together. One more is
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -16,11 +16,22 @@
 
 use super::node::FleetNode;
 
-/// How often each instance says what it has under way.
+/// How often each instance says what it has under way, at the least.
 const STATUS_EVERY: Duration = Duration::from_millis(150);
 
+/// The pause between two notes that an instance hears from all others
+/// together: with many instances each speaks less often, so that a small
+/// machine spends no more on hearing them.
+const HEARD_EVERY: Duration = Duration::from_millis(25);
+
+/// The same for the holder of the lease, which must be missed soon.
+const HOLDER_SENDS_EVERY: Duration = Duration::from_millis(4);
+
 /// How often it says what was asked for, if nothing waits.
-const ASKED_EVERY: u64 = 2;
+const ASKED_EVERY: Duration = Duration::from_millis(300);
+
+/// How often peers that fell silent are forgotten.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
 
 /// The longest datagram that IPv4 carries, less some room for its head.
 const LARGEST_NOTE: usize = 60_000;
@@ -110,7 +121,8 @@
     match note {
         Note::Status(status) => {
             if let Some(epoch) = status.leads {
-                node.hear_leader(&status.from, epoch);
+                let next_in = Duration::from_millis(status.next_in_ms);
+                node.hear_leader(&status.from, epoch, next_in);
             }
             node.view.borrow_mut().hear_status(status, now);
         }
@@ -145,24 +157,40 @@
 /// Sends what this instance has to say, for ever.
 pub(crate) async fn tell(node: Rc<FleetNode>, sender: Rc<NoteSender>) {
     let mut sequence = start_sequence();
-    let mut turn = 0;
     let mut next_status = Instant::now();
+    let mut next_asked = Instant::now();
+    let mut next_forget = Instant::now();
     loop {
-        let left = next_status.saturating_duration_since(Instant::now());
+        let next = next_status.min(next_asked);
+        let left = next.saturating_duration_since(Instant::now());
         let is_urgent = node.notes_rung(left).await;
-        if Instant::now() >= next_status {
-            next_status = Instant::now() + STATUS_EVERY;
+        let now = Instant::now();
+        if now >= next_status {
+            let pause = status_pause(&node, now);
+            next_status = now + pause;
             sequence += 1;
-            turn += 1;
-            tell_status(&node, &sender, sequence);
+            tell_status(&node, &sender, sequence, pause);
         }
-        if is_urgent || turn >= ASKED_EVERY {
-            turn = 0;
+        if is_urgent || now >= next_asked {
+            next_asked = now + ASKED_EVERY;
             tell_asked(&node, &sender);
         }
+        if now >= next_forget {
+            next_forget = now + FORGET_EVERY;
+            node.view.borrow_mut().forget_silent_peers(now);
+        }
     }
 }
 
+fn status_pause(node: &FleetNode, now: Instant) -> Duration {
+    let peers = node.peers.borrow().len() as u32;
+    let pause = match node.current_lease(now) {
+        Some(_) => HOLDER_SENDS_EVERY,
+        None => HEARD_EVERY,
+    };
+    STATUS_EVERY.max(pause * peers)
+}
+
 /// A restart begins above what its last life can have reached.
 fn start_sequence() -> u64 {
     let since = std::time::SystemTime::now()
@@ -171,7 +199,12 @@
     since.as_millis() as u64
 }
 
-fn tell_status(node: &FleetNode, sender: &NoteSender, sequence: u64) {
+fn tell_status(
+    node: &FleetNode,
+    sender: &NoteSender,
+    sequence: u64,
+    pause: Duration,
+) {
     let in_flight = node
         .view
         .borrow()
@@ -181,7 +214,8 @@
         .collect();
     let from = node.id().clone();
     let leads = node.current_lease(Instant::now()).map(|held| held.epoch);
-    let status = Status { from, sequence, leads, in_flight };
+    let next_in_ms = pause.as_millis() as u64;
+    let status = Status { from, sequence, next_in_ms, leads, in_flight };
     sender.broadcast(node, &Note::Status(status));
 }
 
