Versions that others know are listed after half a second; metrics on a port of their own; decisions only for what waits

Cause: a configuration or version that all instances hear of by their own watches was listed once more by each.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -60,6 +60,10 @@
 /// place is taken first.
 const EVICTION_COST: f64 = 0.1;
 
+/// How often more is looked at than what requests wait for: engines that came,
+/// versions, replicas.
+const WHOLE_LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// An order that shows no effect is given again after this long.
 const ORDER_AGAIN: Duration = Duration::from_secs(4);
 
@@ -95,6 +99,8 @@
     epoch: Epoch,
     store: StoreRate,
     ordered: HashMap<(EndpointId, AdapterKey), Instant>,
+    /// When all was looked at, not only what requests wait for.
+    looked: Option<Instant>,
     /// When the loads from the weight store that are under way will be done.
     cold_until: Vec<Instant>,
 }
@@ -110,6 +116,7 @@
             epoch,
             store,
             ordered: HashMap::new(),
+            looked: None,
             cold_until: Vec::new(),
         }
     }
@@ -123,10 +130,14 @@
         demand: &mut Demand,
         now: Instant,
     ) -> Vec<Order> {
-        self.forget(now);
+        let is_whole =
+            self.looked.is_none_or(|at| now - at >= WHOLE_LOOK_EVERY);
+        if is_whole {
+            self.looked = Some(now);
+            self.forget(now);
+        }
         let mut orders = Vec::new();
         for (service, group) in deployment.engines() {
-            let index = Index::new(service, view, demand, now);
             let mut turn = Turn {
                 loader: self,
                 service,
@@ -134,12 +145,14 @@
                 view,
                 demand,
                 now,
-                index,
+                engine_rates: None,
             };
-            turn.sync_engines(&mut orders);
-            turn.load_models(&mut orders);
-            turn.replace_versions(&mut orders);
-            turn.add_replicas(&mut orders);
+            if is_whole {
+                turn.sync_engines(&mut orders);
+                turn.load_models(&mut orders);
+                turn.replace_versions(&mut orders);
+                turn.add_replicas(&mut orders);
+            }
             turn.serve_demand(&mut orders);
         }
         orders
@@ -156,75 +169,32 @@
     }
 }
 
-/// What one look computes once: rates, and who holds what.
-struct Index {
-    rates: HashMap<AdapterKey, f64>,
-    holders: HashMap<AdapterKey, u32>,
-    /// Requests a second that an engine's adapters stand for.
-    engine_rates: HashMap<EndpointId, f64>,
-}
-
-impl Index {
-    fn new(
-        service: &str,
-        view: &FleetView,
-        demand: &Demand,
-        now: Instant,
-    ) -> Index {
-        let rates: HashMap<AdapterKey, f64> = demand
-            .iter()
-            .map(|(key, d)| (key.clone(), d.rate_per_s(now)))
-            .collect();
-        let engines = || {
-            view.endpoints()
-                .filter(|state| state.endpoint.service == service)
-                .filter(|state| state.is_usable(now))
-        };
-        let mut holders: HashMap<AdapterKey, u32> = HashMap::new();
-        for state in engines() {
-            for (key, _) in state.seats() {
-                if let Some(count) = holders.get_mut(key) {
-                    *count += 1;
-                } else {
-                    holders.insert(key.clone(), 1);
-                }
-            }
-        }
-        let engine_rates = engines()
-            .map(|state| {
-                let shares = state.seats().map(|(key, _)| {
-                    let rate = rates.get(key).copied().unwrap_or(0.0);
-                    let held = holders.get(key).copied().unwrap_or(1);
-                    rate / f64::from(held.max(1))
-                });
-                (state.endpoint.id.clone(), shares.sum())
-            })
-            .collect();
-        Index { rates, holders, engine_rates }
-    }
-
-    fn rate(&self, key: &AdapterKey) -> f64 {
-        self.rates.get(key).copied().unwrap_or(0.0)
-    }
-
-    fn holders(&self, key: &AdapterKey) -> u32 {
-        self.holders.get(key).copied().unwrap_or(0)
-    }
-
-    fn engine_rate(&self, id: &EndpointId) -> f64 {
-        self.engine_rates.get(id).copied().unwrap_or(0.0)
-    }
-
-    /// Notes that an engine gets an adapter.
-    fn add(&mut self, id: &EndpointId, key: &AdapterKey) {
-        let held = self.holders.entry(key.clone()).or_default();
-        *held += 1;
-        let share =
-            self.rates.get(key).copied().unwrap_or(0.0) / f64::from(*held);
-        if let Some(rate) = self.engine_rates.get_mut(id) {
-            *rate += share;
-        }
+/// Returns the requests a second that each engine's adapters stand for, with
+/// an adapter's requests shared among those that hold it.
+fn engine_rates(
+    service: &str,
+    view: &FleetView,
+    demand: &Demand,
+    now: Instant,
+) -> HashMap<EndpointId, f64> {
+    let engines = || {
+        view.endpoints()
+            .filter(|state| state.endpoint.service == service)
+            .filter(|state| state.is_usable(now))
+    };
+    let mut holders: HashMap<&AdapterKey, f64> = HashMap::new();
+    for (key, _) in engines().flat_map(|state| state.seats()) {
+        *holders.entry(key).or_default() += 1.0;
     }
+    engines()
+        .map(|state| {
+            let shares = state.seats().map(|(key, _)| {
+                let rate = demand.get(key).map_or(0.0, |d| d.rate_per_s(now));
+                rate / holders.get(key).copied().unwrap_or(1.0)
+            });
+            (state.endpoint.id.clone(), shares.sum())
+        })
+        .collect()
 }
 
 /// One look at the engines of one service.
@@ -235,7 +205,8 @@
     view: &'a mut FleetView,
     demand: &'a mut Demand,
     now: Instant,
-    index: Index,
+    /// What each engine's adapters stand for; computed when first asked for.
+    engine_rates: Option<HashMap<EndpointId, f64>>,
 }
 
 impl Turn<'_> {
@@ -344,12 +315,11 @@
     /// Returns whether some engine that holds an adapter, or will soon, has
     /// room for a request.
     fn can_be_served(&self, key: &AdapterKey) -> bool {
-        self.index.holders(key) > 0
-            && self.engines().any(|state| {
-                state.is_usable(self.now)
-                    && state.seat(key).is_some()
-                    && state.load() < FULL_LOAD
-            })
+        self.engines().any(|state| {
+            state.is_usable(self.now)
+                && state.seat(key).is_some()
+                && state.load() < FULL_LOAD
+        })
     }
 
     /// Adapters that fill their engines get another one.
@@ -360,9 +330,12 @@
             if !self.is_ours(key) || key.adapter.is_none() {
                 continue;
             }
-            let under_way = self.index.rate(key) * SERVICE_TIME_S;
+            let under_way = self.rate(key) * SERVICE_TIME_S;
             let wanted = (under_way / (slots * SHARE_OF_ENGINE)).ceil();
-            let has = f64::from(self.index.holders(key));
+            if wanted <= 1.0 {
+                continue;
+            }
+            let has = self.holders(key).count() as f64;
             if has >= 1.0 && has < wanted {
                 short.push((under_way / has, key.clone()));
             }
@@ -391,7 +364,7 @@
         let version = self.view.newest(key).map_or(1, |(newest, _)| newest);
         let placed = self.placed(&home.endpoint, key, version, takes);
         self.view.hear_placed(&placed, self.now);
-        self.index.add(&home.endpoint, key);
+        self.count_placed(&home.endpoint, key);
         let task = Task::Load(key.clone(), version);
         orders.push(home.order(task, !home.is_warm));
         true
@@ -400,7 +373,20 @@
     /// The engine for an adapter. One that has it at hand keeps it, even if
     /// that takes a moment: a load from the weight store has a price. Else it
     /// is one with the least to do, in the zone that asks if possible.
-    fn find_home(&self, key: &AdapterKey) -> Option<Home> {
+    fn find_home(&mut self, key: &AdapterKey) -> Option<Home> {
+        let rates = self.engine_rates.take().unwrap_or_else(|| {
+            engine_rates(self.service, self.view, self.demand, self.now)
+        });
+        let home = self.cheapest_home(key, &rates);
+        self.engine_rates = Some(rates);
+        home
+    }
+
+    fn cheapest_home(
+        &self,
+        key: &AdapterKey,
+        rates: &HashMap<EndpointId, f64>,
+    ) -> Option<Home> {
         let zone = self.demand.get(key).map(|d| d.zone.as_str());
         let is_warm_somewhere =
             self.candidates(key).any(|state| state.is_warm(key));
@@ -412,11 +398,10 @@
             }
             let Some(victim) = self.make_room(state) else { continue };
             let is_near = Some(state.endpoint.zone.as_str()) == zone;
-            let expected =
-                self.index.engine_rate(&state.endpoint.id) * SERVICE_TIME_S;
-            let lost = victim
-                .as_ref()
-                .map_or(0.0, |v| EVICTION_COST + self.index.rate(v));
+            let rate = rates.get(&state.endpoint.id).copied();
+            let expected = rate.unwrap_or(0.0) * SERVICE_TIME_S;
+            let lost =
+                victim.as_ref().map_or(0.0, |v| EVICTION_COST + self.rate(v));
             let cost = expected / f64::from(self.group.slots)
                 + state.load()
                 + lost
@@ -447,7 +432,7 @@
     /// Returns what must leave an engine for one more adapter: nothing, or
     /// the one that is asked for least and not in use. None if nothing may.
     fn make_room(&self, state: &EndpointState) -> Option<Option<AdapterKey>> {
-        let places = self.group.adapter_slots as usize;
+        let places = self.group.adapter_places();
         let adapters = || state.seats().filter(|(k, _)| k.adapter.is_some());
         let taken = adapters().count();
         if taken < places {
@@ -459,9 +444,7 @@
         adapters()
             .filter(|(_, seat)| seat.is_ready(self.now))
             .filter(|(key, _)| !self.may_be_in_use(key))
-            .min_by(|a, b| {
-                self.index.rate(a.0).total_cmp(&self.index.rate(b.0))
-            })
+            .min_by(|a, b| self.rate(a.0).total_cmp(&self.rate(b.0)))
             .map(|(key, _)| Some(key.clone()))
     }
 
@@ -470,6 +453,29 @@
         self.now - demand.last_asked < IN_USE_FOR
     }
 
+    fn rate(&self, key: &AdapterKey) -> f64 {
+        self.demand.get(key).map_or(0.0, |d| d.rate_per_s(self.now))
+    }
+
+    /// Returns the usable engines that hold an adapter, or will soon.
+    fn holders(
+        &self,
+        key: &AdapterKey,
+    ) -> impl Iterator<Item = &EndpointState> {
+        self.engines().filter(move |state| {
+            state.is_usable(self.now) && state.seat(key).is_some()
+        })
+    }
+
+    /// Counts an adapter to the engine that gets it.
+    fn count_placed(&mut self, id: &EndpointId, key: &AdapterKey) {
+        let share = self.rate(key) / self.holders(key).count().max(1) as f64;
+        let rates = self.engine_rates.as_mut();
+        if let Some(rate) = rates.and_then(|rates| rates.get_mut(id)) {
+            *rate += share;
+        }
+    }
+
     fn coming(&self, state: &EndpointState) -> bool {
         let on_their_way =
             state.seats().filter(|(_, seat)| !seat.is_ready(self.now));
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -21,6 +21,8 @@
     Placed(Placed),
     /// An adapter is being removed.
     Removed(Removed),
+    /// An endpoint is leaving, as the platform's list says.
+    Leaving(EndpointId),
 }
 
 /// What an instance has under way.
@@ -34,6 +36,10 @@
     pub next_in_ms: u64,
     /// The epoch of the lease, while its holder is sure to hold it.
     pub leads: Option<Epoch>,
+    /// The version of the configuration that is in force there.
+    pub configuration: u64,
+    /// How many versions of weights were named, as far as it knows.
+    pub versions: u64,
     /// Requests under way, by endpoint; those without are left out.
     pub in_flight: Vec<(EndpointId, u32)>,
 }
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -156,6 +156,24 @@
     }
 }
 
+impl EngineGroup {
+    /// Returns how many adapters an engine holds beside its base model: as
+    /// many as it has places for, and as fit into its memory.
+    pub fn adapter_places(&self) -> usize {
+        let places = self.adapter_slots as usize;
+        let fitting = self.models.iter().map(|model| {
+            if model.adapter_mb <= 0.0 {
+                return places;
+            }
+            let left = (self.weights_mb - model.weights_mb).max(0.0);
+            // Sizes come as floating-point numbers; a part that is missing by
+            // rounding alone is not missing.
+            (left / model.adapter_mb + 1e-6) as usize
+        });
+        fitting.min().unwrap_or(places).min(places)
+    }
+}
+
 impl Route {
     /// Returns the service for a request, by a number between 0 and 1 that is
     /// drawn for it.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -347,6 +347,18 @@
         self.endpoints.remove(id);
     }
 
+    /// Takes in that another instance saw an endpoint leave.
+    pub fn hear_leaving(&mut self, id: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.endpoint.is_draining = true;
+        }
+    }
+
+    /// Returns how many versions of weights were named, counting each rise.
+    pub fn versions_named(&self) -> u64 {
+        self.newest.values().map(|(version, _)| version).sum()
+    }
+
     /// Notes the newest version of a model or adapter.
     pub fn name_version(
         &mut self,
--- a/crates/fleet/tests/route_rules.rs
+++ b/crates/fleet/tests/route_rules.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sedgewall_fleet::route::{
-    Backend, CallerLimits, Deployment, Repetition, Route,
+    Backend, BaseModel, CallerLimits, Deployment, EngineGroup, Repetition,
+    Route,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -68,3 +69,23 @@
         assert_eq!(route.pick_service(draw).map(String::as_str), Some("a"));
     }
 }
+
+/// LIMIT on the grown site of lfg: memory was full before the places were.
+#[test]
+fn an_engine_holds_no_more_adapters_than_its_memory() {
+    let mut group = EngineGroup {
+        adapter_slots: 9,
+        weights_mb: 65_200.0,
+        models: vec![BaseModel {
+            weights_mb: 65_100.0,
+            adapter_mb: 12.0,
+            ..BaseModel::default()
+        }],
+        ..EngineGroup::default()
+    };
+    assert_eq!(group.adapter_places(), 8);
+    group.weights_mb = 65_400.0;
+    assert_eq!(group.adapter_places(), 9);
+    group.weights_mb = 65_000.0;
+    assert_eq!(group.adapter_places(), 0);
+}
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -52,6 +52,15 @@
     assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
 }
 
+#[test]
+fn an_endpoint_that_others_see_leave_gets_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.hear_leaving(&"e1".to_owned());
+    assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+}
+
 #[test]
 fn an_endpoint_whose_entry_is_gone_gets_nothing() {
     let now = Instant::now();
@@ -129,6 +138,8 @@
         sequence: 1,
         next_in_ms: 150,
         leads: None,
+        configuration: 1,
+        versions: 0,
         in_flight: vec![("e1".to_owned(), 20)],
     };
     view.hear_status(status, now);
@@ -145,6 +156,8 @@
         sequence,
         next_in_ms: 150,
         leads: None,
+        configuration: 1,
+        versions: 0,
         in_flight: vec![("e1".to_owned(), count)],
     };
     view.hear_status(status(2, 5), now);
@@ -163,6 +176,8 @@
         sequence: 1,
         next_in_ms: 150,
         leads: None,
+        configuration: 1,
+        versions: 0,
         in_flight: vec![("e1".to_owned(), 5)],
     };
     view.hear_status(status, now);
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -63,6 +63,17 @@
     pub store_overage: f64,
     /// A planned stop is cut off after this long, in seconds.
     pub grace_s: f64,
+    /// Where metrics are read, beside the operators' address.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
+    /// This instance's part of a processor core; a larger one takes the lease
+    /// on orders first.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
+}
+
+fn whole_core() -> f64 {
+    1.0
 }
 
 /// What bounds one instance.
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -96,6 +96,9 @@
     compio::runtime::spawn(leader::run(node.clone(), orders)).detach();
     compio::runtime::spawn(serve_callers(node.clone(), callers, stop))
         .detach();
+    if let Some(address) = node.fleet.metrics_listen {
+        spawn_metrics(&node, address, metrics.clone()).await;
+    }
     compio::runtime::spawn(serve_operators(node.clone(), operators, metrics))
         .detach();
     wait_for_stop().await;
@@ -129,6 +132,25 @@
     serve_until(listener, limits, handler, stop).await;
 }
 
+/// Serves metrics at an address of their own. Requests are served also where
+/// that address cannot be had.
+async fn spawn_metrics(
+    node: &Rc<FleetNode>,
+    address: SocketAddr,
+    metrics: PrometheusHandle,
+) {
+    match bind(address).await {
+        Ok(listener) => {
+            let serving = serve_operators(node.clone(), listener, metrics);
+            compio::runtime::spawn(serving).detach();
+        }
+        Err(err) => {
+            let cause = err.to_string();
+            tracing::warn!(event = "metrics_not_served", cause);
+        }
+    }
+}
+
 async fn serve_operators(
     node: Rc<FleetNode>,
     listener: TcpListener,
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -7,10 +7,12 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use futures_util::{FutureExt, select};
 use sedgewall_platform::{
     StoreError,
     config::{
@@ -21,20 +23,35 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::node::{FleetNode, Stage};
+use super::node::{Bell, FleetNode, Stage};
 
 /// The kind of our own instances' entries.
 pub(crate) const INSTANCES_KIND: &str = "sedgewall-instances";
 
-/// How long a watch waits for a change. Each call has a price, and a channel
-/// that went dead without a word is given up after this time.
-const WATCH_TIME: Duration = Duration::from_secs(4);
+/// How long a watch of endpoints waits for a change. A channel that went dead
+/// without a word is noticed after this time; then all is listed anew.
+const ENDPOINTS_WATCH: Duration = Duration::from_secs(4);
+
+/// How long other watches wait. Each call has a price; what other instances
+/// know in a newer version is listed at once.
+const QUIET_WATCH: Duration = Duration::from_secs(20);
 
 /// The pause between two watches of endpoints, so that many changes come in
 /// one call. A leaving endpoint may get work for 2 s after the store has taken
 /// its word.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(650);
 
+/// What each instance adds to this pause: the first one that sees an endpoint
+/// leave tells all others.
+const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(40);
+
+/// The pause between two watches of instances: all write their entries when
+/// all start, and each that is watched would wake all others.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The longest pause between two watches of endpoints.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// The first pause after a failed call; it doubles.
 const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
 
@@ -53,7 +70,15 @@
 /// Takes in the objects of one kind.
 trait Follower {
     const KIND: &'static str;
-    const PAUSE: Duration;
+    const WATCH: Duration;
+    /// The pause before the next watch.
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
+    /// What rings when all is to be listed anew.
+    fn bell(&self) -> Option<Rc<Bell>> {
+        None
+    }
     /// Takes in all objects.
     fn list(&self, objects: Vec<StoredObject>);
     /// Takes in one change.
@@ -85,12 +110,28 @@
     loop {
         let done = match since {
             None => node.store.list(F::KIND).await.map(|listing| {
+                tracing::info!(
+                    event = "listed",
+                    kind = F::KIND,
+                    objects = listing.objects.len(),
+                    revision = listing.revision,
+                );
                 follower.list(listing.objects);
                 listing.revision
             }),
             Some(revision) => {
-                let watch = node.store.watch(F::KIND, revision, WATCH_TIME);
-                watch.await.map(|changes| {
+                let watch = node.store.watch(F::KIND, revision, F::WATCH);
+                let mut watch = pin!(watch.fuse());
+                let bell = follower.bell();
+                let mut rung = pin!(rung(bell).fuse());
+                let watched = select! {
+                    watched = watch => watched,
+                    () = rung => {
+                        since = None;
+                        continue;
+                    }
+                };
+                watched.map(|changes| {
                     for change in changes.changes {
                         follower.change(change);
                     }
@@ -103,10 +144,11 @@
                 if is_out {
                     tracing::info!(event = "store_regained", kind = F::KIND);
                     is_out = false;
+                    node.list_anew();
                 }
                 since = Some(revision);
                 back_off = FIRST_BACK_OFF;
-                compio::time::sleep(F::PAUSE).await;
+                compio::time::sleep(follower.pause()).await;
             }
             Err(StoreError::HistoryGone) => {
                 tracing::warn!(event = "history_gone", kind = F::KIND);
@@ -129,9 +171,21 @@
     }
 }
 
+/// Waits for a bell; for ever, if there is none.
+async fn rung(bell: Option<Rc<Bell>>) {
+    match bell {
+        Some(bell) => while !bell.wait(QUIET_WATCH).await {},
+        None => std::future::pending().await,
+    }
+}
+
 impl Follower for Configuration {
     const KIND: &'static str = CONFIG_KIND;
-    const PAUSE: Duration = Duration::ZERO;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.configuration_bell.clone())
+    }
 
     fn list(&self, objects: Vec<StoredObject>) {
         for object in objects {
@@ -181,7 +235,12 @@
 
 impl Follower for Endpoints {
     const KIND: &'static str = ENDPOINTS_KIND;
-    const PAUSE: Duration = ENDPOINTS_PAUSE;
+    const WATCH: Duration = ENDPOINTS_WATCH;
+
+    fn pause(&self) -> Duration {
+        let peers = self.0.peers.borrow().len() as u32;
+        ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(LONGEST_PAUSE)
+    }
 
     fn list(&self, objects: Vec<StoredObject>) {
         let read = objects.iter().filter_map(decoded).collect();
@@ -213,8 +272,13 @@
                 revision = change.object.revision,
             );
         }
+        let is_leaving = was_draining == Some(false) && endpoint.is_draining;
         view.list(endpoint, Instant::now());
         drop(view);
+        if is_leaving {
+            node.leaving.borrow_mut().push(id.clone());
+            node.ring_notes();
+        }
         node.wake_all();
     }
 }
@@ -238,7 +302,11 @@
 
 impl Follower for Versions {
     const KIND: &'static str = VERSIONS_KIND;
-    const PAUSE: Duration = Duration::ZERO;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.versions_bell.clone())
+    }
 
     fn list(&self, objects: Vec<StoredObject>) {
         for object in objects {
@@ -274,7 +342,15 @@
 
 impl Follower for Instances {
     const KIND: &'static str = INSTANCES_KIND;
-    const PAUSE: Duration = Duration::ZERO;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn pause(&self) -> Duration {
+        INSTANCES_PAUSE
+    }
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.instances_bell.clone())
+    }
 
     fn list(&self, objects: Vec<StoredObject>) {
         self.0.peers.borrow_mut().clear();
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -94,7 +94,7 @@
             engines = engines().count(),
             usable = engines().filter(|s| s.is_usable(now)).count(),
             adapters,
-            places = group.adapter_slots as usize * engines().count(),
+            places = group.adapter_places() * engines().count(),
             asked_for = demand.iter().count(),
             waiting =
                 demand.iter().filter(|(_, d)| d.is_waited_for(now)).count(),
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -43,14 +43,20 @@
 /// How often an instance that hears no holder looks at the record.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// What the smallest instance waits beyond that before it takes the lease.
+const SMALLEST_WAITS: Duration = Duration::from_millis(500);
+
 /// How often the holder looks whether a renewal is due.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Takes the lease when nobody holds it, and keeps it, for ever.
 pub(crate) async fn run(node: Rc<FleetNode>) {
     let mut watching = new_lease();
+    // Whoever holds the lease decides for all engines: a large instance looks
+    // first.
+    let handicap = SMALLEST_WAITS.mul_f64(1.0 - node.fleet.cpu_share.min(1.0));
     loop {
-        compio::time::sleep(LOOK_EVERY).await;
+        compio::time::sleep(LOOK_EVERY + handicap).await;
         if node.stage.get() != Stage::Ready
             || node.live_leader(Instant::now()).is_some()
         {
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -77,6 +77,14 @@
     waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
     loader_bell: Bell,
     notes_bell: Bell,
+    /// Ring when what was watched must be listed anew.
+    pub(crate) configuration_bell: Rc<Bell>,
+    pub(crate) versions_bell: Rc<Bell>,
+    pub(crate) instances_bell: Rc<Bell>,
+    /// Since when others are heard to know more than we do.
+    pub(crate) behind_since: Cell<Option<Instant>>,
+    /// Endpoints of which the others must hear that they leave.
+    pub(crate) leaving: RefCell<Vec<EndpointId>>,
 }
 
 impl FleetNode {
@@ -112,6 +120,11 @@
             waiters: RefCell::default(),
             loader_bell: Bell::default(),
             notes_bell: Bell::default(),
+            configuration_bell: Rc::default(),
+            versions_bell: Rc::default(),
+            instances_bell: Rc::default(),
+            behind_since: Cell::new(None),
+            leaving: RefCell::default(),
         })
     }
 
@@ -188,6 +201,14 @@
         }
     }
 
+    /// Makes everything that is watched be listed anew. Watches that were
+    /// under way while the store was out may never be answered.
+    pub(crate) fn list_anew(&self) {
+        self.configuration_bell.ring();
+        self.versions_bell.ring();
+        self.instances_bell.ring();
+    }
+
     /// Wakes the part that gives orders.
     pub(crate) fn ring_loader(&self) {
         self.loader_bell.ring();
@@ -212,13 +233,13 @@
 
 /// Wakes one waiting part of the instance.
 #[derive(Default)]
-struct Bell {
+pub(crate) struct Bell {
     is_rung: Cell<bool>,
     waiting: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl Bell {
-    fn ring(&self) {
+    pub(crate) fn ring(&self) {
         self.is_rung.set(true);
         if let Some(tx) = self.waiting.borrow_mut().take() {
             // The part may have woken by its time.
@@ -226,7 +247,7 @@
         }
     }
 
-    async fn wait(&self, within: Duration) -> bool {
+    pub(crate) async fn wait(&self, within: Duration) -> bool {
         if !self.is_rung.get() {
             let (tx, rx) = oneshot::channel();
             *self.waiting.borrow_mut() = Some(tx);
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -30,6 +30,13 @@
 /// How often it says what was asked for, if nothing waits.
 const ASKED_EVERY: Duration = Duration::from_millis(300);
 
+/// What others know in a newer version is listed after this long, if our own
+/// watch has not brought it, and again after this long.
+const BEHIND_FOR: Duration = Duration::from_millis(500);
+
+/// A newer version that was heard of this long ago was another one.
+const BEHIND_HOLDS: Duration = Duration::from_millis(2_000);
+
 /// How often peers that fell silent are forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
@@ -124,8 +131,12 @@
                 let next_in = Duration::from_millis(status.next_in_ms);
                 node.hear_leader(&status.from, epoch, next_in);
             }
+            hear_newer(node, &status, now);
             node.view.borrow_mut().hear_status(status, now);
         }
+        Note::Leaving(endpoint) => {
+            node.view.borrow_mut().hear_leaving(&endpoint);
+        }
         Note::Asked(asked) => hear_asked(node, &asked, now),
         // Whoever gives orders knows better than a note from before.
         Note::Placed(_) | Note::Removed(_)
@@ -140,6 +151,31 @@
     }
 }
 
+/// Lists anew what another instance knows in a newer version for a while: a
+/// watch of ours may be on a channel that says nothing further.
+fn hear_newer(node: &FleetNode, status: &Status, now: Instant) {
+    let known = node.deployment().map_or(0, |known| known.version);
+    let is_configuration = status.configuration > known;
+    let is_version = status.versions > node.view.borrow().versions_named();
+    if !is_configuration && !is_version {
+        return;
+    }
+    let since = node.behind_since.get().unwrap_or(now);
+    if now - since > BEHIND_HOLDS {
+        // Heard of long ago; our watch has brought that one.
+        node.behind_since.set(Some(now));
+    } else if now - since < BEHIND_FOR {
+        node.behind_since.set(Some(since));
+    } else {
+        node.behind_since.set(Some(now));
+        tracing::info!(event = "behind", is_configuration, is_version);
+        match is_configuration {
+            true => node.configuration_bell.ring(),
+            false => node.versions_bell.ring(),
+        }
+    }
+}
+
 fn hear_asked(node: &FleetNode, asked: &Asked, now: Instant) {
     let mut demand = node.demand.borrow_mut();
     for (key, count) in &asked.counts {
@@ -171,6 +207,11 @@
             sequence += 1;
             tell_status(&node, &sender, sequence, pause);
         }
+        if is_urgent {
+            for endpoint in node.leaving.take() {
+                sender.broadcast(&node, &Note::Leaving(endpoint));
+            }
+        }
         if is_urgent || now >= next_asked {
             next_asked = now + ASKED_EVERY;
             tell_asked(&node, &sender);
@@ -215,7 +256,15 @@
     let from = node.id().clone();
     let leads = node.current_lease(Instant::now()).map(|held| held.epoch);
     let next_in_ms = pause.as_millis() as u64;
-    let status = Status { from, sequence, next_in_ms, leads, in_flight };
+    let status = Status {
+        from,
+        sequence,
+        next_in_ms,
+        leads,
+        configuration: node.deployment().map_or(0, |known| known.version),
+        versions: node.view.borrow().versions_named(),
+        in_flight,
+    };
     sender.broadcast(node, &Note::Status(status));
 }
 
