--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -107,7 +107,13 @@
     let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
     assert_eq!(loads(&orders), [("e2", key(9))]);
     let later = now + Duration::from_secs(4);
-    view.hear_report(&"e2".to_owned(), &report(&[], 2), later);
+    let home = "e2".to_owned();
+    view.hear_report(&home, &report(&[], 2), later);
+    // Another engine has less to do, and would need the weight store.
+    view.hear_report(&"e3".to_owned(), &report(&[], 0), later);
+    if let Some(state) = view.get_mut(&home) {
+        state.own_in_flight = 8;
+    }
     asked(&mut demand, 9, 1, later);
     let orders = loader.plan(&deployment(), &mut view, &mut demand, later);
     assert_eq!(loads(&orders), [("e2", key(9))]);
