--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adapter;
 pub mod demand;
 pub mod endpoint;
+pub mod endpoint_state;
 pub mod events;
 pub mod health;
 pub mod loader;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -18,10 +18,11 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     demand::Demand,
+    endpoint_state::EndpointState,
     note::{Placed, Removed},
     route::{Deployment, EngineGroup},
     store_rate::StoreRate,
-    view::{EndpointState, FleetView},
+    view::FleetView,
 };
 
 /// Adapters on their way to one engine at once; the platform allows this many.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,7 +6,7 @@
 //! or that is not known to hold what a request names, is never chosen.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -17,14 +17,10 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     endpoint::{Endpoint, EngineReport},
-    health::Health,
+    endpoint_state::{EndpointState, Seat, note_warm},
     note::{Placed, Removed, Status},
 };
 
-/// How long a note is believed over a list that does not show it. Endpoints
-/// write their entries about once a second, and a load may wait its turn.
-const NOTE_HOLDS: Duration = Duration::from_millis(4_000);
-
 /// Notes of another instance that may be lost in a row before its sums count
 /// no longer.
 const STATUS_LOSSES: u32 = 6;
@@ -50,52 +46,9 @@
 /// behind each slot still come in time.
 const SERVICE_FILL: f64 = 4.0;
 
-/// How long the version before a replacement counts as there after the new one
-/// should be ready: it waits for its runs, which take seconds at most.
-const REPLACEMENT_HOLDS: Duration = Duration::from_secs(6);
-
 /// When an adapter that a report shows on its way is looked for again.
 const COMING_FOR: Duration = Duration::from_millis(300);
 
-/// What an endpoint has kept in memory of the adapters it held, in adapters.
-/// Measured on the bench: engines keep about 96.
-const WARM_ADAPTERS: usize = 80;
-
-/// An adapter on an engine.
-#[derive(Clone, Debug)]
-pub struct Seat {
-    /// The version that is there, or that the load brings.
-    pub version: WeightVersion,
-    /// From when on it takes requests.
-    pub ready_at: Instant,
-    /// When a note or an outcome last spoke of it.
-    noted: Instant,
-    /// Whether the platform's list shows it.
-    is_listed: bool,
-    /// Whether it replaces another version, which stays until its runs end.
-    is_replacement: bool,
-}
-
-/// One endpoint, as this instance sees it.
-#[derive(Clone, Debug)]
-pub struct EndpointState {
-    /// What the platform's list says.
-    pub endpoint: Endpoint,
-    /// Requests of this instance under way there.
-    pub own_in_flight: u32,
-    /// Requests of other instances under way there.
-    pub others_in_flight: u32,
-    /// What our requests show.
-    pub health: Health,
-    seats: HashMap<AdapterKey, Seat>,
-    removed: HashMap<AdapterKey, Instant>,
-    /// Whether our own orders alone decide what it holds; then the list, which
-    /// is late, says nothing about that.
-    is_ordered_by_us: bool,
-    /// What it held lately, the newest last.
-    warm: VecDeque<AdapterKey>,
-}
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -153,132 +106,6 @@
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
 }
 
-impl Seat {
-    /// Returns whether the seat takes requests.
-    pub fn is_ready(&self, now: Instant) -> bool {
-        now >= self.ready_at
-    }
-
-    /// Returns whether the version before may still take a place beside it.
-    pub fn is_replacing(&self, now: Instant) -> bool {
-        self.is_replacement && now < self.ready_at + REPLACEMENT_HOLDS
-    }
-
-    /// Returns whether the platform's list shows it.
-    pub fn is_listed(&self) -> bool {
-        self.is_listed
-    }
-}
-
-impl EndpointState {
-    fn new(endpoint: Endpoint, now: Instant) -> EndpointState {
-        let mut state = EndpointState {
-            endpoint: endpoint.clone(),
-            own_in_flight: 0,
-            others_in_flight: 0,
-            health: Health::default(),
-            seats: HashMap::new(),
-            removed: HashMap::new(),
-            is_ordered_by_us: false,
-            warm: VecDeque::new(),
-        };
-        state.list(endpoint, now);
-        state
-    }
-
-    /// Returns the requests of all instances under way there.
-    pub fn in_flight(&self) -> u32 {
-        self.own_in_flight + self.others_in_flight
-    }
-
-    /// Returns the requests under way as a part of its slots.
-    pub fn load(&self) -> f64 {
-        f64::from(self.in_flight()) / f64::from(self.endpoint.slots.max(1))
-    }
-
-    /// Returns whether it may get requests.
-    pub fn is_usable(&self, now: Instant) -> bool {
-        !self.endpoint.is_draining && self.health.is_usable(now)
-    }
-
-    /// Returns whether it holds a base model.
-    pub fn has_model(&self, model: &str) -> bool {
-        self.endpoint.models.iter().any(|hosted| hosted.key.model == model)
-    }
-
-    /// Returns whether we know what it holds from its report and our orders.
-    /// An endpoint whose entry went and came back is not known.
-    pub fn is_ordered_by_us(&self) -> bool {
-        self.is_ordered_by_us
-    }
-
-    /// Returns the adapters that are there or on their way.
-    pub fn seats(&self) -> impl Iterator<Item = (&AdapterKey, &Seat)> {
-        self.seats.iter()
-    }
-
-    /// Returns one adapter that is there or on its way.
-    pub fn seat(&self, key: &AdapterKey) -> Option<&Seat> {
-        self.seats.get(key)
-    }
-
-    /// Returns whether the engine is likely to have an adapter at hand.
-    pub fn is_warm(&self, key: &AdapterKey) -> bool {
-        self.warm.contains(key)
-    }
-
-    fn list(&mut self, endpoint: Endpoint, now: Instant) {
-        if self.is_ordered_by_us {
-            self.endpoint = endpoint;
-            return;
-        }
-        let holds = |at: Instant| now - at < NOTE_HOLDS;
-        self.removed.retain(|_, at| holds(*at));
-        let mut seats = HashMap::new();
-        for model in &endpoint.models {
-            let own = (model.key.clone(), model.version);
-            for (key, version) in
-                model.adapters.iter().chain(std::iter::once(&own))
-            {
-                if self.removed.contains_key(key) {
-                    continue;
-                }
-                let seat = Seat {
-                    version: *version,
-                    ready_at: now,
-                    noted: now,
-                    is_listed: true,
-                    is_replacement: false,
-                };
-                seats.insert(key.clone(), seat);
-            }
-        }
-        for (key, seat) in &self.seats {
-            let is_newer = seats
-                .get(key)
-                .is_none_or(|listed| listed.version < seat.version);
-            if is_newer && !seat.is_listed && holds(seat.noted) {
-                seats.insert(key.clone(), seat.clone());
-            }
-        }
-        for key in seats.keys() {
-            if !self.seats.contains_key(key) {
-                note_warm(&mut self.warm, key);
-            }
-        }
-        self.seats = seats;
-        self.endpoint = endpoint;
-    }
-}
-
-fn note_warm(warm: &mut VecDeque<AdapterKey>, key: &AdapterKey) {
-    warm.retain(|held| held != key);
-    warm.push_back(key.clone());
-    if warm.len() > WARM_ADAPTERS {
-        warm.pop_front();
-    }
-}
-
 impl FleetView {
     /// Returns an empty table for an instance in this zone.
     pub fn new(zone: &str) -> FleetView {
@@ -649,12 +476,6 @@
     }
 }
 
-impl EndpointState {
-    fn id(&self) -> &EndpointId {
-        &self.endpoint.id
-    }
-}
-
 /// Returns which of two reasons not to send is nearer to a send.
 fn nearer(a: Choice, b: Choice) -> Choice {
     let rank = |choice: &Choice| match choice {
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -138,74 +138,93 @@
     }
 }
 
+/// A lease that we keep.
+struct Kept {
+    lease: Lease<Held>,
+    /// When the last renewal was sent that the store answered.
+    renewed: Instant,
+    /// Before that, engines may still hear the holder before us.
+    order_from: Instant,
+}
+
 /// Renews the lease until it is lost or this instance leaves.
 async fn keep(node: &FleetNode, taken: Taken) {
-    let Taken { lease: mut held, before, sent: mut renewed_at } = taken;
-    let now = Instant::now();
-    let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
-    let before = before.map(|record| record.holder);
-    let is_turn = before.as_ref().is_some_and(|holder| holder != node.id());
-    let order_from = if is_turn { now + turn } else { now };
-    tracing::info!(
-        event = "lease_taken",
-        epoch = held.epoch(),
-        before,
-        orders_in_ms = order_from.duration_since(now).as_millis() as u64,
-    );
+    let mut kept = begin(node, taken);
     loop {
         let now = Instant::now();
-        if !held.is_current(now) {
+        if !kept.lease.is_current(now) {
             node.held.set(None);
-            tracing::warn!(event = "lease_lapsed", epoch = held.epoch());
+            let epoch = kept.lease.epoch();
+            tracing::warn!(event = "lease_lapsed", epoch);
             return;
         }
         node.held.set(Some(HeldLease {
-            epoch: held.epoch(),
-            current_until: renewed_at + TIME_TO_LIVE,
-            order_from,
+            epoch: kept.lease.epoch(),
+            current_until: kept.renewed + TIME_TO_LIVE,
+            order_from: kept.order_from,
         }));
         if node.stage.get() == Stage::Leaving {
-            node.held.set(None);
-            let answer = write(node, &held.release()).await;
-            tracing::info!(
-                event = "lease_released",
-                epoch = held.epoch(),
-                answer = ?answer,
-            );
-            return;
+            return release(node, &kept.lease).await;
         }
-        if !held.is_renewal_due(now) {
+        if !kept.lease.is_renewal_due(now) {
             compio::time::sleep(TICK).await;
             continue;
         }
-        let renewal = held.renewal();
-        let sent = Instant::now();
-        let answer = write(node, &renewal).await;
-        let is_done = matches!(answer, WriteAnswer::Done(_));
-        let now = Instant::now();
-        held = match held.renewed(renewal, answer, sent, now) {
-            Renewed::Held(held) if is_done => {
-                renewed_at = sent;
-                held
-            }
-            Renewed::Held(held) => match read(node).await {
-                Ok(stored) => match held.reconcile(stored, Instant::now()) {
-                    Renewed::Held(held) => held,
-                    Renewed::Lost(_) => return lost(node),
-                },
-                Err(_) => {
-                    compio::time::sleep(TICK).await;
-                    held
-                }
-            },
-            Renewed::Lost(_) => return lost(node),
+        let Some(renewed) = renew(node, kept).await else {
+            node.held.set(None);
+            tracing::warn!(event = "lease_lost");
+            return;
         };
+        kept = renewed;
     }
 }
 
-fn lost(node: &FleetNode) {
+fn begin(node: &FleetNode, taken: Taken) -> Kept {
+    let now = Instant::now();
+    let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
+    let before = taken.before.map(|record| record.holder);
+    let is_turn = before.as_ref().is_some_and(|holder| holder != node.id());
+    let order_from = if is_turn { now + turn } else { now };
+    tracing::info!(
+        event = "lease_taken",
+        epoch = taken.lease.epoch(),
+        before,
+        orders_in_ms = order_from.duration_since(now).as_millis() as u64,
+    );
+    Kept { lease: taken.lease, renewed: taken.sent, order_from }
+}
+
+async fn release(node: &FleetNode, lease: &Lease<Held>) {
     node.held.set(None);
-    tracing::warn!(event = "lease_lost");
+    let answer = write(node, &lease.release()).await;
+    let epoch = lease.epoch();
+    tracing::info!(event = "lease_released", epoch, answer = ?answer);
+}
+
+/// Renews the lease once. An answer that was lost leaves the time of the last
+/// renewal as it is; returns nothing if somebody else has the lease.
+async fn renew(node: &FleetNode, kept: Kept) -> Option<Kept> {
+    let Kept { lease, renewed, order_from } = kept;
+    let renewal = lease.renewal();
+    let sent = Instant::now();
+    let answer = write(node, &renewal).await;
+    let is_done = matches!(answer, WriteAnswer::Done(_));
+    let Renewed::Held(lease) =
+        lease.renewed(renewal, answer, sent, Instant::now())
+    else {
+        return None;
+    };
+    if is_done {
+        return Some(Kept { lease, renewed: sent, order_from });
+    }
+    let Ok(stored) = read(node).await else {
+        compio::time::sleep(TICK).await;
+        return Some(Kept { lease, renewed, order_from });
+    };
+    match lease.reconcile(stored, Instant::now()) {
+        Renewed::Held(lease) => Some(Kept { lease, renewed, order_from }),
+        Renewed::Lost(_) => None,
+    }
 }
 
 fn candidate(node: &FleetNode) -> Candidate {
