--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -156,10 +156,15 @@
     }
 
     /// Whether a request's predicted wait tells how far behind loads are: it
-    /// is of normal priority and the first to need its adapter.
+    /// is of normal priority and the first to need its adapter. While an
+    /// engine has an empty slot, the shard is being filled: that backlog ends
+    /// by itself and is no overload.
     fn tells_of_store(&self, request: &Request) -> bool {
         let adapter = &self.adapters[request.adapter as usize];
-        request.priority == Priority::Normal
+        let is_filled =
+            !self.engines.iter().any(|engine| engine.has_empty_slot());
+        is_filled
+            && request.priority == Priority::Normal
             && !self.is_served(request.adapter)
             && !self.is_loading(request.adapter)
             && adapter.queue.is_empty()
--- a/crates/state/tests/shard_rules.rs
+++ b/crates/state/tests/shard_rules.rs
@@ -720,3 +720,52 @@
     shard.report(0, &reported, now, now, &mut actions);
     assert!(matches!(actions[0], ShardAction::Grant { .. }));
 }
+
+/// A shard with one empty engine and a slow weight store, after requests for
+/// one new adapter each have come for longer than an overload needs to show.
+fn shard_behind_on_loads(slots: usize) -> usize {
+    let now = Instant::now();
+    let limits = StoreLimits { rate_per_s: 1.0, concurrency: 1.0 };
+    let mut shard = Shard::new(PolicySettings::default(), limits, now);
+    for _ in 0..100 {
+        shard.add_adapter();
+    }
+    shard.add_engine("a", slots, 4, now);
+    shard.report(0, &[], now, now, &mut Vec::new());
+    let mut refused = 0;
+    let mut at = now;
+    for adapter in 0..50 {
+        let id = u64::from(adapter) + 1;
+        let mut actions = Vec::new();
+        let request = Request {
+            id: request_id(ENTRY, id),
+            adapter,
+            priority: Priority::Normal,
+            caller_hash: id,
+            submitted: at,
+            deadline: at + Duration::from_secs(600),
+            was_resident: false,
+        };
+        shard.submit(request, at, &mut actions);
+        let is_refusal = |action: &&ShardAction| {
+            matches!(action, ShardAction::Refuse { .. })
+        };
+        refused += actions.iter().filter(is_refusal).count();
+        at += Duration::from_millis(100);
+    }
+    refused
+}
+
+/// The replay's quiet day refused one request, because the backlog of the
+/// cold start counted as an overload long after it had gone.
+#[test]
+fn a_cold_start_is_no_overload() {
+    let refused = shard_behind_on_loads(60);
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn a_filled_shard_that_stays_behind_is_an_overload() {
+    let refused = shard_behind_on_loads(1);
+    assert!(refused > 0);
+}
