The allowance for repeats is kept for each service by itself

Each instance kept one count for all services, so requests for the large service earned repeats at the small one. Ruled out: a wrong count of instances (79 known on all). A second way to the same: instances that start again together all began with a whole allowance.

Change: requests and repeats are counted by service; the fixed number comes back over one window after a start. Two tests, both failed before.

--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -1,15 +1,17 @@
 //! The allowance for sending requests once more, shared by all instances.
 //!
 //! Within some window, all instances together may repeat a share of the
-//! requests plus a fixed number. No instance asks another: each keeps to its
-//! own requests' share and to its part of the fixed number, divided by the
-//! instances that it believes to be there.
+//! requests plus a fixed number, for each service by itself. No instance asks
+//! another: each keeps to its own requests' share and to its part of the fixed
+//! number, divided by the instances that it believes to be there.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
+use crate::route::ServiceName;
+
 /// The part of the allowance that we use: the rest covers a wrong count of
 /// instances and requests that a window counts differently.
 const USED_PART: f64 = 0.7;
@@ -25,42 +27,67 @@
     pub window: Duration,
 }
 
-/// What one instance has used.
+/// What one instance has used, by service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     allowance: RetryAllowance,
+    /// When this life of the instance began. What the last one used is not
+    /// known, so the fixed number comes back over one window.
+    began: Instant,
+    services: HashMap<ServiceName, Used>,
+}
+
+/// What was used of one service's allowance.
+#[derive(Clone, Debug, Default)]
+struct Used {
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryBudget {
-    /// Returns an unused budget.
-    pub fn new(allowance: RetryAllowance) -> RetryBudget {
-        let (requests, repeats) = (VecDeque::new(), VecDeque::new());
-        RetryBudget { allowance, requests, repeats }
+    /// Returns an unused budget of an instance that starts now.
+    pub fn new(allowance: RetryAllowance, now: Instant) -> RetryBudget {
+        RetryBudget { allowance, began: now, services: HashMap::new() }
     }
 
-    /// Counts a request of a caller.
-    pub fn count_request(&mut self, now: Instant) {
-        self.forget(now);
-        self.requests.push_back(now);
+    /// Counts a request of a caller for a service.
+    pub fn count_request(&mut self, service: &str, now: Instant) {
+        let window = self.allowance.window;
+        let used = self.used(service);
+        used.forget(window, now);
+        used.requests.push_back(now);
     }
 
-    /// Takes one repeat, if there is one left among this many instances.
-    pub fn take(&mut self, now: Instant, instances: usize) -> bool {
-        self.forget(now);
-        let fixed = self.allowance.slack / instances.max(1) as f64;
-        let earned = self.allowance.share * self.requests.len() as f64;
+    /// Takes one repeat at a service, if there is one left among this many
+    /// instances.
+    pub fn take(
+        &mut self,
+        service: &str,
+        now: Instant,
+        instances: usize,
+    ) -> bool {
+        let RetryAllowance { share, slack, window } = self.allowance;
+        let age = now.saturating_duration_since(self.began);
+        let grown = (age.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        let fixed = grown * slack / instances.max(1) as f64;
+        let used = self.used(service);
+        used.forget(window, now);
+        let earned = share * used.requests.len() as f64;
         let allowed = USED_PART * (fixed + earned);
-        if self.repeats.len() as f64 + 1.0 > allowed {
+        if used.repeats.len() as f64 + 1.0 > allowed {
             return false;
         }
-        self.repeats.push_back(now);
+        used.repeats.push_back(now);
         true
     }
 
-    fn forget(&mut self, now: Instant) {
-        let window = self.allowance.window;
+    fn used(&mut self, service: &str) -> &mut Used {
+        self.services.entry(service.to_owned()).or_default()
+    }
+}
+
+impl Used {
+    fn forget(&mut self, window: Duration, now: Instant) {
         for times in [&mut self.requests, &mut self.repeats] {
             while times.front().is_some_and(|at| now - *at > window) {
                 times.pop_front();
--- a/crates/fleet/tests/budget_rules.rs
+++ b/crates/fleet/tests/budget_rules.rs
@@ -16,14 +16,19 @@
     window: Duration::from_secs(10),
 };
 
+/// An instance's start, whole windows before.
+fn long_ago(now: Instant) -> Instant {
+    now - Duration::from_secs(60)
+}
+
 #[test]
 fn instances_together_stay_within_the_slack() {
     let now = Instant::now();
     for instances in [1, 2, 6, 40] {
         let mut taken = 0;
         for _ in 0..instances {
-            let mut budget = RetryBudget::new(ALLOWANCE);
-            while budget.take(now, instances) {
+            let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+            while budget.take("app", now, instances) {
                 taken += 1;
             }
         }
@@ -34,10 +39,40 @@
 #[test]
 fn repeats_come_back_after_the_window() {
     let now = Instant::now();
-    let mut budget = RetryBudget::new(ALLOWANCE);
-    while budget.take(now, 6) {}
-    assert!(!budget.take(now + Duration::from_secs(9), 6));
-    assert!(budget.take(now + Duration::from_secs(11), 6));
+    let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+    while budget.take("app", now, 6) {}
+    assert!(!budget.take("app", now + Duration::from_secs(9), 6));
+    assert!(budget.take("app", now + Duration::from_secs(11), 6));
+}
+
+/// All six days with trouble of a grown site broke the rule: repeats at the
+/// small service were earned by requests for the large one.
+#[test]
+fn requests_of_one_service_earn_no_repeats_at_another() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+    for _ in 0..10_000 {
+        budget.count_request("engines", now);
+    }
+    let mut taken = 0.0;
+    while budget.take("app", now, 1) {
+        taken += 1.0;
+    }
+    assert!(taken <= ALLOWANCE.slack, "{taken}");
+}
+
+/// Instances that all start again together begin with nothing of the fixed
+/// number: what their last lives used still counts.
+#[test]
+fn the_fixed_number_comes_back_over_a_window_after_a_start() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(ALLOWANCE, now);
+    assert!(!budget.take("app", now, 1));
+    let mut taken = 0.0;
+    while budget.take("app", now + Duration::from_secs(5), 1) {
+        taken += 1.0;
+    }
+    assert!(taken <= ALLOWANCE.slack / 2.0, "{taken}");
 }
 
 proptest! {
@@ -47,14 +82,14 @@
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut budget = RetryBudget::new(ALLOWANCE);
+        let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for (ms, is_request) in steps {
             now += Duration::from_millis(ms);
             if is_request {
-                budget.count_request(now);
+                budget.count_request("app", now);
                 requests.push(now);
-            } else if budget.take(now, 1) {
+            } else if budget.take("app", now, 1) {
                 repeats.push(now);
             }
             let within =
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -176,7 +176,7 @@
     call: Rc<CallerRequest>,
     open: OpenRequest,
 ) -> Response<LocalBody> {
-    node.budget.borrow_mut().count_request(call.arrived);
+    node.budget.borrow_mut().count_request(&call.service, call.arrived);
     if let Some(key) = call.key() {
         *node.asked.borrow_mut().entry(key.clone()).or_default() += 1;
     }
@@ -213,8 +213,7 @@
             Err(reason) => return Err(reason),
         };
         let is_first = progress.sends == 0;
-        let now = Instant::now();
-        if !is_first && !node.budget.borrow_mut().take(now, node.instances()) {
+        if !is_first && !take_repeat(node, call) {
             return Err(match progress.runs {
                 0 => Reason::RetriesSpent,
                 _ => Reason::OutcomeUnknown,
@@ -237,6 +236,13 @@
     }
 }
 
+/// Takes one repeat of the allowance that all instances share.
+fn take_repeat(node: &FleetNode, call: &CallerRequest) -> bool {
+    let now = Instant::now();
+    let instances = node.instances();
+    node.budget.borrow_mut().take(&call.service, now, instances)
+}
+
 /// Returns whether there may be another send, or the final answer.
 fn after_failure(
     call: &CallerRequest,
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -113,7 +113,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
-            budget: RefCell::new(RetryBudget::new(allowance)),
+            budget: RefCell::new(RetryBudget::new(allowance, Instant::now())),
             peers: RefCell::default(),
             leader: RefCell::default(),
             held: Cell::new(None),
