Orders that did not go out leave no place free

When the lease came within its margin, a whole batch was thrown away: the load was taken out of the table, but what was to be unloaded was not put back, and the count of orders stayed known. The lease was renewed a moment later, and the next load took a place that was not there. Ruled out: two holders (one from 36 s on), late orders (each names its engine's count), a wrong report (the last sync was 7 s and twenty orders before).

Change: an order that is not sent, refused or unclear is taken back in one way (Order::take_back): its engine gets nothing until it has reported. Also: an adapter that may still be on its way is not removed, since that is answered as done and the adapter comes all the same.

--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -288,3 +288,46 @@
         }
     }
 }
+
+/// The lease was about to lapse and did not: orders that had not gone out were
+/// forgotten, but not that what they were to remove was still there.
+#[test]
+fn orders_that_did_not_go_out_leave_no_place_free() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1, 2, 3, 4])], now);
+    let mut demand = Demand::default();
+    asked(&mut demand, 9, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e1", key(9))]);
+
+    for order in &orders {
+        order.take_back(&mut view);
+    }
+    let later = now + Duration::from_secs(1);
+    asked(&mut demand, 10, 1, later);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, later);
+    let tasks: Vec<_> = orders.iter().map(|o| &o.task).collect();
+    assert_eq!(tasks, [&Task::Sync]);
+}
+
+/// The removal of an adapter that is still on its way would be answered as
+/// done, and the adapter would come all the same.
+#[test]
+fn an_adapter_that_may_still_come_is_not_removed() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1, 2, 3])], now);
+    let mut demand = Demand::default();
+    asked(&mut demand, 9, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e1", key(9))]);
+
+    let later = now + Duration::from_millis(1_500);
+    for n in [1, 2, 3, 10] {
+        asked(&mut demand, n, 20, later);
+    }
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, later);
+    let left = orders.iter().any(|o| o.task == Task::Unload(key(9)));
+    assert!(!left, "{orders:?}");
+}
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -110,32 +110,32 @@
                 self.sync(first, &mut taken).await;
                 continue;
             }
-            let mut is_stopped = false;
             for order in batch {
-                if is_stopped || !self.may_order(epoch) {
-                    self.take_back(&order);
-                    is_stopped = true;
-                    continue;
-                }
-                let Some(count) = taken.count else {
-                    self.take_back(&order);
-                    is_stopped = true;
+                let count = taken.count.filter(|_| self.may_order(epoch));
+                let Some(count) = count else {
+                    taken.count = None;
+                    self.drop_order(epoch, &order);
                     continue;
                 };
                 taken.last_sent = Some(Instant::now());
-                match self.send(epoch, &order, count).await {
-                    Some(count) => taken.count = Some(count),
-                    None => {
-                        taken.count = None;
-                        let mut view = self.node.view.borrow_mut();
-                        view.lose_track(&order.endpoint);
-                        is_stopped = true;
-                    }
-                }
+                taken.count = self.send(epoch, &order, count).await;
             }
         }
     }
 
+    /// An order that cannot go out now. What was planned with it must not be
+    /// believed: the orders that follow would fill places that are taken.
+    fn drop_order(&self, epoch: Epoch, order: &Order) {
+        tracing::info!(
+            event = "order_dropped",
+            endpoint = order.endpoint,
+            task = ?order.task,
+            epoch,
+            lease_is_current = self.may_order(epoch),
+        );
+        order.take_back(&mut self.node.view.borrow_mut());
+    }
+
     /// Asks an engine what it holds, once its report shows our last order.
     async fn sync(&self, order: &Order, taken: &mut OrdersTaken) {
         let since = taken.last_sent.map_or(Duration::MAX, |at| at.elapsed());
@@ -209,21 +209,23 @@
             took_ms = sent.elapsed().as_millis() as u64,
         );
         metrics::counter!("sedgewall_orders_total").increment(1);
-        match answer {
-            OrderAnswer::Done | OrderAnswer::Accepted => {
-                self.tell_placed(epoch, order);
-            }
-            OrderAnswer::Refused(_) | OrderAnswer::Unclear(_) => {
-                self.take_back(order);
-            }
-        }
-        match (answer, &order.task) {
+        let count = match (&answer, &order.task) {
             (OrderAnswer::Done, _) => Some(taken + 1),
             // The place is free only after the runs there have ended.
             (OrderAnswer::Accepted, Task::Unload(_)) => None,
             (OrderAnswer::Accepted, _) => Some(taken + 1),
             (OrderAnswer::Refused(_) | OrderAnswer::Unclear(_), _) => None,
+        };
+        match answer {
+            OrderAnswer::Done | OrderAnswer::Accepted => {
+                self.tell_placed(epoch, order);
+            }
+            OrderAnswer::Refused(_) | OrderAnswer::Unclear(_) => {}
+        }
+        if count.is_none() {
+            order.take_back(&mut self.node.view.borrow_mut());
         }
+        count
     }
 
     fn tell_placed(&self, epoch: Epoch, order: &Order) {
@@ -258,21 +260,4 @@
         self.node.outbox.borrow_mut().push(note);
         self.node.ring_notes();
     }
-
-    /// An order that was not carried out leaves the table as it was.
-    fn take_back(&self, order: &Order) {
-        if let Task::Load(key, _) = &order.task {
-            self.forget_seat(order, key);
-        }
-        // What an unload left out shows in the platform's list again.
-    }
-
-    fn forget_seat(
-        &self,
-        order: &Order,
-        key: &sedgewall_fleet::adapter::AdapterKey,
-    ) {
-        let mut view = self.node.view.borrow_mut();
-        view.take_back(&order.endpoint, key);
-    }
 }
