--- /dev/null
+++ b/crates/fleet/benches/decisions.rs
@@ -0,0 +1,132 @@
+//! What decisions cost at the size of a grown deployment: 90 engines with nine
+//! places each, all full, and 1,100 adapters that are asked for.
+
+#![allow(missing_docs, reason = "criterion's macro makes a public function")]
+
+use std::{
+    collections::BTreeMap,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    demand::Demand,
+    endpoint::{Endpoint, EngineReport, HostedModel},
+    loader::Loader,
+    route::{BaseModel, CallerLimits, Deployment, EngineGroup, Service},
+    store_rate::StoreRate,
+    view::{FleetView, Need},
+};
+
+const SERVICE: &str = "coach";
+const MODEL: &str = "m";
+const ENGINES: u32 = 90;
+const PLACES: u32 = 9;
+const ASKED_FOR: u32 = 1_100;
+const WAITED_FOR: u32 = 300;
+
+fn key(n: u32) -> AdapterKey {
+    AdapterKey::new(MODEL, &format!("a{n}"))
+}
+
+fn id(engine: u32) -> String {
+    format!("i-{engine:010}")
+}
+
+fn hosted(engine: u32) -> HostedModel {
+    let first = engine * PLACES;
+    let adapters = (first..first + PLACES).map(|n| (key(n), 1)).collect();
+    HostedModel { key: AdapterKey::base(MODEL), version: 1, adapters }
+}
+
+fn view(now: Instant) -> FleetView {
+    let mut view = FleetView::new("z1");
+    for engine in 0..ENGINES {
+        let endpoint = Endpoint {
+            id: id(engine),
+            service: SERVICE.to_owned(),
+            address: ([127, 0, 0, 1], 8_000).into(),
+            zone: format!("z{}", engine % 3),
+            slots: 12,
+            is_draining: false,
+            remaining: None,
+            models: vec![hosted(engine)],
+        };
+        view.list(endpoint, now);
+        let report = EngineReport {
+            models: vec![hosted(engine)],
+            coming: Vec::new(),
+            is_busy: false,
+            orders_taken: 0,
+        };
+        view.hear_report(&id(engine), &report, now);
+    }
+    view
+}
+
+fn demand(now: Instant) -> Demand {
+    let mut demand = Demand::default();
+    let earlier = now - Duration::from_secs(3);
+    for n in 0..ASKED_FOR {
+        demand.add(&key(n), 1 + n % 5, "z1", earlier);
+    }
+    for n in ASKED_FOR - WAITED_FOR..ASKED_FOR {
+        demand.add(&key(n), 1, "z1", now);
+        demand.wait(&key(n), 1);
+    }
+    demand
+}
+
+fn deployment() -> Deployment {
+    let model = BaseModel {
+        name: MODEL.to_owned(),
+        weights_mb: 65_000.0,
+        load_time: Duration::from_millis(600),
+        adapters: Vec::new(),
+        adapter_mb: 12.0,
+    };
+    let engine = EngineGroup {
+        slots: 12,
+        kv_tokens: 175_000,
+        adapter_slots: PLACES,
+        weights_mb: 67_000.0,
+        loads_per_s: 38.0,
+        models: vec![model],
+    };
+    let service = Service { max_connections: 590, engine: Some(engine) };
+    Deployment {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(SERVICE.to_owned(), service)]),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let (view, demand, deployment) = (view(now), demand(now), deployment());
+    criterion.bench_function("choose", |bench| {
+        let key = key(400);
+        let need =
+            Need { service: SERVICE, key: Some(&key), exclude: &[], draw: 7 };
+        bench.iter(|| black_box(view.choose(black_box(need), now)));
+    });
+    criterion.bench_function("plan, 300 waiting", |bench| {
+        let rate = StoreRate::new(Duration::from_secs(5), 1.1);
+        let fresh = || {
+            (Loader::new(1, rate.clone(), now), view.clone(), demand.clone())
+        };
+        bench.iter_batched(
+            fresh,
+            |(mut loader, mut view, mut demand)| {
+                loader.plan(&deployment, &mut view, &mut demand, now)
+            },
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -14,14 +14,18 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
-    endpoint::Endpoint,
+    endpoint::{Endpoint, EngineReport},
     health::Health,
+    note::Placed,
 };
 
 /// How long a note is believed over a list that does not show it. Endpoints
 /// write their entries about once a second, and a load may wait its turn.
 const NOTE_HOLDS: Duration = Duration::from_millis(4_000);
 
+/// When an adapter that a report shows on its way is looked for again.
+const COMING_FOR: Duration = Duration::from_millis(300);
+
 /// What an endpoint has kept in memory of the adapters it held, in adapters.
 /// Measured on the bench: engines keep about 96.
 const WARM_ADAPTERS: usize = 80;
@@ -30,6 +34,11 @@
 /// should be ready: it waits for its runs, which take seconds at most.
 const REPLACEMENT_HOLDS: Duration = Duration::from_secs(6);
 
+/// An adapter that is on its way may come this much later than expected, when
+/// the weight store is busy. Its removal would be answered as done, and it would
+/// come all the same.
+const LATE_LOAD: Duration = Duration::from_millis(2_000);
+
 /// An adapter on an engine.
 #[derive(Clone, Debug)]
 pub struct Seat {
@@ -71,6 +80,11 @@
         now >= self.ready_at
     }
 
+    /// Returns whether its load is sure to be over.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.is_ready(now) && (self.is_listed || now >= self.noted + LATE_LOAD)
+    }
+
     /// Returns whether the version before may still take a place beside it.
     pub fn is_replacing(&self, now: Instant) -> bool {
         self.is_replacement && now < self.ready_at + REPLACEMENT_HOLDS
@@ -83,9 +97,9 @@
 }
 
 impl EndpointState {
-    pub(crate) fn new(endpoint: Endpoint, now: Instant) -> EndpointState {
-        let mut state = EndpointState {
-            endpoint: endpoint.clone(),
+    pub(crate) fn new(endpoint: Endpoint) -> EndpointState {
+        EndpointState {
+            endpoint,
             own_in_flight: 0,
             others_in_flight: 0,
             health: Health::default(),
@@ -93,9 +107,7 @@
             removed: HashMap::new(),
             is_ordered_by_us: false,
             warm: VecDeque::new(),
-        };
-        state.list(endpoint, now);
-        state
+        }
     }
 
     /// Returns its id.
@@ -139,9 +151,17 @@
         self.seats.get(key)
     }
 
-    /// Returns whether the engine is likely to have an adapter at hand.
-    pub fn is_warm(&self, key: &AdapterKey) -> bool {
-        self.warm.contains(key)
+    /// Notes that it holds an adapter; returns what it no longer has at hand.
+    pub(crate) fn note_warm(
+        &mut self,
+        key: &AdapterKey,
+    ) -> Option<AdapterKey> {
+        self.warm.retain(|held| held != key);
+        self.warm.push_back(key.clone());
+        if self.warm.len() > WARM_ADAPTERS {
+            return self.warm.pop_front();
+        }
+        None
     }
 
     /// Takes in the endpoint's entry.
@@ -179,21 +199,61 @@
                 seats.insert(key.clone(), seat.clone());
             }
         }
-        for key in seats.keys() {
-            if !self.seats.contains_key(key) {
-                note_warm(&mut self.warm, key);
-            }
-        }
         self.seats = seats;
         self.endpoint = endpoint;
     }
-}
 
-/// Notes that an engine holds an adapter, the newest last.
-pub(crate) fn note_warm(warm: &mut VecDeque<AdapterKey>, key: &AdapterKey) {
-    warm.retain(|held| held != key);
-    warm.push_back(key.clone());
-    if warm.len() > WARM_ADAPTERS {
-        warm.pop_front();
+    /// Takes in its own report, which is newer than its entry.
+    pub(crate) fn hear_report(&mut self, report: &EngineReport, now: Instant) {
+        self.removed.clear();
+        self.seats.clear();
+        self.is_ordered_by_us = false;
+        let mut endpoint = self.endpoint.clone();
+        endpoint.models.clone_from(&report.models);
+        self.list(endpoint, now);
+        for (key, version) in &report.coming {
+            let seat = Seat {
+                version: *version,
+                ready_at: now + COMING_FOR,
+                noted: now,
+                is_listed: false,
+                is_replacement: self.seats.contains_key(key),
+            };
+            self.seats.insert(key.clone(), seat);
+        }
+        self.is_ordered_by_us = true;
+    }
+
+    /// Takes in that an adapter is on its way.
+    pub(crate) fn hear_placed(&mut self, placed: &Placed, now: Instant) {
+        self.removed.remove(&placed.key);
+        let before = self.seats.get(&placed.key);
+        let is_replacement =
+            before.is_some_and(|b| b.version < placed.version);
+        let seat = Seat {
+            version: placed.version,
+            ready_at: now + Duration::from_millis(placed.ready_in_ms),
+            noted: now,
+            is_listed: false,
+            is_replacement,
+        };
+        self.seats.insert(placed.key.clone(), seat);
+    }
+
+    /// Notes that it turned a request down for want of an adapter.
+    pub(crate) fn note_absent(
+        &mut self,
+        key: &AdapterKey,
+        pause: Duration,
+        now: Instant,
+    ) {
+        let Some(seat) = self.seats.get_mut(key) else { return };
+        // The holder's table must not lose what takes a place.
+        if seat.is_listed && !self.is_ordered_by_us {
+            self.seats.remove(key);
+            self.removed.insert(key.clone(), now);
+        } else {
+            seat.ready_at = now + pause;
+        }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! Everything here is pure: time comes in as an argument, and nothing is sent.
 
 pub mod adapter;
+mod adapter_index;
 pub mod demand;
 pub mod endpoint;
 pub mod endpoint_state;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use sedgewall_state::id::{EndpointId, Epoch, ModelName};
+use sedgewall_state::id::{EndpointId, Epoch, ModelName, ZoneName};
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
@@ -63,6 +63,10 @@
 /// place is taken first.
 const EVICTION_COST: f64 = 0.1;
 
+/// What a home in another zone than the one that asks costs, in parts of an
+/// engine's load: bytes between zones have a price.
+const OTHER_ZONE_COST: f64 = 0.3;
+
 /// How often more is looked at than what requests wait for: engines that came,
 /// versions, replicas.
 const WHOLE_LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -96,6 +100,18 @@
     pub is_cold: bool,
 }
 
+impl Order {
+    /// Takes back what the table believes of an order that was not carried
+    /// out, or may not have been. What its engine holds is known again once it
+    /// reports: an adapter that was to leave is still there.
+    pub fn take_back(&self, view: &mut FleetView) {
+        if let Task::Load(key, _) = &self.task {
+            view.take_back(&self.endpoint, key);
+        }
+        view.lose_track(&self.endpoint);
+    }
+}
+
 /// Decides for all engines, while its instance holds the lease.
 #[derive(Clone, Debug)]
 pub struct Loader {
@@ -148,7 +164,7 @@
                 view,
                 demand,
                 now,
-                engine_rates: None,
+                engines: None,
             };
             if is_whole {
                 turn.sync_engines(&mut orders);
@@ -172,34 +188,6 @@
     }
 }
 
-/// Returns the requests a second that each engine's adapters stand for, with
-/// an adapter's requests shared among those that hold it.
-fn engine_rates(
-    service: &str,
-    view: &FleetView,
-    demand: &Demand,
-    now: Instant,
-) -> HashMap<EndpointId, f64> {
-    let engines = || {
-        view.endpoints()
-            .filter(|state| state.endpoint.service == service)
-            .filter(|state| state.is_usable(now))
-    };
-    let mut holders: HashMap<&AdapterKey, f64> = HashMap::new();
-    for (key, _) in engines().flat_map(|state| state.seats()) {
-        *holders.entry(key).or_default() += 1.0;
-    }
-    engines()
-        .map(|state| {
-            let shares = state.seats().map(|(key, _)| {
-                let rate = demand.get(key).map_or(0.0, |d| d.rate_per_s(now));
-                rate / holders.get(key).copied().unwrap_or(1.0)
-            });
-            (state.endpoint.id.clone(), shares.sum())
-        })
-        .collect()
-}
-
 /// One look at the engines of one service.
 struct Turn<'a> {
     loader: &'a mut Loader,
@@ -208,8 +196,36 @@
     view: &'a mut FleetView,
     demand: &'a mut Demand,
     now: Instant,
-    /// What each engine's adapters stand for; computed when first asked for.
-    engine_rates: Option<HashMap<EndpointId, f64>>,
+    /// What each engine can take; computed when first asked for, and again
+    /// for the engine that gets an order.
+    engines: Option<Vec<EngineRoom>>,
+}
+
+/// What one engine can take in this look.
+#[derive(Clone, Debug)]
+struct EngineRoom {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    zone: ZoneName,
+    models: Vec<ModelName>,
+    /// Requests under way, as a part of its slots.
+    load: f64,
+    /// Requests a second that its adapters stand for, an adapter's shared
+    /// among those that hold it.
+    rate_per_s: f64,
+    place: Place,
+}
+
+/// The next place for an adapter on an engine.
+#[derive(Clone, Debug)]
+enum Place {
+    /// All are taken by what may be in use, or enough is on its way.
+    None,
+    /// One is free.
+    Free,
+    /// One is free once this adapter has left, which is asked for so often a
+    /// second.
+    Of(AdapterKey, f64),
 }
 
 impl Turn<'_> {
@@ -218,8 +234,7 @@
         let asked = AdapterKey::base("");
         let unknown: Vec<(EndpointId, SocketAddr)> = self
             .view
-            .endpoints()
-            .filter(|state| state.endpoint.service == self.service)
+            .of_service(self.service)
             .filter(|state| !state.endpoint.is_draining)
             .filter(|state| !state.is_ordered_by_us())
             .map(|state| (state.endpoint.id.clone(), state.endpoint.address))
@@ -322,11 +337,7 @@
     /// Returns whether some engine that holds an adapter, or will soon, has
     /// room for a request.
     fn can_be_served(&self, key: &AdapterKey) -> bool {
-        self.engines().any(|state| {
-            state.is_usable(self.now)
-                && state.seat(key).is_some()
-                && state.load() < FULL_LOAD
-        })
+        self.holders(key).any(|state| state.load() < FULL_LOAD)
     }
 
     /// Adapters that fill their engines get another one.
@@ -371,7 +382,7 @@
         let version = self.view.newest(key).map_or(1, |(newest, _)| newest);
         let placed = self.placed(&home.endpoint, key, version, takes);
         self.view.hear_placed(&placed, self.now);
-        self.count_placed(&home.endpoint, key);
+        self.look_again(&home.endpoint);
         let task = Task::Load(key.clone(), version);
         orders.push(home.order(task, !home.is_warm));
         true
@@ -381,59 +392,107 @@
     /// that takes a moment: a load from the weight store has a price. Else it
     /// is one with the least to do, in the zone that asks if possible.
     fn find_home(&mut self, key: &AdapterKey) -> Option<Home> {
-        let rates = self.engine_rates.take().unwrap_or_else(|| {
-            engine_rates(self.service, self.view, self.demand, self.now)
-        });
-        let home = self.cheapest_home(key, &rates);
-        self.engine_rates = Some(rates);
+        let engines = self.engines.take().unwrap_or_else(|| self.rooms());
+        let home = self.cheapest_home(key, &engines);
+        self.engines = Some(engines);
         home
     }
 
     fn cheapest_home(
         &self,
         key: &AdapterKey,
-        rates: &HashMap<EndpointId, f64>,
+        engines: &[EngineRoom],
     ) -> Option<Home> {
         let zone = self.demand.get(key).map(|d| d.zone.as_str());
+        let holds: Vec<&EndpointId> =
+            self.view.holders(key).map(EndpointState::id).collect();
+        let warm = self.view.warm(key);
+        let candidates = || {
+            engines.iter().filter(|engine| {
+                engine.load < FULL_LOAD
+                    && engine.models.contains(&key.model)
+                    && !holds.contains(&&engine.endpoint)
+            })
+        };
         let is_warm_somewhere =
-            self.candidates(key).any(|state| state.is_warm(key));
-        let mut best: Option<(f64, Home)> = None;
-        for state in self.candidates(key) {
-            let is_warm = state.is_warm(key);
-            if is_warm != is_warm_somewhere || self.coming(state) {
+            candidates().any(|engine| warm.contains(&engine.endpoint));
+        let mut best: Option<(f64, &EngineRoom)> = None;
+        for engine in candidates() {
+            if warm.contains(&engine.endpoint) != is_warm_somewhere {
                 continue;
             }
-            let Some(victim) = self.make_room(state) else { continue };
-            let is_near = Some(state.endpoint.zone.as_str()) == zone;
-            let rate = rates.get(&state.endpoint.id).copied();
-            let expected = rate.unwrap_or(0.0) * SERVICE_TIME_S;
-            let lost =
-                victim.as_ref().map_or(0.0, |v| EVICTION_COST + self.rate(v));
+            let lost = match &engine.place {
+                Place::None => continue,
+                Place::Free => 0.0,
+                Place::Of(_, rate_per_s) => EVICTION_COST + rate_per_s,
+            };
+            let is_near = Some(engine.zone.as_str()) == zone;
+            let expected = engine.rate_per_s * SERVICE_TIME_S;
             let cost = expected / f64::from(self.group.slots)
-                + state.load()
+                + engine.load
                 + lost
-                + if is_near { 0.0 } else { 0.3 };
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let endpoint = state.endpoint.id.clone();
-                let address = state.endpoint.address;
-                best =
-                    Some((cost, Home { endpoint, address, victim, is_warm }));
+                + if is_near { 0.0 } else { OTHER_ZONE_COST };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, engine));
             }
         }
-        best.map(|(_, home)| home)
+        let (_, engine) = best?;
+        let victim = match &engine.place {
+            Place::Of(victim, _) => Some(victim.clone()),
+            Place::None | Place::Free => None,
+        };
+        Some(Home {
+            endpoint: engine.endpoint.clone(),
+            address: engine.address,
+            victim,
+            is_warm: is_warm_somewhere,
+        })
     }
 
-    /// Returns the engines that could hold one more adapter and serve it.
-    fn candidates(
-        &self,
-        key: &AdapterKey,
-    ) -> impl Iterator<Item = &EndpointState> {
-        self.engines().filter(move |state| {
-            state.is_usable(self.now)
-                && state.has_model(&key.model)
-                && state.seat(key).is_none()
-                && state.load() < FULL_LOAD
-        })
+    /// Returns what each engine that is known and usable can take.
+    fn rooms(&self) -> Vec<EngineRoom> {
+        let usable = self.engines().filter(|s| s.is_usable(self.now));
+        usable.map(|state| self.room(state)).collect()
+    }
+
+    fn room(&self, state: &EndpointState) -> EngineRoom {
+        let shares = state.seats().map(|(key, _)| {
+            self.rate(key) / self.holders(key).count().max(1) as f64
+        });
+        let models = state.endpoint.models.iter();
+        EngineRoom {
+            endpoint: state.id().clone(),
+            address: state.endpoint.address,
+            zone: state.endpoint.zone.clone(),
+            models: models.map(|model| model.key.model.clone()).collect(),
+            load: state.load(),
+            rate_per_s: shares.sum(),
+            place: self.next_place(state),
+        }
+    }
+
+    fn next_place(&self, state: &EndpointState) -> Place {
+        if self.coming(state) {
+            return Place::None;
+        }
+        match self.make_room(state) {
+            None => Place::None,
+            Some(None) => Place::Free,
+            Some(Some(victim)) => {
+                let rate_per_s = self.rate(&victim);
+                Place::Of(victim, rate_per_s)
+            }
+        }
+    }
+
+    /// Looks again at what an engine can take, after an order.
+    fn look_again(&mut self, id: &EndpointId) {
+        let Some(mut engines) = self.engines.take() else { return };
+        let known = engines.iter_mut().find(|e| e.endpoint == *id);
+        if let (Some(known), Some(state)) = (known, self.view.get(id)) {
+            *known = self.room(state);
+        }
+        self.engines = Some(engines);
     }
 
     /// Returns what must leave an engine for one more adapter: nothing, or
@@ -450,7 +509,7 @@
             return None;
         }
         adapters()
-            .filter(|(_, seat)| seat.is_ready(self.now))
+            .filter(|(_, seat)| seat.is_settled(self.now))
             .filter(|(key, _)| !self.may_be_in_use(key))
             .min_by(|a, b| self.rate(a.0).total_cmp(&self.rate(b.0)))
             .map(|(key, _)| Some(key.clone()))
@@ -476,20 +535,14 @@
         &self,
         key: &AdapterKey,
     ) -> impl Iterator<Item = &EndpointState> {
-        self.engines().filter(move |state| {
-            state.is_usable(self.now) && state.seat(key).is_some()
+        self.view.holders(key).filter(|state| {
+            state.endpoint.service == self.service
+                && !state.endpoint.is_draining
+                && state.is_ordered_by_us()
+                && state.is_usable(self.now)
         })
     }
 
-    /// Counts an adapter to the engine that gets it.
-    fn count_placed(&mut self, id: &EndpointId, key: &AdapterKey) {
-        let share = self.rate(key) / self.holders(key).count().max(1) as f64;
-        let rates = self.engine_rates.as_mut();
-        if let Some(rate) = rates.and_then(|rates| rates.get_mut(id)) {
-            *rate += share;
-        }
-    }
-
     fn coming(&self, state: &EndpointState) -> bool {
         let on_their_way =
             state.seats().filter(|(_, seat)| !seat.is_ready(self.now));
@@ -501,11 +554,9 @@
     }
 
     fn engines(&self) -> impl Iterator<Item = &EndpointState> {
-        let is_ours =
-            |state: &&EndpointState| state.endpoint.service == self.service;
         let stays = |state: &&EndpointState| !state.endpoint.is_draining;
         let is_known = |state: &&EndpointState| state.is_ordered_by_us();
-        let engines = self.view.endpoints().filter(is_ours);
+        let engines = self.view.of_service(self.service);
         engines.filter(stays).filter(is_known)
     }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,7 +6,7 @@
 //! or that is not known to hold what a request names, is never chosen.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -16,9 +16,11 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
+    adapter_index::AdapterIndex,
     endpoint::{Endpoint, EngineReport},
-    endpoint_state::{EndpointState, Seat, note_warm},
+    endpoint_state::EndpointState,
     note::{Placed, Removed, Status},
+    route::ServiceName,
 };
 
 /// Notes of another instance that may be lost in a row before its sums count
@@ -46,9 +48,6 @@
 /// behind each slot still come in time.
 const SERVICE_FILL: f64 = 4.0;
 
-/// When an adapter that a report shows on its way is looked for again.
-const COMING_FOR: Duration = Duration::from_millis(300);
-
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -102,6 +101,12 @@
 pub struct FleetView {
     zone: ZoneName,
     endpoints: BTreeMap<EndpointId, EndpointState>,
+    /// Which endpoints each service has.
+    services: HashMap<ServiceName, BTreeSet<EndpointId>>,
+    /// Which endpoints have a seat for an adapter.
+    holders: AdapterIndex,
+    /// Which endpoints are likely to have an adapter at hand.
+    warm: AdapterIndex,
     peers: HashMap<InstanceId, PeerLoad>,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
 }
@@ -112,6 +117,9 @@
         FleetView {
             zone: zone.to_owned(),
             endpoints: BTreeMap::new(),
+            services: HashMap::new(),
+            holders: AdapterIndex::default(),
+            warm: AdapterIndex::default(),
             peers: HashMap::new(),
             newest: HashMap::new(),
         }
@@ -119,7 +127,17 @@
 
     /// Replaces the whole list.
     pub fn list_all(&mut self, endpoints: Vec<Endpoint>, now: Instant) {
-        self.endpoints.retain(|id, _| endpoints.iter().any(|e| e.id == *id));
+        let listed: BTreeSet<&EndpointId> =
+            endpoints.iter().map(|endpoint| &endpoint.id).collect();
+        let gone: Vec<EndpointId> = self
+            .endpoints
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.unlist(&id);
+        }
         for endpoint in endpoints {
             self.list(endpoint, now);
         }
@@ -127,14 +145,46 @@
 
     /// Takes in one endpoint's entry.
     pub fn list(&mut self, endpoint: Endpoint, now: Instant) {
-        match self.endpoints.get_mut(&endpoint.id) {
-            Some(state) => state.list(endpoint, now),
-            None => {
-                let id = endpoint.id.clone();
-                let mut state = EndpointState::new(endpoint, now);
-                state.others_in_flight = self.others_in_flight(&id);
-                self.endpoints.insert(id, state);
-            }
+        let id = endpoint.id.clone();
+        if !self.endpoints.contains_key(&id) {
+            let mut state = EndpointState::new(endpoint.clone());
+            state.others_in_flight = self.others_in_flight(&id);
+            self.endpoints.insert(id.clone(), state);
+            let of_service = self.services.entry(endpoint.service.clone());
+            of_service.or_default().insert(id.clone());
+        }
+        self.change_seats(&id, |state| state.list(endpoint, now));
+    }
+
+    /// Changes what an endpoint holds, and the indexes with it.
+    fn change_seats(
+        &mut self,
+        id: &EndpointId,
+        change: impl FnOnce(&mut EndpointState),
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else { return };
+        let before: Vec<AdapterKey> = state.seats.keys().cloned().collect();
+        change(state);
+        for key in before.iter().filter(|k| !state.seats.contains_key(k)) {
+            self.holders.remove(key, id);
+        }
+        let new: Vec<AdapterKey> = state
+            .seats
+            .keys()
+            .filter(|key| !before.contains(key))
+            .cloned()
+            .collect();
+        for key in new {
+            self.holders.insert(&key, id);
+            self.note_warm(id, &key);
+        }
+    }
+
+    fn note_warm(&mut self, id: &EndpointId, key: &AdapterKey) {
+        let Some(state) = self.endpoints.get_mut(id) else { return };
+        self.warm.insert(key, id);
+        if let Some(cold) = state.note_warm(key) {
+            self.warm.remove(&cold, id);
         }
     }
 
@@ -145,24 +195,7 @@
         report: &EngineReport,
         now: Instant,
     ) {
-        let Some(state) = self.endpoints.get_mut(id) else { return };
-        state.removed.clear();
-        state.seats.clear();
-        state.is_ordered_by_us = false;
-        let mut endpoint = state.endpoint.clone();
-        endpoint.models.clone_from(&report.models);
-        state.list(endpoint, now);
-        for (key, version) in &report.coming {
-            let seat = Seat {
-                version: *version,
-                ready_at: now + COMING_FOR,
-                noted: now,
-                is_listed: false,
-                is_replacement: state.seats.contains_key(key),
-            };
-            state.seats.insert(key.clone(), seat);
-        }
-        state.is_ordered_by_us = true;
+        self.change_seats(id, |state| state.hear_report(report, now));
     }
 
     /// Notes that nobody knows what an engine holds, until it reports again.
@@ -175,16 +208,28 @@
     /// Believes the platform's list again about what engines hold, because
     /// another instance may order them.
     pub fn stop_ordering(&mut self, now: Instant) {
-        for state in self.endpoints.values_mut() {
-            if std::mem::take(&mut state.is_ordered_by_us) {
-                state.list(state.endpoint.clone(), now);
-            }
+        let ids: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.change_seats(&id, |state| {
+                if std::mem::take(&mut state.is_ordered_by_us) {
+                    state.list(state.endpoint.clone(), now);
+                }
+            });
         }
     }
 
     /// Takes an endpoint out whose entry is gone.
     pub fn unlist(&mut self, id: &EndpointId) {
-        self.endpoints.remove(id);
+        let Some(state) = self.endpoints.remove(id) else { return };
+        for key in state.seats.keys() {
+            self.holders.remove(key, id);
+        }
+        for key in &state.warm {
+            self.warm.remove(key, id);
+        }
+        if let Some(ids) = self.services.get_mut(&state.endpoint.service) {
+            ids.remove(id);
+        }
     }
 
     /// Returns where an adapter is or will be, as a note for an instance that
@@ -195,7 +240,7 @@
         epoch: Epoch,
         now: Instant,
     ) -> Vec<Placed> {
-        let usable = self.endpoints.values().filter(|s| s.is_usable(now));
+        let usable = self.holders(key).filter(|s| s.is_usable(now));
         let seats = usable.filter_map(|s| Some((s, s.seats.get(key)?)));
         seats
             .map(|(state, seat)| Placed {
@@ -249,6 +294,29 @@
         self.endpoints.values()
     }
 
+    /// Returns the endpoints of a service.
+    pub fn of_service(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = &EndpointState> {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.endpoints.get(id))
+    }
+
+    /// Returns the endpoints that hold an adapter, or will soon.
+    pub fn holders(
+        &self,
+        key: &AdapterKey,
+    ) -> impl Iterator<Item = &EndpointState> {
+        let ids = self.holders.get(key).iter();
+        ids.filter_map(|id| self.endpoints.get(id))
+    }
+
+    /// Returns the engines that are likely to have an adapter at hand.
+    pub fn warm(&self, key: &AdapterKey) -> &[EndpointId] {
+        self.warm.get(key)
+    }
+
     /// Returns one endpoint.
     pub fn get(&self, id: &EndpointId) -> Option<&EndpointState> {
         self.endpoints.get(id)
@@ -314,38 +382,26 @@
 
     /// Takes in that an adapter is on its way.
     pub fn hear_placed(&mut self, placed: &Placed, now: Instant) {
-        let Some(state) = self.endpoints.get_mut(&placed.endpoint) else {
-            return;
-        };
-        state.removed.remove(&placed.key);
-        let before = state.seats.get(&placed.key);
-        let is_replacement =
-            before.is_some_and(|b| b.version < placed.version);
-        let seat = Seat {
-            version: placed.version,
-            ready_at: now + Duration::from_millis(placed.ready_in_ms),
-            noted: now,
-            is_listed: false,
-            is_replacement,
-        };
-        state.seats.insert(placed.key.clone(), seat);
-        note_warm(&mut state.warm, &placed.key);
+        let id = &placed.endpoint;
+        self.change_seats(id, |state| state.hear_placed(placed, now));
+        self.note_warm(id, &placed.key);
     }
 
     /// Takes in that an adapter leaves an engine.
     pub fn hear_removed(&mut self, removed: &Removed, now: Instant) {
-        if let Some(state) = self.endpoints.get_mut(&removed.endpoint) {
+        self.change_seats(&removed.endpoint, |state| {
             state.seats.remove(&removed.key);
             state.removed.insert(removed.key.clone(), now);
-        }
+        });
     }
 
     /// Takes an adapter out that a load did not bring after all.
     pub fn take_back(&mut self, id: &EndpointId, key: &AdapterKey) {
-        if let Some(state) = self.endpoints.get_mut(id) {
+        self.change_seats(id, |state| {
             state.seats.remove(key);
             state.warm.retain(|held| held != key);
-        }
+        });
+        self.warm.remove(key, id);
     }
 
     /// Notes that an engine turned a request down because it does not hold an
@@ -358,28 +414,43 @@
         pause: Duration,
         now: Instant,
     ) {
-        let Some(state) = self.endpoints.get_mut(id) else { return };
-        let Some(seat) = state.seats.get_mut(key) else { return };
-        // The holder's table must not lose what takes a place.
-        if seat.is_listed && !state.is_ordered_by_us {
-            state.seats.remove(key);
-            state.removed.insert(key.clone(), now);
-        } else {
-            seat.ready_at = now + pause;
-        }
+        self.change_seats(id, |state| {
+            state.note_absent(key, pause, now);
+        });
     }
 
     /// Chooses an endpoint for a request.
     pub fn choose(&self, need: Need<'_>, now: Instant) -> Choice {
+        let is_usable = |state: &&EndpointState| {
+            state.endpoint.service == need.service
+                && state.is_usable(now)
+                && !need.exclude.contains(state.id())
+        };
+        let Some(key) = need.key else {
+            let all = self.of_service(need.service).filter(is_usable);
+            return self.choose_among(all, need, now);
+        };
+        let holders = self.holders(key).filter(is_usable);
+        match self.choose_among(holders, need, now) {
+            Choice::Nobody => {
+                match self.of_service(need.service).any(|s| is_usable(&s)) {
+                    true => Choice::Absent,
+                    false => Choice::Nobody,
+                }
+            }
+            found => found,
+        }
+    }
+
+    fn choose_among<'a>(
+        &'a self,
+        usable: impl Iterator<Item = &'a EndpointState>,
+        need: Need<'_>,
+        now: Instant,
+    ) -> Choice {
         let mut found = Choice::Nobody;
         let mut best: Option<(f64, &EndpointState)> = None;
-        for state in self.endpoints.values() {
-            if state.endpoint.service != need.service {
-                continue;
-            }
-            if !state.is_usable(now) || need.exclude.contains(state.id()) {
-                continue;
-            }
+        for state in usable {
             match self.fit(state, need, now) {
                 Choice::Send(_) => {
                     let cost = self.cost(state, need.draw);
