The holder's line of each second says what it heard and used

Cause: at a new holder orders took 100 to 600 ms and nothing in the logs said why. Change: the holdings line carries the notes and requests for adapters that were heard and the processor time.

--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -8,6 +8,7 @@
 use sedgewall_fleet::{loader::Loader, store_rate::StoreRate};
 
 use super::{node::FleetNode, orders::Orders};
+use crate::process;
 
 /// How often the holder looks at demand when nothing waits.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -108,6 +109,9 @@
             waiting =
                 demand.iter().filter(|(_, d)| d.is_waited_for(now)).count(),
             loads_left,
+            notes_heard = node.work.notes_heard.get(),
+            asked_heard = node.work.asked_heard.get(),
+            cpu_ms = process::cpu_ms(),
         );
     }
 }
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -54,6 +54,15 @@
     pub(crate) order_from: Instant,
 }
 
+/// Counts of work since the start.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    /// Notes that were heard.
+    pub(crate) notes_heard: Cell<u64>,
+    /// Notes of what requests wait for that were heard.
+    pub(crate) asked_heard: Cell<u64>,
+}
+
 /// What all parts of an instance share.
 pub(crate) struct FleetNode {
     pub(crate) settings: Settings,
@@ -84,6 +93,8 @@
     pub(crate) instances_bell: Rc<Bell>,
     /// Since when others are heard to know more than we do.
     pub(crate) behind_since: Cell<Option<Instant>>,
+    /// What this instance has done, for the log.
+    pub(crate) work: Work,
     /// Notes that wait to go to all others.
     pub(crate) outbox: RefCell<Vec<Note>>,
     /// Who waits for an adapter, at the holder of the lease.
@@ -127,6 +138,7 @@
             versions_bell: Rc::default(),
             instances_bell: Rc::default(),
             behind_since: Cell::new(None),
+            work: Work::default(),
             outbox: RefCell::default(),
             askers: RefCell::default(),
         })
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -150,6 +150,7 @@
 
 fn hear(node: &FleetNode, sender: &NoteSender, note: Note) {
     let now = Instant::now();
+    node.work.notes_heard.set(node.work.notes_heard.get() + 1);
     match note {
         Note::Status(status) => {
             if let Some(epoch) = status.leads {
@@ -212,6 +213,7 @@
     asked: &Asked,
     now: Instant,
 ) {
+    node.work.asked_heard.set(node.work.asked_heard.get() + 1);
     let mut demand = node.demand.borrow_mut();
     for (key, count) in &asked.counts {
         demand.add(key, *count, &asked.zone, now);
