Few instances pay for the newest, the others watch for a tenth; few ask for the lease

By count: each of 79 watched four kinds with all that was acknowledged, some 50 calls a second; and while no holder was heard, each read the lease every 250 ms, some 1500 calls for one change of holder.

Ruled out: a relay that alone watches (if it is lost, all hear late).

Change: four instances, the largest first, watch with all that was acknowledged; the others with what may be seconds old, which costs a tenth and does not count under the store's rate. What the four hear reaches the rest in their notes, as it did when a watch hung. Instances challenge for the lease in an order that each change shuffles, 120 ms apart, and look less often the later they come. While the store is out, one kind tries to reach it and rings for the others. The allowance for repeats comes back slowly only where the system has run before.

--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -31,9 +31,9 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     allowance: RetryAllowance,
-    /// When this life of the instance began. What the last one used is not
-    /// known, so the fixed number comes back over one window.
-    began: Instant,
+    /// From when on the fixed number comes back over one window, if it does:
+    /// what an earlier life of the instance used is not known.
+    began: Option<Instant>,
     services: HashMap<ServiceName, Used>,
 }
 
@@ -45,9 +45,17 @@
 }
 
 impl RetryBudget {
-    /// Returns an unused budget of an instance that starts now.
-    pub fn new(allowance: RetryAllowance, now: Instant) -> RetryBudget {
-        RetryBudget { allowance, began: now, services: HashMap::new() }
+    /// Returns an unused budget.
+    pub fn new(allowance: RetryAllowance) -> RetryBudget {
+        RetryBudget { allowance, began: None, services: HashMap::new() }
+    }
+
+    /// Returns the budget of an instance that starts again now.
+    pub fn after_restart(
+        allowance: RetryAllowance,
+        now: Instant,
+    ) -> RetryBudget {
+        RetryBudget { began: Some(now), ..RetryBudget::new(allowance) }
     }
 
     /// Counts a request of a caller for a service.
@@ -67,8 +75,10 @@
         instances: usize,
     ) -> bool {
         let RetryAllowance { share, slack, window } = self.allowance;
-        let age = now.saturating_duration_since(self.began);
-        let grown = (age.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        let grown = self.began.map_or(1.0, |began| {
+            let age = now.saturating_duration_since(began);
+            (age.as_secs_f64() / window.as_secs_f64()).min(1.0)
+        });
         let fixed = grown * slack / instances.max(1) as f64;
         let used = self.used(service);
         used.forget(window, now);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -374,6 +374,11 @@
         }
     }
 
+    /// Returns whether another instance was heard lately.
+    pub fn hears(&self, id: &InstanceId, now: Instant) -> bool {
+        self.peers.get(id).is_some_and(|load| now < load.holds_until)
+    }
+
     /// Returns how many other instances were heard lately.
     pub fn live_peers(&self, now: Instant) -> usize {
         let holds = |load: &&PeerLoad| now < load.holds_until;
--- a/crates/fleet/tests/budget_rules.rs
+++ b/crates/fleet/tests/budget_rules.rs
@@ -16,18 +16,13 @@
     window: Duration::from_secs(10),
 };
 
-/// An instance's start, whole windows before.
-fn long_ago(now: Instant) -> Instant {
-    now - Duration::from_secs(60)
-}
-
 #[test]
 fn instances_together_stay_within_the_slack() {
     let now = Instant::now();
     for instances in [1, 2, 6, 40] {
         let mut taken = 0;
         for _ in 0..instances {
-            let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+            let mut budget = RetryBudget::new(ALLOWANCE);
             while budget.take("app", now, instances) {
                 taken += 1;
             }
@@ -39,7 +34,7 @@
 #[test]
 fn repeats_come_back_after_the_window() {
     let now = Instant::now();
-    let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+    let mut budget = RetryBudget::new(ALLOWANCE);
     while budget.take("app", now, 6) {}
     assert!(!budget.take("app", now + Duration::from_secs(9), 6));
     assert!(budget.take("app", now + Duration::from_secs(11), 6));
@@ -50,7 +45,7 @@
 #[test]
 fn requests_of_one_service_earn_no_repeats_at_another() {
     let now = Instant::now();
-    let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+    let mut budget = RetryBudget::new(ALLOWANCE);
     for _ in 0..10_000 {
         budget.count_request("engines", now);
     }
@@ -66,7 +61,7 @@
 #[test]
 fn the_fixed_number_comes_back_over_a_window_after_a_start() {
     let now = Instant::now();
-    let mut budget = RetryBudget::new(ALLOWANCE, now);
+    let mut budget = RetryBudget::after_restart(ALLOWANCE, now);
     assert!(!budget.take("app", now, 1));
     let mut taken = 0.0;
     while budget.take("app", now + Duration::from_secs(5), 1) {
@@ -82,7 +77,7 @@
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut budget = RetryBudget::new(ALLOWANCE, long_ago(now));
+        let mut budget = RetryBudget::new(ALLOWANCE);
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for (ms, is_request) in steps {
             now += Duration::from_millis(ms);
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -70,6 +70,10 @@
     /// on orders first.
     #[serde(default = "whole_core")]
     pub cpu_share: f64,
+    /// Whether the system has run before this start. Then an earlier life may
+    /// have used what all instances may do together.
+    #[serde(default)]
+    pub has_run_before: bool,
 }
 
 fn whole_core() -> f64 {
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -20,11 +20,12 @@
         CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
     },
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
-    store::{Change, StoredObject},
+    store::{Change, Freshness, StoredObject},
 };
+use sedgewall_state::id::ZoneName;
 use serde::{Deserialize, Serialize};
 
-use super::node::{Bell, FleetNode, Stage};
+use super::node::{Bell, FleetNode, Peer, Stage};
 
 /// The kind of our own instances' entries.
 pub(crate) const INSTANCES_KIND: &str = "sedgewall-instances";
@@ -48,6 +49,10 @@
 /// leave tells all others.
 const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(40);
 
+/// Instances that watch with all that was acknowledged. Three may be cut off at
+/// once and one still tells all others.
+const FRESH_WATCHERS: usize = 4;
+
 /// The pause between two watches of instances: all write their entries when
 /// all start, and each that is watched would wake all others.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
@@ -61,11 +66,19 @@
 /// The longest pause after failed calls.
 const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
 
+/// The longest pause after failed calls of a kind that is rung for when
+/// another kind reaches the store again: one kind's calls show that.
+const RUNG_BACK_OFF: Duration = Duration::from_secs(4);
+
 /// What an instance tells the others about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct InstanceEntry {
     /// Where its notes go.
     notes_address: SocketAddr,
+    /// Where it is.
+    zone: ZoneName,
+    /// The part of a processor that it has, in hundredths.
+    cpu_percent: u32,
     /// Changes with each start.
     incarnation: u64,
 }
@@ -82,6 +95,14 @@
     fn bell(&self) -> Option<Rc<Bell>> {
         None
     }
+    /// The longest pause after failed calls. What has a bell is rung for once
+    /// the store is regained.
+    fn longest_back_off(&self) -> Duration {
+        match self.bell() {
+            Some(_) => RUNG_BACK_OFF,
+            None => LONGEST_BACK_OFF,
+        }
+    }
     /// Takes in all objects.
     fn list(&self, objects: Vec<StoredObject>);
     /// Takes in one change.
@@ -110,6 +131,7 @@
     let mut back_off = FIRST_BACK_OFF;
     let mut since = None;
     let mut is_out = false;
+    let mut watches = Freshness::Newest;
     loop {
         let done = match since {
             None => node.store.list(F::KIND).await.map(|listing| {
@@ -123,7 +145,9 @@
                 listing.revision
             }),
             Some(revision) => {
-                let watch = node.store.watch(F::KIND, revision, F::WATCH);
+                watches = freshness(&node, watches, F::KIND);
+                let watch =
+                    node.store.watch(F::KIND, revision, F::WATCH, watches);
                 let mut watch = pin!(watch.fuse());
                 let bell = follower.bell();
                 let mut rung = pin!(rung(bell).fuse());
@@ -167,13 +191,33 @@
                     );
                     is_out = true;
                 }
-                compio::time::sleep(back_off).await;
-                back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+                // Whoever regains the store first rings for the others.
+                let mut regained = pin!(rung(follower.bell()).fuse());
+                let mut pause = pin!(compio::time::sleep(back_off).fuse());
+                select! {
+                    () = pause => {}
+                    () = regained => since = None,
+                }
+                back_off = (back_off * 2).min(follower.longest_back_off());
             }
         }
     }
 }
 
+/// A few instances hear everything at once and tell the others, who watch for
+/// a tenth of the price and repair with it what notes lost.
+fn freshness(node: &FleetNode, before: Freshness, kind: &str) -> Freshness {
+    let rank = node.rank(0);
+    let freshness = match rank < FRESH_WATCHERS {
+        true => Freshness::Newest,
+        false => Freshness::SecondsOld,
+    };
+    if freshness != before {
+        tracing::info!(event = "watch", kind, rank, freshness = ?freshness);
+    }
+    freshness
+}
+
 /// Waits for a bell; for ever, if there is none.
 async fn rung(bell: Option<Rc<Bell>>) {
     match bell {
@@ -356,7 +400,9 @@
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
-        self.0.peers.borrow_mut().clear();
+        let is_listed =
+            |id: &String| objects.iter().any(|object| object.name == *id);
+        self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
         for object in objects {
             self.take(&object);
         }
@@ -379,7 +425,15 @@
         match InstanceEntry::deserialize(&object.spec) {
             Ok(entry) => {
                 let mut peers = self.0.peers.borrow_mut();
-                peers.insert(object.name.clone(), entry.notes_address);
+                let known = peers.get(&object.name);
+                let peer = Peer {
+                    address: entry.notes_address,
+                    zone: entry.zone,
+                    cpu_percent: entry.cpu_percent,
+                    known_since: known
+                        .map_or_else(Instant::now, |peer| peer.known_since),
+                };
+                peers.insert(object.name.clone(), peer);
             }
             Err(err) => {
                 let cause = err.to_string();
@@ -393,6 +447,8 @@
 async fn announce(node: Rc<FleetNode>) {
     let entry = InstanceEntry {
         notes_address: node.settings.peer_listen,
+        zone: node.settings.zone.clone(),
+        cpu_percent: node.cpu_percent(),
         incarnation: node.incarnation,
     };
     let Ok(spec) = serde_json::to_value(&entry) else { return };
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -40,13 +40,20 @@
 /// What a new holder waits beyond the turn between two holders.
 const TURN_MARGIN: Duration = Duration::from_millis(200);
 
-/// How often an instance that hears no holder looks at the record.
+/// How often the first in rank looks at the record when it hears no holder.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// What each rank waits longer, before its first look and between two: the
+/// first ones take the lease, and calls to the store have a price.
+const RANK_WAITS: Duration = Duration::from_millis(120);
+
 /// What the smallest instance waits before it takes a lease that nobody ever
 /// held. All start within some 300 ms.
 const SMALLEST_WAITS: Duration = Duration::from_millis(2_000);
 
+/// The longest that an instance waits for those of a higher rank.
+const LONGEST_RANK_WAIT: Duration = Duration::from_secs(5);
+
 /// How often the holder looks whether a renewal is due.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -55,9 +62,11 @@
     let mut watching = new_lease();
     loop {
         compio::time::sleep(LOOK_EVERY).await;
-        if node.stage.get() != Stage::Ready
-            || node.live_leader(Instant::now()).is_some()
-        {
+        if !may_challenge(&node) {
+            continue;
+        }
+        compio::time::sleep(rank_wait(&node)).await;
+        if !may_challenge(&node) {
             continue;
         }
         if let Some(taken) = take(&node, watching).await {
@@ -67,6 +76,20 @@
     }
 }
 
+/// Returns whether this instance takes requests and hears no holder.
+fn may_challenge(node: &FleetNode) -> bool {
+    node.stage.get() == Stage::Ready
+        && node.live_leader(Instant::now()).is_none()
+}
+
+/// Returns what this instance waits for those of a higher rank.
+fn rank_wait(node: &FleetNode) -> Duration {
+    let leader = node.leader.borrow();
+    let epoch = leader.as_ref().map_or(0, |leader| leader.epoch);
+    let rank = u32::try_from(node.rank(epoch)).unwrap_or(u32::MAX);
+    RANK_WAITS.saturating_mul(rank).min(LONGEST_RANK_WAIT)
+}
+
 fn new_lease() -> Lease<Watching> {
     let times = LeaseTimes {
         time_to_live: TIME_TO_LIVE,
@@ -96,9 +119,7 @@
     let handicap = SMALLEST_WAITS.mul_f64(1.0 - node.fleet.cpu_share.min(1.0));
     let mut has_waited = false;
     loop {
-        if node.stage.get() != Stage::Ready
-            || node.live_leader(Instant::now()).is_some()
-        {
+        if !may_challenge(node) {
             return None;
         }
         let stored = read(node).await.ok()?;
@@ -116,7 +137,7 @@
             let lease = acquire(node, acquiring).await?;
             return Some(Taken { lease, before, sent: now });
         }
-        compio::time::sleep(LOOK_EVERY).await;
+        compio::time::sleep(LOOK_EVERY + rank_wait(node)).await;
     }
 }
 
@@ -189,6 +210,7 @@
         event = "lease_taken",
         epoch = taken.lease.epoch(),
         before,
+        rank = node.rank(taken.lease.epoch() - 1),
         orders_in_ms = order_from.duration_since(now).as_millis() as u64,
     );
     Kept { lease: taken.lease, renewed: taken.sent, order_from }
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -19,12 +19,19 @@
 };
 use sedgewall_platform::Store;
 use sedgewall_protocol::settings::{FleetSettings, Settings};
-use sedgewall_state::id::{EndpointId, Epoch, Incarnation, InstanceId};
+use sedgewall_state::id::{
+    EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
+};
 use sedgewall_transport::EndpointPool;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Notes of the holder that may be lost in a row before it is missed.
 const LEADER_LOSSES: u32 = 4;
 
+/// An instance that was not heard for this long after its entry was read is
+/// not there.
+const NEW_PEER_FOR: Duration = Duration::from_secs(6);
+
 /// Where an instance is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -36,6 +43,18 @@
     Leaving,
 }
 
+/// Another instance, as its entry in the store says.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    /// Where its notes go.
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    /// The part of a processor that it has, in hundredths.
+    pub(crate) cpu_percent: u32,
+    /// When we read its entry first.
+    pub(crate) known_since: Instant,
+}
+
 /// The instance that gives orders.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderSeen {
@@ -76,7 +95,7 @@
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
     pub(crate) budget: RefCell<RetryBudget>,
     /// The other instances and where their notes go.
-    pub(crate) peers: RefCell<BTreeMap<InstanceId, SocketAddr>>,
+    pub(crate) peers: RefCell<BTreeMap<InstanceId, Peer>>,
     pub(crate) leader: RefCell<Option<LeaderSeen>>,
     /// Our own lease on orders, if we have it.
     pub(crate) held: Cell<Option<HeldLease>>,
@@ -112,6 +131,10 @@
             slack: fleet.retry_slack,
             window: Duration::from_secs_f64(fleet.retry_window_s),
         };
+        let budget = match fleet.has_run_before {
+            true => RetryBudget::after_restart(allowance, Instant::now()),
+            false => RetryBudget::new(allowance),
+        };
         let view = FleetView::new(&settings.zone);
         let pool = EndpointPool::new();
         Rc::new(FleetNode {
@@ -124,7 +147,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
-            budget: RefCell::new(RetryBudget::new(allowance, Instant::now())),
+            budget: RefCell::new(budget),
             peers: RefCell::default(),
             leader: RefCell::default(),
             held: Cell::new(None),
@@ -192,6 +215,31 @@
         known.max(live) + 1
     }
 
+    /// Returns the part of a processor that this instance has, in hundredths.
+    pub(crate) fn cpu_percent(&self) -> u32 {
+        (self.fleet.cpu_share * 100.0) as u32
+    }
+
+    /// Returns how many of the instances that are there come before this one,
+    /// in an order that the larger ones lead and that a draw shuffles: so a
+    /// duty falls to few, without a word, and to others after each draw.
+    pub(crate) fn rank(&self, draw: u64) -> usize {
+        let place = |id: &InstanceId, cpu_percent: u32| {
+            let hash = xxh3_64_with_seed(id.as_bytes(), draw);
+            (std::cmp::Reverse(cpu_percent), hash)
+        };
+        let own = place(self.id(), self.cpu_percent());
+        let now = Instant::now();
+        let view = self.view.borrow();
+        let peers = self.peers.borrow();
+        let before = peers.iter().filter(|(id, peer)| {
+            let is_there =
+                now - peer.known_since < NEW_PEER_FOR || view.hears(id, now);
+            is_there && place(id, peer.cpu_percent) < own
+        });
+        before.count()
+    }
+
     /// Waits until something is heard of an adapter, or for a time.
     pub(crate) async fn wait_for(&self, key: &AdapterKey, within: Duration) {
         let (tx, rx) = oneshot::channel();
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -74,7 +74,7 @@
         peer: &InstanceId,
         note: &Note,
     ) {
-        let address = node.peers.borrow().get(peer).copied();
+        let address = node.peers.borrow().get(peer).map(|p| p.address);
         if let Some(address) = address {
             self.send_to(address, note);
         }
@@ -83,8 +83,8 @@
     /// Sends a note to all other instances.
     pub(crate) fn broadcast(&self, node: &FleetNode, note: &Note) {
         let Some(bytes) = encode(note) else { return };
-        for address in node.peers.borrow().values() {
-            self.send(*address, &bytes);
+        for peer in node.peers.borrow().values() {
+            self.send(peer.address, &bytes);
         }
     }
 
@@ -362,8 +362,5 @@
         return;
     }
     let Some(leader) = node.live_leader(Instant::now()) else { return };
-    let address = node.peers.borrow().get(&leader.instance).copied();
-    if let Some(address) = address {
-        sender.send_to(address, &Note::Asked(asked));
-    }
+    sender.send_to_peer(node, &leader.instance, &Note::Asked(asked));
 }
