Notes to many instances go through relays; the holder is asked at a bounded rate

Some 150 placements and removals a second, each told to 78 instances by itself, are over 1 MB/s: its link of 10 Mbit/s was full. The instances' requests for adapters came 2000 a second, each request asking again every 15 ms.

Change: notes to all go to one instance of each group of nine in a zone, which passes them on; the relay changes with each note. An instance asks for the same adapter once in 200 ms, and 79 of them send 1000 such notes a second at the most. Up to 12 peers hear each note directly, as before.

Tests: relay_rules, properties of the groups; a lost relay is one of them.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod loader;
 pub mod note;
+pub mod relays;
 pub mod retry_budget;
 pub mod route;
 pub mod store_rate;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -25,6 +25,19 @@
     Leaving(EndpointId),
     /// Several notes in one datagram.
     Batch(Vec<Note>),
+    /// A note to all, on its way through one instance of a group.
+    Relayed(Relayed),
+}
+
+/// A note that whoever gets it hears, and passes on to its group.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Relayed {
+    /// The number of the group ([`crate::relays::Group`]).
+    pub index: u32,
+    /// How many groups the zone has.
+    pub count: u32,
+    /// The note.
+    pub note: Box<Note>,
 }
 
 /// What an instance has under way.
--- /dev/null
+++ b/crates/fleet/tests/relay_rules.rs
@@ -0,0 +1,76 @@
+//! Notes to all through relays.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use sedgewall_fleet::relays::{GROUP_LEN, Group, relays};
+
+fn instances(zones: &[usize]) -> BTreeMap<String, String> {
+    let mut all = BTreeMap::new();
+    for (zone, count) in zones.iter().enumerate() {
+        for n in 0..*count {
+            all.insert(format!("front-z{zone}-{n}"), format!("z{zone}"));
+        }
+    }
+    all
+}
+
+/// Returns who hears a note, each time that it does, if these relays are lost.
+fn hearers(
+    all: &BTreeMap<String, String>,
+    chosen: &[(&String, Group)],
+    lost: &BTreeSet<String>,
+) -> Vec<String> {
+    let mut heard = Vec::new();
+    for (relay, group) in chosen.iter().filter(|(r, _)| !lost.contains(*r)) {
+        heard.push((*relay).clone());
+        let rest = all.iter().filter(|(id, zone)| {
+            *zone == &all[*relay] && group.has(id) && id != relay
+        });
+        heard.extend(rest.map(|(id, _)| id.clone()));
+    }
+    heard
+}
+
+proptest! {
+    #[test]
+    fn each_instance_hears_a_note_once(
+        zones in proptest::collection::vec(1usize..60, 1..5),
+        turn in any::<usize>(),
+    ) {
+        let all = instances(&zones);
+        let chosen = relays(all.iter(), |_| true, turn);
+        let mut heard = hearers(&all, &chosen, &BTreeSet::new());
+        heard.sort();
+        prop_assert_eq!(heard, all.keys().cloned().collect::<Vec<_>>());
+        let groups: usize = zones.iter().map(|n| n.div_ceil(GROUP_LEN)).sum();
+        prop_assert!(chosen.len() <= groups);
+    }
+
+    #[test]
+    fn a_lost_relay_costs_its_group_one_note(
+        count in 10usize..60,
+        turn in 0usize..1_000,
+        lost in 0usize..10,
+    ) {
+        let all = instances(&[count]);
+        let lost = BTreeSet::from([format!("front-z0-{lost}")]);
+        let mut heard = BTreeSet::new();
+        for turn in turn..turn + 2 {
+            let chosen = relays(all.iter(), |_| true, turn);
+            heard.extend(hearers(&all, &chosen, &lost));
+        }
+        let missed: Vec<&String> =
+            all.keys().filter(|id| !heard.contains(*id)).collect();
+        // Alone in its group, it has nobody to go after it.
+        prop_assert!(missed.iter().all(|id| lost.contains(*id)));
+    }
+}
+
+#[test]
+fn who_was_heard_goes_first() {
+    let all = instances(&[9]);
+    let chosen = relays(all.iter(), |id| id == "front-z0-4", 7);
+    assert_eq!(chosen.len(), 1);
+    assert_eq!(chosen[0].0, "front-z0-4");
+}
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -336,15 +336,8 @@
 
 /// Asks the holder of the lease for an adapter.
 fn ask_for(node: &FleetNode, call: &CallerRequest) {
-    let Some(key) = call.key() else { return };
-    let rank = call.route.priority;
-    let mut waiting = node.waiting.borrow_mut();
-    let is_new = !waiting.contains_key(key);
-    let known = waiting.entry(key.clone()).or_insert(rank);
-    *known = rank.min(*known);
-    drop(waiting);
-    if is_new {
-        node.ring_notes();
+    if let Some(key) = call.key() {
+        node.ask_for(key, call.route.priority);
     }
 }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -21,7 +21,7 @@
     caller, follow, leader, lease,
     log_buffer::LogBuffer,
     node::{FleetNode, Stage},
-    notes,
+    note_sender, notes,
     orders::Orders,
 };
 use crate::{daemon::DaemonError, process, responses};
@@ -71,7 +71,7 @@
     let operators = bind(settings.operator_listen).await?;
     let node = FleetNode::new(settings, fleet, store);
     let (sender, receiver) =
-        notes::open(&node).map_err(|source| DaemonError::Listen {
+        note_sender::open(&node).map_err(|source| DaemonError::Listen {
             address: node.settings.peer_listen.to_string(),
             source,
         })?;
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod log_buffer;
 mod node;
+mod note_sender;
 mod notes;
 mod orders;
 mod refusal;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -32,6 +32,12 @@
 /// not there.
 const NEW_PEER_FOR: Duration = Duration::from_secs(6);
 
+/// The holder is asked for the same adapter again after this long.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
+/// Adapters that were asked for, beyond which old ones are forgotten.
+const ASKED_KEPT: usize = 512;
+
 /// Where an instance is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -93,6 +99,8 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    /// When the holder was last asked for an adapter.
+    asked_at: RefCell<HashMap<AdapterKey, Instant>>,
     pub(crate) budget: RefCell<RetryBudget>,
     /// The other instances and where their notes go.
     pub(crate) peers: RefCell<BTreeMap<InstanceId, Peer>>,
@@ -147,6 +155,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
+            asked_at: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
             leader: RefCell::default(),
@@ -240,6 +249,28 @@
         before.count()
     }
 
+    /// Asks the holder of the lease for an adapter that a request of this rank
+    /// waits for. Many requests ask once in a while: the holder remembers, and
+    /// a lost note is repaired by the next.
+    pub(crate) fn ask_for(&self, key: &AdapterKey, rank: u8) {
+        let now = Instant::now();
+        let mut asked_at = self.asked_at.borrow_mut();
+        let is_known =
+            asked_at.get(key).is_some_and(|at| now - *at < ASK_AGAIN);
+        if is_known {
+            return;
+        }
+        if asked_at.len() > ASKED_KEPT {
+            asked_at.retain(|_, at| now - *at < ASK_AGAIN);
+        }
+        asked_at.insert(key.clone(), now);
+        let mut waiting = self.waiting.borrow_mut();
+        let known = waiting.entry(key.clone()).or_insert(rank);
+        *known = rank.min(*known);
+        drop(waiting);
+        self.ring_notes();
+    }
+
     /// Waits until something is heard of an adapter, or for a time.
     pub(crate) async fn wait_for(&self, key: &AdapterKey, within: Duration) {
         let (tx, rx) = oneshot::channel();
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -0,0 +1,122 @@
+//! Sends notes: to one instance, to all, or through relays.
+//!
+//! Where there are many instances, a note to all goes to one of each group of
+//! a zone, which passes it on ([`sedgewall_fleet::relays`]): the link of a small
+//! instance does not carry eighty times what it has to say, and few bytes cross
+//! between zones.
+
+use std::{
+    cell::Cell,
+    io,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::Instant,
+};
+
+use sedgewall_fleet::{
+    note::{Note, Relayed},
+    relays::{Group, relays},
+};
+use sedgewall_state::id::InstanceId;
+
+use super::node::FleetNode;
+
+/// The longest datagram that IPv4 carries, less some room for its head.
+pub(crate) const LARGEST_NOTE: usize = 60_000;
+
+/// Up to so many instances hear each note from its sender.
+pub(crate) const FEW_PEERS: usize = 12;
+
+/// Sends notes.
+pub(crate) struct NoteSender {
+    socket: UdpSocket,
+    /// Counts notes that went through relays, to choose others for the next.
+    relayed: Cell<usize>,
+}
+
+impl NoteSender {
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        // A note that cannot be sent now is like one that was lost.
+        if let Err(err) = self.socket.send_to(bytes, to) {
+            tracing::debug!(event = "note_not_sent", cause = %err);
+        }
+    }
+
+    /// Sends a note to one instance.
+    pub(crate) fn send_to_peer(
+        &self,
+        node: &FleetNode,
+        peer: &InstanceId,
+        note: &Note,
+    ) {
+        let address = node.peers.borrow().get(peer).map(|p| p.address);
+        if let Some(address) = address {
+            self.send_to(address, note);
+        }
+    }
+
+    /// Sends a note to all other instances, through relays if there are many.
+    pub(crate) fn broadcast(&self, node: &FleetNode, note: &Note) {
+        let peers = node.peers.borrow();
+        if peers.len() <= FEW_PEERS {
+            let Some(bytes) = encode(note) else { return };
+            for peer in peers.values() {
+                self.send(peer.address, &bytes);
+            }
+            return;
+        }
+        let turn = self.relayed.get();
+        self.relayed.set(turn.wrapping_add(1));
+        let (now, view) = (Instant::now(), node.view.borrow());
+        let zones = peers.iter().map(|(id, peer)| (id, &peer.zone));
+        for (id, group) in relays(zones, |id| view.hears(id, now), turn) {
+            let Group { index, count } = group;
+            let relayed = Relayed { index, count, note: note.clone().into() };
+            self.send_to(peers[id].address, &Note::Relayed(relayed));
+        }
+    }
+
+    /// Passes a note on to the rest of its group.
+    pub(crate) fn pass_on(&self, node: &FleetNode, relayed: &Relayed) {
+        let Some(bytes) = encode(&relayed.note) else { return };
+        let group = Group { index: relayed.index, count: relayed.count };
+        for (id, peer) in node.peers.borrow().iter() {
+            if peer.zone == node.settings.zone && group.has(id) {
+                self.send(peer.address, &bytes);
+            }
+        }
+    }
+
+    fn send_to(&self, to: SocketAddr, note: &Note) {
+        if let Some(bytes) = encode(note) {
+            self.send(to, &bytes);
+        }
+    }
+}
+
+fn encode(note: &Note) -> Option<Vec<u8>> {
+    match rmp_serde::to_vec(note) {
+        Ok(bytes) if bytes.len() <= LARGEST_NOTE => Some(bytes),
+        Ok(bytes) => {
+            let len = bytes.len();
+            tracing::error!(event = "note_too_large", len);
+            None
+        }
+        Err(err) => {
+            tracing::error!(event = "note_not_encoded", cause = %err);
+            None
+        }
+    }
+}
+
+/// Opens the socket for notes.
+pub(crate) fn open(
+    node: &FleetNode,
+) -> io::Result<(Rc<NoteSender>, compio::net::UdpSocket)> {
+    let socket = UdpSocket::bind(node.settings.peer_listen)?;
+    socket.set_nonblocking(true)?;
+    let sender = socket.try_clone()?;
+    let receiver = compio::net::UdpSocket::from_std(socket)?;
+    let sender = NoteSender { socket: sender, relayed: Cell::new(0) };
+    Ok((Rc::new(sender), receiver))
+}
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -5,8 +5,6 @@
 //! connection to hang when a machine loses power.
 
 use std::{
-    io,
-    net::{SocketAddr, UdpSocket},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,9 +12,10 @@
 use compio::BufResult;
 use sedgewall_fleet::note::{Asked, Note, Status};
 
-use sedgewall_state::id::InstanceId;
-
-use super::node::FleetNode;
+use super::{
+    node::FleetNode,
+    note_sender::{FEW_PEERS, LARGEST_NOTE, NoteSender},
+};
 
 /// How often each instance says what it has under way, at the least.
 const STATUS_EVERY: Duration = Duration::from_millis(150);
@@ -39,11 +38,12 @@
 /// A newer version that was heard of this long ago was another one.
 const BEHIND_HOLDS: Duration = Duration::from_millis(2_000);
 
-/// Up to so many peers hear each note at once.
-const FEW_PEERS: u32 = 12;
+/// The pause between two batches, where there are many peers.
+const BATCH_PAUSE: Duration = Duration::from_millis(40);
 
-/// What each peer adds to the pause between two batches.
-const BATCH_PAUSE: Duration = Duration::from_millis(2);
+/// What each of many peers adds to the pause between two urgent notes. The
+/// holder hears some 1,000 a second at the most, each some 20 us.
+const URGENT_PAUSE: Duration = Duration::from_millis(1);
 
 /// Notes in one datagram at most, so that it fits one packet.
 const BATCH_LEN: usize = 16;
@@ -51,76 +51,6 @@
 /// How often peers that fell silent are forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
-/// The longest datagram that IPv4 carries, less some room for its head.
-const LARGEST_NOTE: usize = 60_000;
-
-/// Sends notes.
-pub(crate) struct NoteSender {
-    socket: UdpSocket,
-}
-
-impl NoteSender {
-    fn send(&self, to: SocketAddr, bytes: &[u8]) {
-        // A note that cannot be sent now is like one that was lost.
-        if let Err(err) = self.socket.send_to(bytes, to) {
-            tracing::debug!(event = "note_not_sent", cause = %err);
-        }
-    }
-
-    /// Sends a note to one instance.
-    pub(crate) fn send_to_peer(
-        &self,
-        node: &FleetNode,
-        peer: &InstanceId,
-        note: &Note,
-    ) {
-        let address = node.peers.borrow().get(peer).map(|p| p.address);
-        if let Some(address) = address {
-            self.send_to(address, note);
-        }
-    }
-
-    /// Sends a note to all other instances.
-    pub(crate) fn broadcast(&self, node: &FleetNode, note: &Note) {
-        let Some(bytes) = encode(note) else { return };
-        for peer in node.peers.borrow().values() {
-            self.send(peer.address, &bytes);
-        }
-    }
-
-    fn send_to(&self, to: SocketAddr, note: &Note) {
-        if let Some(bytes) = encode(note) {
-            self.send(to, &bytes);
-        }
-    }
-}
-
-fn encode(note: &Note) -> Option<Vec<u8>> {
-    match rmp_serde::to_vec(note) {
-        Ok(bytes) if bytes.len() <= LARGEST_NOTE => Some(bytes),
-        Ok(bytes) => {
-            let len = bytes.len();
-            tracing::error!(event = "note_too_large", len);
-            None
-        }
-        Err(err) => {
-            tracing::error!(event = "note_not_encoded", cause = %err);
-            None
-        }
-    }
-}
-
-/// Opens the socket for notes.
-pub(crate) fn open(
-    node: &FleetNode,
-) -> io::Result<(Rc<NoteSender>, compio::net::UdpSocket)> {
-    let socket = UdpSocket::bind(node.settings.peer_listen)?;
-    socket.set_nonblocking(true)?;
-    let sender = socket.try_clone()?;
-    let receiver = compio::net::UdpSocket::from_std(socket)?;
-    Ok((Rc::new(NoteSender { socket: sender }), receiver))
-}
-
 /// Receives notes for ever.
 pub(crate) async fn receive(
     node: Rc<FleetNode>,
@@ -152,6 +82,8 @@
     let now = Instant::now();
     node.work.notes_heard.set(node.work.notes_heard.get() + 1);
     match note {
+        // A relay passes our own note on to us as well.
+        Note::Status(status) if status.from == *node.id() => {}
         Note::Status(status) => {
             if let Some(epoch) = status.leads {
                 let next_in = Duration::from_millis(status.next_in_ms);
@@ -169,6 +101,10 @@
                 hear(node, sender, note);
             }
         }
+        Note::Relayed(relayed) => {
+            sender.pass_on(node, &relayed);
+            hear(node, sender, *relayed.note);
+        }
         // Whoever gives orders knows better than a note from before.
         Note::Placed(_) | Note::Removed(_)
             if node.current_lease(now).is_some() => {}
@@ -263,13 +199,18 @@
     let mut next_asked = Instant::now();
     let mut next_forget = Instant::now();
     let mut next_batch = Instant::now();
+    let mut next_urgent = Instant::now();
+    let mut is_urgent = false;
     loop {
         let mut next = next_status.min(next_asked);
         if !node.outbox.borrow().is_empty() {
             next = next.min(next_batch);
         }
+        if is_urgent {
+            next = next.min(next_urgent);
+        }
         let left = next.saturating_duration_since(Instant::now());
-        let is_urgent = node.notes_rung(left).await;
+        is_urgent |= node.notes_rung(left).await;
         let now = Instant::now();
         if now >= next_status {
             let pause = status_pause(&node, now);
@@ -283,7 +224,9 @@
                 sender.broadcast(&node, &Note::Batch(notes.to_vec()));
             }
         }
-        if is_urgent || now >= next_asked {
+        if (is_urgent && now >= next_urgent) || now >= next_asked {
+            is_urgent = false;
+            next_urgent = now + urgent_pause(&node);
             next_asked = now + ASKED_EVERY;
             tell_asked(&node, &sender);
         }
@@ -297,9 +240,18 @@
 /// A few instances hear at once what engines get and lose. Many hear it a
 /// little later; who waits for an adapter is told at once in any case.
 fn batch_pause(node: &FleetNode) -> Duration {
-    let peers = node.peers.borrow().len() as u32;
+    match node.peers.borrow().len() > FEW_PEERS {
+        true => BATCH_PAUSE,
+        false => Duration::ZERO,
+    }
+}
+
+/// What an instance waits between two notes on what its requests wait for:
+/// the holder hears those of all.
+fn urgent_pause(node: &FleetNode) -> Duration {
+    let peers = node.peers.borrow().len();
     match peers > FEW_PEERS {
-        true => BATCH_PAUSE * peers,
+        true => URGENT_PAUSE * peers as u32,
         false => Duration::ZERO,
     }
 }
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -21,7 +21,7 @@
 use sedgewall_platform::engine::{self, Holder, OrderAnswer};
 use sedgewall_state::id::{EndpointId, Epoch};
 
-use super::{node::FleetNode, notes::NoteSender};
+use super::{node::FleetNode, note_sender::NoteSender};
 
 /// What must be left of the lease when an order goes out: an order travels,
 /// and its engine may hear it only while the lease holds.
