Among many instances the holder tells the sums, and choices are drawn

Change: where there are many, each tells the holder every 300 ms and all others every 2.4 s, and the holder tells all the sums every 150 ms through relays; without a holder each tells all, as before. A draw for each request and endpoint, 0.4 of an endpoint's load among many, spreads the choices.

--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -61,8 +61,13 @@
     pub endpoint: Endpoint,
     /// Requests of this instance under way there.
     pub own_in_flight: u32,
-    /// Requests of other instances under way there.
-    pub others_in_flight: u32,
+    /// Our part in what the holder of the lease was told last.
+    pub(crate) own_told: u32,
+    /// Requests of other instances under way there, as each says itself.
+    pub(crate) others_in_flight: u32,
+    /// Requests of all instances under way there, as the holder of the lease
+    /// says. Where many say so, it is newer than what each says itself.
+    pub(crate) total_in_flight: Option<u32>,
     /// What our requests show.
     pub health: Health,
     pub(crate) seats: HashMap<AdapterKey, Seat>,
@@ -101,7 +106,9 @@
         EndpointState {
             endpoint,
             own_in_flight: 0,
+            own_told: 0,
             others_in_flight: 0,
+            total_in_flight: None,
             health: Health::default(),
             seats: HashMap::new(),
             removed: HashMap::new(),
@@ -117,7 +124,11 @@
 
     /// Returns the requests of all instances under way there.
     pub fn in_flight(&self) -> u32 {
-        self.own_in_flight + self.others_in_flight
+        let others = match self.total_in_flight {
+            Some(total) => total.saturating_sub(self.own_told),
+            None => self.others_in_flight,
+        };
+        self.own_in_flight + others
     }
 
     /// Returns the requests under way as a part of its slots.
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -9,6 +9,10 @@
 
 use crate::adapter::{AdapterKey, WeightVersion};
 
+/// Up to so many other instances hear each note from its sender, and know well
+/// what each has under way. More take relays, and sums of the holder's.
+pub const FEW_PEERS: usize = 12;
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Note {
@@ -57,6 +61,9 @@
     pub versions: u64,
     /// Requests under way, by endpoint; those without are left out.
     pub in_flight: Vec<(EndpointId, u32)>,
+    /// Whether they are those of all instances, as the holder of the lease
+    /// knows them, and not the sender's own.
+    pub is_total: bool,
 }
 
 /// Requests for adapters.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -19,7 +19,7 @@
     adapter_index::AdapterIndex,
     endpoint::{Endpoint, EngineReport},
     endpoint_state::EndpointState,
-    note::{Placed, Removed, Status},
+    note::{FEW_PEERS, Placed, Removed, Status},
     route::ServiceName,
 };
 
@@ -40,6 +40,16 @@
 /// nearly full.
 const FAILURE_COST: f64 = 1.5;
 
+/// What is drawn for each request and endpoint, in parts of an endpoint's load:
+/// among few instances, which know well what the others do, it only tells
+/// equal endpoints apart.
+const FEW_DOUBT: f64 = 0.05;
+
+/// The same among many. What they know of each other is older than a short
+/// request lasts; without the draw all choose the same endpoint until the next
+/// note.
+const MANY_DOUBT: f64 = 0.4;
+
 /// Requests on an engine, as a multiple of its slots, beyond which it gets no
 /// more: those behind would wait for a whole answer to end.
 const ENGINE_FILL: f64 = 1.1;
@@ -108,6 +118,8 @@
     /// Which endpoints are likely to have an adapter at hand.
     warm: AdapterIndex,
     peers: HashMap<InstanceId, PeerLoad>,
+    /// Until when the holder's sums count.
+    totals_until: Option<Instant>,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
 }
 
@@ -121,6 +133,7 @@
             holders: AdapterIndex::default(),
             warm: AdapterIndex::default(),
             peers: HashMap::new(),
+            totals_until: None,
             newest: HashMap::new(),
         }
     }
@@ -337,10 +350,24 @@
             return;
         }
         let holds = Duration::from_millis(status.next_in_ms) * STATUS_LOSSES;
+        if status.is_total {
+            self.totals_until = Some(now + holds);
+            for state in self.endpoints.values_mut() {
+                state.total_in_flight = Some(0);
+            }
+            for (id, total) in &status.in_flight {
+                if let Some(state) = self.endpoints.get_mut(id) {
+                    state.total_in_flight = Some(*total);
+                }
+            }
+        }
         let load = PeerLoad {
             sequence: status.sequence,
             holds_until: now + holds,
-            in_flight: status.in_flight,
+            in_flight: match status.is_total {
+                true => Vec::new(),
+                false => status.in_flight,
+            },
         };
         self.count_peer(&load, u32::saturating_add);
         if let Some(before) = self.peers.insert(status.from, load) {
@@ -351,6 +378,9 @@
     /// Forgets instances that were not heard for too long. Call it about once
     /// a second.
     pub fn forget_silent_peers(&mut self, now: Instant) {
+        if self.totals_until.is_some_and(|until| now >= until) {
+            self.forget_totals();
+        }
         let is_silent = |load: &PeerLoad| now >= load.holds_until;
         let silent: Vec<InstanceId> = self
             .peers
@@ -365,6 +395,36 @@
         }
     }
 
+    /// Counts again what each instance says itself: the holder of the lease is
+    /// silent, or it is this instance.
+    pub fn forget_totals(&mut self) {
+        self.totals_until = None;
+        for state in self.endpoints.values_mut() {
+            state.total_in_flight = None;
+        }
+    }
+
+    /// Returns what this instance has under way, or, at the holder of the
+    /// lease, what all have; endpoints without are left out. Notes what is
+    /// told.
+    pub fn tell_in_flight(
+        &mut self,
+        is_total: bool,
+    ) -> Vec<(EndpointId, u32)> {
+        let mut told = Vec::new();
+        for (id, state) in &mut self.endpoints {
+            state.own_told = state.own_in_flight;
+            let count = match is_total {
+                true => state.own_in_flight + state.others_in_flight,
+                false => state.own_in_flight,
+            };
+            if count > 0 {
+                told.push((id.clone(), count));
+            }
+        }
+        told
+    }
+
     fn count_peer(&mut self, load: &PeerLoad, count: fn(u32, u32) -> u32) {
         for (id, in_flight) in &load.in_flight {
             if let Some(state) = self.endpoints.get_mut(id) {
@@ -543,7 +603,11 @@
         let hash = xxh3_64(state.endpoint.id.as_bytes()) ^ draw;
         let spread = xxh3_64(&hash.to_le_bytes()) as f64 / u64::MAX as f64;
         let failures = state.health.failed_share() * FAILURE_COST;
-        state.load() + zone + failures + spread * 0.05
+        let doubt = match self.peers.len() > FEW_PEERS {
+            true => MANY_DOUBT,
+            false => FEW_DOUBT,
+        };
+        state.load() + zone + failures + spread * doubt
     }
 
     fn others_in_flight(&self, id: &EndpointId) -> u32 {
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -127,21 +127,102 @@
     assert_eq!(view.newest(&key(1)).map(|(version, _)| version), Some(3));
 }
 
+/// What a peer says that it has under way at one endpoint.
+fn own_status(from: &str, sequence: u64, count: u32) -> Status {
+    Status {
+        from: from.to_owned(),
+        sequence,
+        next_in_ms: 150,
+        leads: None,
+        configuration: 1,
+        versions: 0,
+        in_flight: vec![("e1".to_owned(), count)],
+        is_total: false,
+    }
+}
+
+fn in_flight(view: &FleetView) -> Option<u32> {
+    view.get(&"e1".to_owned()).map(|state| state.in_flight())
+}
+
+#[test]
+fn sums_of_the_holder_count_while_it_speaks() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.hear_status(own_status("peer", 1, 5), now);
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        state.own_in_flight = 2;
+    }
+    let told = view.tell_in_flight(false);
+    assert_eq!(told, [("e1".to_owned(), 2)]);
+    let sums = Status { is_total: true, ..own_status("holder", 1, 9) };
+    view.hear_status(sums, now);
+    // Nine in all, of which two are ours.
+    assert_eq!(in_flight(&view), Some(9));
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        state.own_in_flight = 3;
+    }
+    assert_eq!(in_flight(&view), Some(10));
+
+    let later = now + Duration::from_millis(850);
+    view.hear_status(own_status("peer", 2, 5), later);
+    view.forget_silent_peers(now + Duration::from_millis(1_000));
+    assert_eq!(in_flight(&view), Some(8));
+}
+
+#[test]
+fn the_holder_tells_the_sums_of_all() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.list(endpoint("e2", "z1", &[1]), now);
+    view.hear_status(own_status("one", 1, 5), now);
+    view.hear_status(own_status("two", 1, 3), now);
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        state.own_in_flight = 2;
+    }
+    assert_eq!(view.tell_in_flight(true), [("e1".to_owned(), 10)]);
+}
+
+/// Many instances whose table shows the same must not all choose the same
+/// endpoint until the next note: the small service of a grown site turned down
+/// 28 of 100 requests.
+#[test]
+fn many_instances_do_not_choose_alike() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    for n in 0..7 {
+        view.list(endpoint(&format!("e{n}"), "z1", &[1]), now);
+    }
+    for n in 0..60 {
+        view.hear_status(own_status(&format!("peer{n}"), 1, 0), now);
+    }
+    // One seems a little less loaded than the others.
+    for n in 1..7 {
+        if let Some(state) = view.get_mut(&format!("e{n}")) {
+            state.own_in_flight = 2;
+        }
+    }
+    let chosen: Vec<String> = (0..700)
+        .filter_map(|draw| {
+            let key = key(1);
+            let need =
+                Need { service: SERVICE, key: Some(&key), exclude: &[], draw };
+            sent_to(&view.choose(need, now)).map(str::to_owned)
+        })
+        .collect();
+    let least = chosen.iter().filter(|id| *id == "e0").count();
+    assert!((100..350).contains(&least), "{least} of 700");
+}
+
 #[test]
 fn the_less_loaded_endpoint_gets_the_request() {
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
     view.list(endpoint("e2", "z1", &[1]), now);
-    let status = Status {
-        from: "peer".to_owned(),
-        sequence: 1,
-        next_in_ms: 150,
-        leads: None,
-        configuration: 1,
-        versions: 0,
-        in_flight: vec![("e1".to_owned(), 20)],
-    };
+    let status = own_status("peer", 1, 20);
     view.hear_status(status, now);
     assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e2"));
 }
@@ -151,19 +232,10 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
-    let status = |sequence, count| Status {
-        from: "peer".to_owned(),
-        sequence,
-        next_in_ms: 150,
-        leads: None,
-        configuration: 1,
-        versions: 0,
-        in_flight: vec![("e1".to_owned(), count)],
-    };
+    let status = |sequence, count| own_status("peer", sequence, count);
     view.hear_status(status(2, 5), now);
     view.hear_status(status(1, 9), now);
-    let in_flight = view.get(&"e1".to_owned()).map(|state| state.in_flight());
-    assert_eq!(in_flight, Some(5));
+    assert_eq!(in_flight(&view), Some(5));
 }
 
 #[test]
@@ -171,19 +243,8 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
-    let status = Status {
-        from: "peer".to_owned(),
-        sequence: 1,
-        next_in_ms: 150,
-        leads: None,
-        configuration: 1,
-        versions: 0,
-        in_flight: vec![("e1".to_owned(), 5)],
-    };
+    let status = own_status("peer", 1, 5);
     view.hear_status(status, now);
-    let in_flight = |view: &FleetView| {
-        view.get(&"e1".to_owned()).map(|state| state.in_flight())
-    };
     view.forget_silent_peers(now + Duration::from_millis(800));
     assert_eq!(in_flight(&view), Some(5));
     view.forget_silent_peers(now + Duration::from_millis(1_000));
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -14,7 +14,7 @@
 };
 
 use sedgewall_fleet::{
-    note::{Note, Relayed},
+    note::{FEW_PEERS, Note, Relayed},
     relays::{Group, relays},
 };
 use sedgewall_state::id::InstanceId;
@@ -24,9 +24,6 @@
 /// The longest datagram that IPv4 carries, less some room for its head.
 pub(crate) const LARGEST_NOTE: usize = 60_000;
 
-/// Up to so many instances hear each note from its sender.
-pub(crate) const FEW_PEERS: usize = 12;
-
 /// Sends notes.
 pub(crate) struct NoteSender {
     socket: UdpSocket,
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -10,23 +10,24 @@
 };
 
 use compio::BufResult;
-use sedgewall_fleet::note::{Asked, Note, Status};
+use sedgewall_fleet::note::{Asked, FEW_PEERS, Note, Status};
 
 use super::{
     node::FleetNode,
-    note_sender::{FEW_PEERS, LARGEST_NOTE, NoteSender},
+    note_sender::{LARGEST_NOTE, NoteSender},
 };
 
 /// How often each instance says what it has under way, at the least.
 const STATUS_EVERY: Duration = Duration::from_millis(150);
 
 /// The pause between two notes that an instance hears from all others
-/// together: with many instances each speaks less often, so that a small
-/// machine spends no more on hearing them.
+/// together while there is no holder of the lease: with many instances each
+/// speaks less often, so that a small machine spends no more on hearing them.
 const HEARD_EVERY: Duration = Duration::from_millis(25);
 
-/// The same for the holder of the lease, which must be missed soon.
-const HOLDER_SENDS_EVERY: Duration = Duration::from_millis(4);
+/// Where there are many, each so many-th note goes to all and not to the holder
+/// alone, so that each knows who is there.
+const ALL_HEAR_EACH: u64 = 8;
 
 /// How often it says what was asked for, if nothing waits.
 const ASKED_EVERY: Duration = Duration::from_millis(300);
@@ -256,13 +257,17 @@
     }
 }
 
+/// Where there are many, each tells the holder what it has under way, and the
+/// holder tells all the sums. Without a holder each tells all, less often.
 fn status_pause(node: &FleetNode, now: Instant) -> Duration {
-    let peers = node.peers.borrow().len() as u32;
-    let pause = match node.current_lease(now) {
-        Some(_) => HOLDER_SENDS_EVERY,
-        None => HEARD_EVERY,
-    };
-    STATUS_EVERY.max(pause * peers)
+    let peers = node.peers.borrow().len();
+    if peers <= FEW_PEERS || node.current_lease(now).is_some() {
+        return STATUS_EVERY;
+    }
+    match node.live_leader(now) {
+        Some(_) => STATUS_EVERY * 2,
+        None => STATUS_EVERY.max(HEARD_EVERY * peers as u32),
+    }
 }
 
 /// A restart begins above what its last life can have reached.
@@ -279,25 +284,30 @@
     sequence: u64,
     pause: Duration,
 ) {
-    let in_flight = node
-        .view
-        .borrow()
-        .endpoints()
-        .filter(|state| state.own_in_flight > 0)
-        .map(|state| (state.endpoint.id.clone(), state.own_in_flight))
-        .collect();
-    let from = node.id().clone();
-    let leads = node.current_lease(Instant::now()).map(|held| held.epoch);
-    let next_in_ms = pause.as_millis() as u64;
-    let status = Status {
-        from,
+    let now = Instant::now();
+    let leads = node.current_lease(now).map(|held| held.epoch);
+    let is_many = node.peers.borrow().len() > FEW_PEERS;
+    let is_total = is_many && leads.is_some();
+    let in_flight = node.view.borrow_mut().tell_in_flight(is_total);
+    let mut status = Status {
+        from: node.id().clone(),
         sequence,
-        next_in_ms,
+        next_in_ms: pause.as_millis() as u64,
         leads,
         configuration: node.deployment().map_or(0, |known| known.version),
         versions: node.view.borrow().versions_named(),
         in_flight,
+        is_total,
     };
+    let holder = node.live_leader(now).filter(|_| is_many && leads.is_none());
+    if let Some(holder) = holder {
+        if !sequence.is_multiple_of(ALL_HEAR_EACH) {
+            let note = Note::Status(status);
+            sender.send_to_peer(node, &holder.instance, &note);
+            return;
+        }
+        status.next_in_ms *= ALL_HEAR_EACH;
+    }
     sender.broadcast(node, &Note::Status(status));
 }
 
