A new holder counts its turn from the end of the lease before; later tries wait

And callers try once more: a second try that is refused after a fifth of its target is lost, while loads go on a second later.

Change: the holder's notes say which renewal it knows and how long that holds; if the record shows just that renewal, the turn counts from there, else from a time to live after the record was first seen. A try with less time than the longest on its route is a later one; for an engine it waits as long as an answer can still come, since it has not been given up.

Tests: what_its_holder_said_ends_a_lease_sooner and two more beside it.

--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -150,6 +150,18 @@
     Lost(Lease<Watching>),
 }
 
+/// What a holder told others of its lease, beside the record.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NotedLease {
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Which renewal the holder knows of.
+    pub renewal: u64,
+    /// When the lease ends after that renewal, at the latest: what was left of
+    /// it by the holder's clock, counted from when we heard so.
+    pub ends_by: Instant,
+}
+
 impl Lease<Watching> {
     /// Returns a lease of which nothing is known.
     pub fn new(shard: ShardId, times: LeaseTimes) -> Lease<Watching> {
@@ -191,6 +203,18 @@
         now.saturating_duration_since(since) >= patience
     }
 
+    /// Returns when the lease that was seen last has ended at the latest, on
+    /// its holder's own clock: a time to live after we first saw this record,
+    /// or sooner if its holder said so of just this renewal.
+    pub fn ended_by(&self, noted: Option<NotedLease>) -> Option<Instant> {
+        let record = &self.state.seen.as_ref()?.record;
+        let seen = self.state.unchanged_since? + self.times.time_to_live;
+        let noted = noted.filter(|noted| {
+            (noted.epoch, noted.renewal) == (record.epoch, record.renewal)
+        });
+        Some(noted.map_or(seen, |noted| noted.ends_by.min(seen)))
+    }
+
     /// Tries to take a free lease.
     pub fn acquire(
         self,
--- a/crates/coordination/tests/lease_rules.rs
+++ b/crates/coordination/tests/lease_rules.rs
@@ -5,8 +5,8 @@
 
 use proptest::prelude::*;
 use sedgewall_coordination::lease::{
-    Acquired, Acquiring, Candidate, Held, Lease, LeaseTimes, LeaseWrite,
-    Renewed, StoredLease, Watching, WriteAnswer,
+    Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
+    LeaseWrite, NotedLease, Renewed, StoredLease, Watching, WriteAnswer,
 };
 
 const PLAYERS: usize = 3;
@@ -220,3 +220,52 @@
     let state = act(state, 0, &mut platform, now, false, false);
     assert!(matches!(state, State::Held(_)));
 }
+
+const TIMES: LeaseTimes = LeaseTimes {
+    time_to_live: Duration::from_millis(1_300),
+    renew_every: Duration::from_millis(450),
+    margin: Duration::from_millis(250),
+};
+
+/// A lease whose record of the sixth renewal in epoch 3 was read now.
+fn watched(now: Instant) -> Lease<Watching> {
+    let mut watching = Lease::new("orders".to_owned(), TIMES);
+    let record = LeaseRecord {
+        shard: "orders".to_owned(),
+        holder: "i1".to_owned(),
+        incarnation: 1,
+        peer_url: String::new(),
+        epoch: 3,
+        renewal: 6,
+        is_released: false,
+    };
+    watching.observe(Some(StoredLease { record, version: 9 }), now);
+    watching
+}
+
+#[test]
+fn a_watched_lease_has_ended_a_time_to_live_after_its_record_was_seen() {
+    let now = Instant::now();
+    let ended = watched(now).ended_by(None);
+    assert_eq!(ended, Some(now + TIMES.time_to_live));
+}
+
+#[test]
+fn what_its_holder_said_ends_a_lease_sooner() {
+    let now = Instant::now();
+    let ends_by = now + Duration::from_millis(400);
+    let noted = NotedLease { epoch: 3, renewal: 6, ends_by };
+    assert_eq!(watched(now).ended_by(Some(noted)), Some(ends_by));
+}
+
+/// The holder has renewed since, and may believe in that.
+#[test]
+fn what_was_said_of_another_renewal_ends_nothing() {
+    let now = Instant::now();
+    let ends_by = now + Duration::from_millis(400);
+    for (epoch, renewal) in [(3, 5), (2, 6), (3, 7)] {
+        let noted = NotedLease { epoch, renewal, ends_by };
+        let ended = watched(now).ended_by(Some(noted));
+        assert_eq!(ended, Some(now + TIMES.time_to_live));
+    }
+}
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -44,6 +44,17 @@
     pub note: Box<Note>,
 }
 
+/// The lease on orders, as its holder knows it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Lead {
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// The last renewal that the store has answered.
+    pub renewal: u64,
+    /// How long it holds without another, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// What an instance has under way.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Status {
@@ -53,8 +64,8 @@
     pub sequence: u64,
     /// When the next such note is due, in milliseconds.
     pub next_in_ms: u64,
-    /// The epoch of the lease, while its holder is sure to hold it.
-    pub leads: Option<Epoch>,
+    /// The lease, while its holder is sure to hold it.
+    pub leads: Option<Lead>,
     /// The version of the configuration that is in force there.
     pub configuration: u64,
     /// How many versions of weights were named, as far as it knows.
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -40,6 +40,8 @@
     pub(crate) arrived: Instant,
     /// When it must have its final answer.
     pub(crate) end: Instant,
+    /// Whether its caller has tried before, as its time tells.
+    pub(crate) is_later_try: bool,
 }
 
 /// How a send ended without an answer to pass on.
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -51,6 +51,14 @@
 /// How often a request looks again for a place at full endpoints.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
+/// The same for a try that waits long: many may wait on a small instance.
+const LOOK_AGAIN_LONG: Duration = Duration::from_millis(60);
+
+/// A try whose time is below this part of the longest on its route is not its
+/// caller's first. Refused again it is lost, so it waits as long as an answer
+/// can still come, be it late.
+const LATER_TRY_PART: f64 = 0.9;
+
 /// A repeatable request without an answer goes to another endpoint after this
 /// many times its target latency.
 const PATIENCE_TARGETS: f64 = 2.5;
@@ -126,6 +134,8 @@
     })?;
     let patience = facts.patience.unwrap_or(PATIENCE_UNSTATED);
     let end = arrived + patience.min(route.timeout) - ANSWER_MARGIN;
+    let longest = node.longest_patience(&route.name, patience);
+    let is_later_try = patience < longest.mul_f64(LATER_TRY_PART);
     let draw = xxh3_64(facts.request_id.as_bytes());
     let service = route
         .pick_service(draw as f64 / u64::MAX as f64)
@@ -143,6 +153,7 @@
         is_engine,
         arrived,
         end,
+        is_later_try,
     })
 }
 
@@ -287,8 +298,18 @@
     let draw = xxh3_64(call.facts.request_id.as_bytes());
     let began = Instant::now();
     let target = call.route.target_latency;
-    let wait_until = call.arrived + target.mul_f64(WAIT_PART);
-    let coming_until = call.arrived + target.mul_f64(COMING_PART);
+    let may_wait = call.is_later_try && call.is_engine;
+    let (wait_until, coming_until, look_again) = match may_wait {
+        true => {
+            let last = call.end - target;
+            (last, last, LOOK_AGAIN_LONG)
+        }
+        false => {
+            let wait_until = call.arrived + target.mul_f64(WAIT_PART);
+            let coming_until = call.arrived + target.mul_f64(COMING_PART);
+            (wait_until, coming_until, LOOK_AGAIN)
+        }
+    };
     loop {
         let now = Instant::now();
         let need = Need {
@@ -310,14 +331,14 @@
             }
             Choice::Full => {
                 ask_for(node, call);
-                (Reason::Full, wait_until, LOOK_AGAIN)
+                (Reason::Full, wait_until, look_again)
             }
             Choice::Nobody => {
                 // All have failed it; what may run again goes round again.
                 if progress.runs > 0 {
                     progress.tried.clear();
                 }
-                (Reason::NobodyThere, wait_until, LOOK_AGAIN)
+                (Reason::NobodyThere, wait_until, look_again)
             }
         };
         let until = until.min(call.end);
@@ -419,6 +440,7 @@
         in_flight = target.in_flight,
         sends = progress.sends,
         waited_ms = progress.waited.as_millis() as u64,
+        is_later_try = call.is_later_try,
         head_ms = head.as_millis() as u64,
         took_ms = call.arrived.elapsed().as_millis() as u64,
         bytes,
@@ -441,6 +463,7 @@
         reason = reason.name(),
         sends = progress.sends,
         runs = progress.runs,
+        is_later_try = call.is_later_try,
         held_ms = call.arrived.elapsed().as_millis() as u64,
     );
 }
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -273,6 +273,7 @@
             replaces = known,
         );
         *node.deployment.borrow_mut() = Some(Rc::new(deployment));
+        node.forget_patience();
         if node.stage.get() == Stage::Starting {
             node.stage.set(Stage::Ready);
         }
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -104,6 +104,8 @@
     lease: Lease<Held>,
     /// The record that stood there before.
     before: Option<LeaseRecord>,
+    /// When that one's lease had ended, at the latest.
+    ended: Instant,
     /// When the write was sent, from which the time to live counts.
     sent: Instant,
 }
@@ -133,14 +135,30 @@
         let is_own =
             before.as_ref().is_some_and(|record| record.holder == *node.id());
         if is_own || watching.is_free(now) {
+            let ended = ended_by(node, &watching, now);
             let acquiring = watching.acquire(&candidate(node), now);
             let lease = acquire(node, acquiring).await?;
-            return Some(Taken { lease, before, sent: now });
+            return Some(Taken { lease, before, ended, sent: now });
         }
         compio::time::sleep(LOOK_EVERY + rank_wait(node)).await;
     }
 }
 
+/// Returns when the lease that is free now had ended. One that was given up
+/// ended just before we saw so.
+fn ended_by(
+    node: &FleetNode,
+    watching: &Lease<Watching>,
+    now: Instant,
+) -> Instant {
+    let is_released = watching.seen().is_some_and(|seen| seen.is_released);
+    if is_released {
+        return now;
+    }
+    let noted = node.leader.borrow().as_ref().map(|leader| leader.noted);
+    watching.ended_by(noted).unwrap_or(now)
+}
+
 async fn acquire(
     node: &FleetNode,
     acquiring: Lease<Acquiring>,
@@ -181,6 +199,7 @@
         }
         node.held.set(Some(HeldLease {
             epoch: kept.lease.epoch(),
+            renewal: kept.lease.record().renewal,
             current_until: kept.renewed + TIME_TO_LIVE,
             order_from: kept.order_from,
         }));
@@ -205,13 +224,14 @@
     let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
     let before = taken.before.map(|record| record.holder);
     let is_turn = before.as_ref().is_some_and(|holder| holder != node.id());
-    let order_from = if is_turn { now + turn } else { now };
+    let order_from = if is_turn { taken.ended + turn } else { now };
     tracing::info!(
         event = "lease_taken",
         epoch = taken.lease.epoch(),
         before,
         rank = node.rank(taken.lease.epoch() - 1),
-        orders_in_ms = order_from.duration_since(now).as_millis() as u64,
+        orders_in_ms =
+            order_from.saturating_duration_since(now).as_millis() as u64,
     );
     Kept { lease: taken.lease, renewed: taken.sent, order_from }
 }
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -9,10 +9,11 @@
 };
 
 use futures_channel::oneshot;
+use sedgewall_coordination::lease::NotedLease;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     demand::Demand,
-    note::Note,
+    note::{Lead, Note},
     retry_budget::{RetryAllowance, RetryBudget},
     route::Deployment,
     view::FleetView,
@@ -66,6 +67,8 @@
 pub(crate) struct LeaderSeen {
     pub(crate) instance: InstanceId,
     pub(crate) epoch: Epoch,
+    /// What it said of its lease.
+    pub(crate) noted: NotedLease,
     pub(crate) holds_until: Instant,
 }
 
@@ -73,6 +76,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct HeldLease {
     pub(crate) epoch: Epoch,
+    /// The last renewal that the store has answered.
+    pub(crate) renewal: u64,
     /// Until then, nobody else can have it.
     pub(crate) current_until: Instant,
     /// Before that, engines may still hear the holder before us.
@@ -99,6 +104,8 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    /// The longest time that a caller gave, by route.
+    patience: RefCell<HashMap<String, Duration>>,
     /// When the holder was last asked for an adapter.
     asked_at: RefCell<HashMap<AdapterKey, Instant>>,
     pub(crate) budget: RefCell<RetryBudget>,
@@ -155,6 +162,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
+            patience: RefCell::default(),
             asked_at: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
@@ -200,9 +208,11 @@
     pub(crate) fn hear_leader(
         &self,
         instance: &str,
-        epoch: Epoch,
+        lead: Lead,
         next_in: Duration,
     ) {
+        let epoch = lead.epoch;
+        let now = Instant::now();
         let mut leader = self.leader.borrow_mut();
         if leader.as_ref().is_some_and(|known| known.epoch > epoch) {
             return;
@@ -212,8 +222,13 @@
             tracing::info!(event = "leader_heard", instance, epoch);
         }
         let instance = instance.to_owned();
-        let holds_until = Instant::now() + next_in * LEADER_LOSSES;
-        *leader = Some(LeaderSeen { instance, epoch, holds_until });
+        let holds_until = now + next_in * LEADER_LOSSES;
+        let noted = NotedLease {
+            epoch,
+            renewal: lead.renewal,
+            ends_by: now + Duration::from_millis(lead.left_ms),
+        };
+        *leader = Some(LeaderSeen { instance, epoch, noted, holds_until });
     }
 
     /// Returns how many instances share what all may do together. One more is
@@ -249,6 +264,27 @@
         before.count()
     }
 
+    /// Returns the longest time that a caller gave on a route, this one's
+    /// included. First tries have the whole of it, later ones what is left.
+    pub(crate) fn longest_patience(
+        &self,
+        route: &str,
+        patience: Duration,
+    ) -> Duration {
+        let mut longest = self.patience.borrow_mut();
+        let Some(known) = longest.get_mut(route) else {
+            longest.insert(route.to_owned(), patience);
+            return patience;
+        };
+        *known = patience.max(*known);
+        *known
+    }
+
+    /// Forgets the patience of routes, which a new configuration may change.
+    pub(crate) fn forget_patience(&self) {
+        self.patience.borrow_mut().clear();
+    }
+
     /// Asks the holder of the lease for an adapter that a request of this rank
     /// waits for. Many requests ask once in a while: the holder remembers, and
     /// a lost note is repaired by the next.
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -10,7 +10,7 @@
 };
 
 use compio::BufResult;
-use sedgewall_fleet::note::{Asked, FEW_PEERS, Note, Status};
+use sedgewall_fleet::note::{Asked, FEW_PEERS, Lead, Note, Status};
 
 use super::{
     node::FleetNode,
@@ -86,9 +86,9 @@
         // A relay passes our own note on to us as well.
         Note::Status(status) if status.from == *node.id() => {}
         Note::Status(status) => {
-            if let Some(epoch) = status.leads {
+            if let Some(lead) = status.leads {
                 let next_in = Duration::from_millis(status.next_in_ms);
-                node.hear_leader(&status.from, epoch, next_in);
+                node.hear_leader(&status.from, lead, next_in);
             }
             hear_newer(node, &status, now);
             node.view.borrow_mut().hear_status(status, now);
@@ -285,7 +285,11 @@
     pause: Duration,
 ) {
     let now = Instant::now();
-    let leads = node.current_lease(now).map(|held| held.epoch);
+    let leads = node.current_lease(now).map(|held| Lead {
+        epoch: held.epoch,
+        renewal: held.renewal,
+        left_ms: (held.current_until - now).as_millis() as u64 + 1,
+    });
     let is_many = node.peers.borrow().len() > FEW_PEERS;
     let is_total = is_many && leads.is_some();
     let in_flight = node.view.borrow_mut().tell_in_flight(is_total);
