Engines that two instances cannot reach are left out by all

Change: instances tell the holder which engines they could not reach; the word of two within 1.2 s makes an engine suspect, the holder tells all, and what it held is brought elsewhere. One instance alone suspects nothing: its own path may be broken. Suspicion ends after 1.5 s without further reports, or with an answer. Plain services are left out of this: they reset connections beyond their cap when they are full.

Tests: suspicion_rules.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::suspicion::SUSPECT_FOR;
+
 /// Failures in a row that eject an endpoint. Some requests fail wherever they
 /// run: on the deployments that we know up to one in seven of a kind, so that
 /// five in a row are the endpoint's own.
@@ -29,6 +31,7 @@
     failures_in_row: u32,
     failed_share: f64,
     ejected_until: Option<Instant>,
+    suspect_until: Option<Instant>,
     ejections_in_row: u32,
 }
 
@@ -39,6 +42,7 @@
         self.ejections_in_row = 0;
         self.failed_share *= 1.0 - SHARE_WEIGHT;
         self.ejected_until = None;
+        self.suspect_until = None;
     }
 
     /// Notes a request that failed at the endpoint; returns whether that
@@ -62,6 +66,11 @@
         }
     }
 
+    /// Notes that several instances cannot reach the endpoint.
+    pub fn suspect(&mut self, now: Instant) {
+        self.suspect_until = Some(now + SUSPECT_FOR);
+    }
+
     /// Returns the share of recent requests that failed, the newest weighing
     /// most. Endpoints are compared by it; it ejects none.
     pub fn failed_share(&self) -> f64 {
@@ -70,7 +79,9 @@
 
     /// Returns whether the endpoint may get requests.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.ejected_until.is_none_or(|until| now >= until)
+        let is_over =
+            |until: Option<Instant>| until.is_none_or(|until| now >= until);
+        is_over(self.ejected_until) && is_over(self.suspect_until)
     }
 
     fn eject(&mut self, now: Instant) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod retry_budget;
 pub mod route;
 pub mod store_rate;
+pub mod suspicion;
 pub mod view;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -27,6 +27,8 @@
     Removed(Removed),
     /// An endpoint is leaving, as the platform's list says.
     Leaving(EndpointId),
+    /// Several instances cannot reach an engine: all leave it out for a while.
+    Suspect(EndpointId),
     /// Several notes in one datagram.
     Batch(Vec<Note>),
     /// A note to all, on its way through one instance of a group.
@@ -88,6 +90,8 @@
     pub counts: Vec<(AdapterKey, u32)>,
     /// What requests wait for, with the rank of the most urgent.
     pub waiting: Vec<(AdapterKey, u8)>,
+    /// Engines that could not be reached.
+    pub unreachable: Vec<EndpointId>,
 }
 
 /// An adapter on its way to an engine.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -276,6 +276,13 @@
         }
     }
 
+    /// Takes in that several instances cannot reach an endpoint.
+    pub fn hear_suspect(&mut self, id: &EndpointId, now: Instant) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.health.suspect(now);
+        }
+    }
+
     /// Returns how many versions of weights were named, counting each rise.
     pub fn versions_named(&self) -> u64 {
         self.newest.values().map(|(version, _)| version).sum()
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -236,6 +236,10 @@
         }
         Err(AttemptError::Unreachable(_)) => {
             state.health.unreachable(now);
+            if call.is_engine {
+                node.unreachable.borrow_mut().insert(target.id.clone());
+                node.ring_notes();
+            }
             !state.health.is_usable(now)
         }
         Err(AttemptError::Unclear(_) | AttemptError::TimedOut) => {
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -16,6 +16,7 @@
     note::{Lead, Note},
     retry_budget::{RetryAllowance, RetryBudget},
     route::Deployment,
+    suspicion::Suspicions,
     view::FleetView,
 };
 use sedgewall_platform::Store;
@@ -104,6 +105,10 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    /// Engines that could not be reached, for the holder to hear.
+    pub(crate) unreachable: RefCell<BTreeSet<EndpointId>>,
+    /// What the holder heard of such.
+    pub(crate) suspicions: RefCell<Suspicions>,
     /// The longest time that a caller gave, by route.
     patience: RefCell<HashMap<String, Duration>>,
     /// When the holder was last asked for an adapter.
@@ -162,6 +167,8 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
+            unreachable: RefCell::default(),
+            suspicions: RefCell::default(),
             patience: RefCell::default(),
             asked_at: RefCell::default(),
             budget: RefCell::new(budget),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -12,6 +12,8 @@
 use compio::BufResult;
 use sedgewall_fleet::note::{Asked, FEW_PEERS, Lead, Note, Status};
 
+use sedgewall_state::id::EndpointId;
+
 use super::{
     node::FleetNode,
     note_sender::{LARGEST_NOTE, NoteSender},
@@ -96,6 +98,10 @@
         Note::Leaving(endpoint) => {
             node.view.borrow_mut().hear_leaving(&endpoint);
         }
+        Note::Suspect(endpoint) => {
+            node.view.borrow_mut().hear_suspect(&endpoint, now);
+            node.wake_all();
+        }
         Note::Asked(asked) => hear_asked(node, sender, &asked, now),
         Note::Batch(notes) => {
             for note in notes {
@@ -159,6 +165,9 @@
         demand.wait(key, *rank);
     }
     drop(demand);
+    for endpoint in &asked.unreachable {
+        hear_unreachable(node, endpoint, asked, now);
+    }
     if asked.waiting.is_empty() {
         return;
     }
@@ -168,6 +177,23 @@
     node.ring_loader();
 }
 
+/// What two instances cannot reach is left out by all, and what it holds is
+/// brought elsewhere.
+fn hear_unreachable(
+    node: &FleetNode,
+    endpoint: &EndpointId,
+    asked: &Asked,
+    now: Instant,
+) {
+    let mut suspicions = node.suspicions.borrow_mut();
+    if suspicions.report(endpoint, &asked.from, now) {
+        tracing::warn!(event = "endpoint_suspect", endpoint, by = asked.from);
+        node.view.borrow_mut().hear_suspect(endpoint, now);
+        node.outbox.borrow_mut().push(Note::Suspect(endpoint.clone()));
+        node.ring_notes();
+    }
+}
+
 /// Tells an instance at once where what it asks for already is; the rest it
 /// hears when it is placed.
 fn answer_asker(
@@ -234,6 +260,7 @@
         if now >= next_forget {
             next_forget = now + FORGET_EVERY;
             node.view.borrow_mut().forget_silent_peers(now);
+            node.suspicions.borrow_mut().forget(now);
         }
     }
 }
@@ -318,11 +345,13 @@
 fn tell_asked(node: &FleetNode, sender: &NoteSender) {
     let counts: Vec<_> = node.asked.borrow_mut().drain().collect();
     let waiting: Vec<_> = node.waiting.borrow_mut().drain().collect();
-    if counts.is_empty() && waiting.is_empty() {
+    let unreachable: Vec<_> = node.unreachable.take().into_iter().collect();
+    if counts.is_empty() && waiting.is_empty() && unreachable.is_empty() {
         return;
     }
     let zone = node.settings.zone.clone();
-    let asked = Asked { from: node.id().clone(), zone, counts, waiting };
+    let from = node.id().clone();
+    let asked = Asked { from, zone, counts, waiting, unreachable };
     if node.held.get().is_some() {
         hear_asked(node, sender, &asked, Instant::now());
         return;
