The holder goes on while nobody reaches the store; lapsed entries are waited for

But where no instance reaches the store, none can take the lease.

Change: each instance says whether the store answers it. While all known ones were heard within a second to say that it does not (or to be leaving), and nobody else was heard to reach it, the holder keeps its lease. Who reaches the store again says so at once, and must watch the record for a time to live before it may take it; what the holder said of its lease before an outage is then not used. An entry that goes within 2.5 s of our last failed call is waited for, and its engine asked anew when it is back.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod store_rate;
 pub mod suspicion;
 pub mod view;
+pub mod vouch;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -72,6 +72,10 @@
     pub configuration: u64,
     /// How many versions of weights were named, as far as it knows.
     pub versions: u64,
+    /// Whether the platform's store did not answer it when it asked last.
+    pub store_is_out: bool,
+    /// Whether it takes no more work and will end.
+    pub is_leaving: bool,
     /// Requests under way, by endpoint; those without are left out.
     pub in_flight: Vec<(EndpointId, u32)>,
     /// Whether they are those of all instances, as the holder of the lease
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -138,24 +138,6 @@
         }
     }
 
-    /// Replaces the whole list.
-    pub fn list_all(&mut self, endpoints: Vec<Endpoint>, now: Instant) {
-        let listed: BTreeSet<&EndpointId> =
-            endpoints.iter().map(|endpoint| &endpoint.id).collect();
-        let gone: Vec<EndpointId> = self
-            .endpoints
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.unlist(&id);
-        }
-        for endpoint in endpoints {
-            self.list(endpoint, now);
-        }
-    }
-
     /// Takes in one endpoint's entry.
     pub fn list(&mut self, endpoint: Endpoint, now: Instant) {
         let id = endpoint.id.clone();
--- /dev/null
+++ b/crates/fleet/src/vouch.rs
@@ -0,0 +1,66 @@
+//! Whether the holder of the lease may go on while the store is out.
+//!
+//! A lease ends on its holder's clock when it cannot be renewed, because
+//! another instance could take it. Where every other instance says that the
+//! store does not answer it either, none can. The invariant: an instance that
+//! was not heard to say so just now, or that reaches the store, ends the lease.
+//! Whoever reaches the store again says so at once, and must watch the record
+//! for a whole time to live before it may take the lease.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::InstanceId;
+
+/// How long the word of an instance counts. It speaks every 300 ms; and a turn
+/// of two holders must pass between the last order of one, a second after that
+/// word, and the first of another, 4.5 s after it reached the store again.
+pub const WORD_HOLDS: Duration = Duration::from_millis(1_000);
+
+/// What each instance said last.
+#[derive(Clone, Debug, Default)]
+pub struct LastWords(HashMap<InstanceId, LastWord>);
+
+#[derive(Clone, Copy, Debug)]
+struct LastWord {
+    heard: Instant,
+    store_is_out: bool,
+    is_leaving: bool,
+}
+
+impl LastWords {
+    /// Takes in what an instance says of itself.
+    pub fn hear(
+        &mut self,
+        from: &InstanceId,
+        store_is_out: bool,
+        is_leaving: bool,
+        now: Instant,
+    ) {
+        let word = LastWord { heard: now, store_is_out, is_leaving };
+        self.0.insert(from.clone(), word);
+    }
+
+    /// Returns whether none of the known instances, and nobody else that was
+    /// heard, can take the lease now.
+    pub fn nobody_reaches_store<'a>(
+        &self,
+        mut known: impl Iterator<Item = &'a InstanceId>,
+        now: Instant,
+    ) -> bool {
+        let holds = |word: &LastWord| now - word.heard < WORD_HOLDS;
+        // One that leaves takes no lease, and comes back without a
+        // configuration, which only the store gives.
+        let cannot = |word: &LastWord| {
+            word.is_leaving || (word.store_is_out && holds(word))
+        };
+        let is_reached_by_any = self
+            .0
+            .values()
+            .any(|word| holds(word) && !word.store_is_out && !word.is_leaving);
+        !is_reached_by_any
+            && known.all(|id| self.0.get(id).is_some_and(cannot))
+    }
+}
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -136,6 +136,8 @@
         leads: None,
         configuration: 1,
         versions: 0,
+        store_is_out: false,
+        is_leaving: false,
         in_flight: vec![("e1".to_owned(), count)],
         is_total: false,
     }
--- /dev/null
+++ b/crates/fleet/tests/vouch_rules.rs
@@ -0,0 +1,70 @@
+//! The lease while the store is out.
+
+use std::time::{Duration, Instant};
+
+use sedgewall_fleet::vouch::{LastWords, WORD_HOLDS};
+
+fn ids() -> [String; 3] {
+    ["i1", "i2", "i3"].map(str::to_owned)
+}
+
+/// What three instances say, all of whom the store does not answer.
+fn all_out(now: Instant) -> LastWords {
+    let mut words = LastWords::default();
+    for id in &ids() {
+        words.hear(id, true, false, now);
+    }
+    words
+}
+
+#[test]
+fn nobody_can_take_a_lease_that_the_store_shows_nobody() {
+    let now = Instant::now();
+    assert!(all_out(now).nobody_reaches_store(ids().iter(), now));
+}
+
+#[test]
+fn one_that_reaches_the_store_can() {
+    let now = Instant::now();
+    let mut words = all_out(now);
+    words.hear(&ids()[1], false, false, now);
+    assert!(!words.nobody_reaches_store(ids().iter(), now));
+}
+
+#[test]
+fn one_that_was_not_heard_lately_may() {
+    let now = Instant::now();
+    let mut words = all_out(now);
+    let later = now + WORD_HOLDS;
+    words.hear(&ids()[0], true, false, later);
+    words.hear(&ids()[1], true, false, later);
+    assert!(!words.nobody_reaches_store(ids().iter(), later));
+}
+
+#[test]
+fn one_that_was_never_heard_may() {
+    let now = Instant::now();
+    let known = ["i1", "i2", "i3", "i4"].map(str::to_owned);
+    assert!(!all_out(now).nobody_reaches_store(known.iter(), now));
+}
+
+#[test]
+fn one_that_is_not_in_the_list_and_reaches_the_store_can() {
+    let now = Instant::now();
+    let mut words = all_out(now);
+    words.hear(&"new".to_owned(), false, false, now);
+    assert!(!words.nobody_reaches_store(ids().iter(), now));
+}
+
+#[test]
+fn one_that_leaves_cannot() {
+    let now = Instant::now();
+    let mut words = all_out(now);
+    words.hear(&ids()[2], false, true, now);
+    let later = now + Duration::from_millis(900);
+    assert!(words.nobody_reaches_store(ids().iter(), later));
+    let much_later = now + Duration::from_secs(3);
+    words.hear(&ids()[0], true, false, much_later);
+    words.hear(&ids()[1], true, false, much_later);
+    assert!(words.nobody_reaches_store(ids().iter(), much_later));
+}
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -6,6 +6,8 @@
 //! an older one.
 
 use std::{
+    cell::RefCell,
+    collections::HashSet,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
@@ -22,7 +24,7 @@
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
     store::{Change, Freshness, StoredObject},
 };
-use sedgewall_state::id::ZoneName;
+use sedgewall_state::id::{EndpointId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::node::{Bell, FleetNode, Peer, Stage};
@@ -114,14 +116,19 @@
 }
 
 struct Configuration(Rc<FleetNode>);
-struct Endpoints(Rc<FleetNode>);
+struct Endpoints {
+    node: Rc<FleetNode>,
+    /// Endpoints whose entries are gone, and may be back soon.
+    lapsed: Rc<RefCell<HashSet<EndpointId>>>,
+}
 struct Versions(Rc<FleetNode>);
 struct Instances(Rc<FleetNode>);
 
 /// Starts to follow everything.
 pub(crate) fn start(node: &Rc<FleetNode>) {
     spawn(node, Configuration(node.clone()));
-    spawn(node, Endpoints(node.clone()));
+    let lapsed = Rc::default();
+    spawn(node, Endpoints { node: node.clone(), lapsed });
     spawn(node, Versions(node.clone()));
     spawn(node, Instances(node.clone()));
     compio::runtime::spawn(announce(node.clone())).detach();
@@ -174,6 +181,7 @@
         };
         match done {
             Ok(revision) => {
+                node.note_store(false);
                 if is_out {
                     tracing::info!(event = "store_regained", kind = F::KIND);
                     is_out = false;
@@ -188,6 +196,7 @@
                 since = None;
             }
             Err(err) => {
+                node.note_store(true);
                 if !is_out {
                     let cause = err.to_string();
                     tracing::warn!(
@@ -298,26 +307,41 @@
     const WATCH: Duration = ENDPOINTS_WATCH;
 
     fn pause(&self) -> Duration {
-        let peers = self.0.peers.borrow().len() as u32;
+        let peers = self.node.peers.borrow().len() as u32;
         ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(LONGEST_PAUSE)
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
-        let read = objects.iter().filter_map(decoded).collect();
-        self.0.view.borrow_mut().list_all(read, Instant::now());
-        self.0.wake_all();
-        self.0.ring_loader();
+        let read: Vec<_> = objects.iter().filter_map(decoded).collect();
+        let listed: HashSet<&EndpointId> =
+            read.iter().map(|endpoint| &endpoint.id).collect();
+        let known: Vec<EndpointId> = self
+            .node
+            .view
+            .borrow()
+            .endpoints()
+            .map(|state| state.id().clone())
+            .collect();
+        for id in known.iter().filter(|id| !listed.contains(id)) {
+            self.entry_gone(id);
+        }
+        for endpoint in read {
+            self.entry_back(&endpoint.id);
+            self.node.view.borrow_mut().list(endpoint, Instant::now());
+        }
+        self.node.wake_all();
+        self.node.ring_loader();
     }
 
     fn change(&self, change: Change) {
-        let node = &self.0;
+        let node = &self.node;
         let id = &change.object.name;
         if change.is_deleted {
-            tracing::info!(event = "endpoint_gone", endpoint = id);
-            node.view.borrow_mut().unlist(id);
+            self.entry_gone(id);
             return;
         }
         let Some(endpoint) = decoded(&change.object) else { return };
+        self.entry_back(id);
         let mut view = node.view.borrow_mut();
         let was_draining =
             view.get(id).map(|state| state.endpoint.is_draining);
@@ -343,6 +367,45 @@
     }
 }
 
+impl Endpoints {
+    /// Takes an endpoint out whose entry is gone. Just after an outage it may
+    /// have lapsed meanwhile, and is waited for: a live endpoint writes it again.
+    fn entry_gone(&self, id: &EndpointId) {
+        let left = self.node.entries_return_within(Instant::now());
+        if left.is_zero() {
+            take_out(&self.node, id);
+            return;
+        }
+        if !self.lapsed.borrow_mut().insert(id.clone()) {
+            return;
+        }
+        let left_ms = left.as_millis() as u64;
+        tracing::info!(event = "endpoint_lapsed", endpoint = id, left_ms);
+        let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
+        let id = id.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(left).await;
+            if lapsed.borrow_mut().remove(&id) {
+                take_out(&node, &id);
+            }
+        })
+        .detach();
+    }
+
+    /// An entry that is there again belongs to the same life of its endpoint,
+    /// but what that holds is asked for anew.
+    fn entry_back(&self, id: &EndpointId) {
+        if self.lapsed.borrow_mut().remove(id) {
+            self.node.view.borrow_mut().lose_track(id);
+        }
+    }
+}
+
+fn take_out(node: &FleetNode, id: &EndpointId) {
+    tracing::info!(event = "endpoint_gone", endpoint = id);
+    node.view.borrow_mut().unlist(id);
+}
+
 fn adapter_count(endpoint: &sedgewall_fleet::endpoint::Endpoint) -> usize {
     endpoint.models.iter().map(|model| model.adapters.len()).sum()
 }
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -57,6 +57,10 @@
 /// How often the holder looks whether a renewal is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// After the store was regained, what a holder said of its lease before is not
+/// used for this long.
+const OUTAGE_MARKS: Duration = Duration::from_secs(30);
+
 /// What the holder waits after a renewal failed: two more fit into the time to
 /// live, and calls that fail have a price too.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
@@ -159,8 +163,12 @@
     if is_released {
         return now;
     }
+    // A holder may go on while all say that the store is out, we among them:
+    // then what it said before that has not ended its lease.
+    let was_out = node.store_is_out.get()
+        || node.store_regained.get().is_some_and(|at| now - at < OUTAGE_MARKS);
     let noted = node.leader.borrow().as_ref().map(|leader| leader.noted);
-    watching.ended_by(noted).unwrap_or(now)
+    watching.ended_by(noted.filter(|_| !was_out)).unwrap_or(now)
 }
 
 async fn acquire(
@@ -195,7 +203,9 @@
     let mut kept = begin(node, taken);
     loop {
         let now = Instant::now();
-        if !kept.lease.is_current(now) {
+        let is_current =
+            kept.lease.is_current(now) || node.nobody_reaches_store(now);
+        if !is_current {
             node.held.set(None);
             let epoch = kept.lease.epoch();
             tracing::warn!(event = "lease_lapsed", epoch);
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -18,6 +18,7 @@
     route::Deployment,
     suspicion::Suspicions,
     view::FleetView,
+    vouch::{LastWords, WORD_HOLDS},
 };
 use sedgewall_platform::Store;
 use sedgewall_protocol::settings::{FleetSettings, Settings};
@@ -34,6 +35,11 @@
 /// not there.
 const NEW_PEER_FOR: Duration = Duration::from_secs(6);
 
+/// Entries that lapsed during an outage are back within two seconds of its end
+/// (the platform's pages); the rest is for our own calls. An endpoint that has
+/// really left gets no work for longer: 3 s after the end we are held to that.
+const ENTRIES_RETURN: Duration = Duration::from_millis(2_500);
+
 /// The holder is asked for the same adapter again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
@@ -94,6 +100,18 @@
     pub(crate) asked_heard: Cell<u64>,
 }
 
+impl HeldLease {
+    /// Returns how long the lease still holds: without another renewal, or,
+    /// where it goes on because nobody reaches the store, without another word
+    /// of the others.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        match self.current_until.saturating_duration_since(now) {
+            Duration::ZERO => WORD_HOLDS,
+            left => left,
+        }
+    }
+}
+
 /// What all parts of an instance share.
 pub(crate) struct FleetNode {
     pub(crate) settings: Settings,
@@ -105,6 +123,16 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    /// Whether the store did not answer us when we asked last, and since when
+    /// it does.
+    pub(crate) store_is_out: Cell<bool>,
+    pub(crate) store_regained: Cell<Option<Instant>>,
+    /// When it failed to last.
+    pub(crate) store_failed: Cell<Option<Instant>>,
+    /// Whether others must hear at once what we say of ourselves.
+    pub(crate) is_news: Cell<bool>,
+    /// What the other instances say of themselves.
+    pub(crate) last_words: RefCell<LastWords>,
     /// Engines that could not be reached, for the holder to hear.
     pub(crate) unreachable: RefCell<BTreeSet<EndpointId>>,
     /// What the holder heard of such.
@@ -167,6 +195,11 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
+            store_is_out: Cell::new(false),
+            store_regained: Cell::new(None),
+            store_failed: Cell::new(None),
+            is_news: Cell::new(false),
+            last_words: RefCell::default(),
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             patience: RefCell::default(),
@@ -200,9 +233,45 @@
         self.deployment.borrow().clone()
     }
 
-    /// Returns our lease on orders, while it is sure to be ours.
+    /// Returns our lease on orders, while it is sure to be ours: until it ends,
+    /// or while the store is out for all who could take it.
     pub(crate) fn current_lease(&self, now: Instant) -> Option<HeldLease> {
-        self.held.get().filter(|held| now < held.current_until)
+        let held = self.held.get()?;
+        (now < held.current_until || self.nobody_reaches_store(now))
+            .then_some(held)
+    }
+
+    /// Returns whether no instance can take the lease now.
+    pub(crate) fn nobody_reaches_store(&self, now: Instant) -> bool {
+        let peers = self.peers.borrow();
+        let words = self.last_words.borrow();
+        !peers.is_empty() && words.nobody_reaches_store(peers.keys(), now)
+    }
+
+    /// Returns for how long entries of endpoints that lapsed while the store
+    /// was out may still come back. It was out until our last failed call at
+    /// the least.
+    pub(crate) fn entries_return_within(&self, now: Instant) -> Duration {
+        let Some(failed) = self.store_failed.get() else {
+            return Duration::ZERO;
+        };
+        (failed + ENTRIES_RETURN).saturating_duration_since(now)
+    }
+
+    /// Notes whether the store answered.
+    pub(crate) fn note_store(&self, is_out: bool) {
+        if is_out {
+            self.store_failed.set(Some(Instant::now()));
+        }
+        if self.store_is_out.replace(is_out) == is_out {
+            return;
+        }
+        if !is_out {
+            self.store_regained.set(Some(Instant::now()));
+        }
+        // The holder of the lease counts on our word.
+        self.is_news.set(true);
+        self.ring_notes();
     }
 
     /// Returns the instance that gives orders, if it was heard lately.
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -15,7 +15,7 @@
 use sedgewall_state::id::EndpointId;
 
 use super::{
-    node::FleetNode,
+    node::{FleetNode, Stage},
     note_sender::{LARGEST_NOTE, NoteSender},
 };
 
@@ -93,6 +93,12 @@
                 node.hear_leader(&status.from, lead, next_in);
             }
             hear_newer(node, &status, now);
+            node.last_words.borrow_mut().hear(
+                &status.from,
+                status.store_is_out,
+                status.is_leaving,
+                now,
+            );
             node.view.borrow_mut().hear_status(status, now);
         }
         Note::Leaving(endpoint) => {
@@ -239,7 +245,7 @@
         let left = next.saturating_duration_since(Instant::now());
         is_urgent |= node.notes_rung(left).await;
         let now = Instant::now();
-        if now >= next_status {
+        if now >= next_status || node.is_news.take() {
             let pause = status_pause(&node, now);
             next_status = now + pause;
             sequence += 1;
@@ -315,7 +321,7 @@
     let leads = node.current_lease(now).map(|held| Lead {
         epoch: held.epoch,
         renewal: held.renewal,
-        left_ms: (held.current_until - now).as_millis() as u64 + 1,
+        left_ms: held.left(now).as_millis() as u64 + 1,
     });
     let is_many = node.peers.borrow().len() > FEW_PEERS;
     let is_total = is_many && leads.is_some();
@@ -327,6 +333,8 @@
         leads,
         configuration: node.deployment().map_or(0, |known| known.version),
         versions: node.view.borrow().versions_named(),
+        store_is_out: node.store_is_out.get(),
+        is_leaving: node.stage.get() == Stage::Leaving,
         in_flight,
         is_total,
     };
