--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -27,6 +27,9 @@
     Removed(Removed),
     /// An endpoint is leaving, as the platform's list says.
     Leaving(EndpointId),
+    /// The store did not answer the holder of the lease: all see whether it
+    /// answers them, and say so.
+    StoreFails,
     /// Several instances cannot reach an engine: all leave it out for a while.
     Suspect(EndpointId),
     /// Several notes in one datagram.
--- a/crates/fleet/src/vouch.rs
+++ b/crates/fleet/src/vouch.rs
@@ -19,6 +19,12 @@
 /// word, and the first of another, 4.5 s after it reached the store again.
 pub const WORD_HOLDS: Duration = Duration::from_millis(1_000);
 
+/// An instance that was not heard for this long is gone or cut off. Where most
+/// others are heard to be without the store, it is not only our path that is
+/// broken, and it regains the store no sooner than we, who ask five times a
+/// second.
+const GONE_AFTER: Duration = Duration::from_secs(5);
+
 /// What each instance said last.
 #[derive(Clone, Debug, Default)]
 pub struct LastWords(HashMap<InstanceId, LastWord>);
@@ -47,7 +53,7 @@
     /// heard, can take the lease now.
     pub fn nobody_reaches_store<'a>(
         &self,
-        mut known: impl Iterator<Item = &'a InstanceId>,
+        known: impl Iterator<Item = &'a InstanceId>,
         now: Instant,
     ) -> bool {
         let holds = |word: &LastWord| now - word.heard < WORD_HOLDS;
@@ -60,7 +66,14 @@
             .0
             .values()
             .any(|word| holds(word) && !word.store_is_out && !word.is_leaving);
-        !is_reached_by_any
-            && known.all(|id| self.0.get(id).is_some_and(cannot))
+        let (mut cannot_len, mut gone_len) = (0, 0);
+        for id in known {
+            match self.0.get(id) {
+                Some(word) if cannot(word) => cannot_len += 1,
+                Some(word) if now - word.heard < GONE_AFTER => return false,
+                Some(_) | None => gone_len += 1,
+            }
+        }
+        !is_reached_by_any && gone_len < cannot_len
     }
 }
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -55,6 +55,14 @@
 /// once and one still tells all others.
 const FRESH_WATCHERS: usize = 4;
 
+/// The longest time for the answer to a probe: the lease leaves 0.85 s from the
+/// first renewal that fails.
+const PROBE_TIME: Duration = Duration::from_millis(450);
+
+/// While a probe says that the store is out, and no other call has reached it,
+/// it is probed again after this long.
+const PROBE_AGAIN: Duration = Duration::from_millis(500);
+
 /// The pause between two watches of instances: all write their entries when
 /// all start, and each that is watched would wake all others.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
@@ -237,6 +245,33 @@
     freshness
 }
 
+/// Sees whether the store answers, for the holder of the lease to hear. Our own
+/// watches may still wait on connections that were made before an outage.
+pub(crate) fn probe_store(node: &Rc<FleetNode>) {
+    if node.store_is_out.get() || node.is_probing.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    compio::runtime::spawn(async move {
+        loop {
+            let probe = node.store.probe(CONFIG_KIND, CONFIG_NAME);
+            let answered = compio::time::timeout(PROBE_TIME, probe).await;
+            let is_out = !matches!(answered, Ok(Ok(())));
+            tracing::info!(event = "store_probed", is_out);
+            node.note_store(is_out);
+            if !is_out {
+                break;
+            }
+            compio::time::sleep(PROBE_AGAIN).await;
+            if !node.store_is_out.get() {
+                break;
+            }
+        }
+        node.is_probing.set(false);
+    })
+    .detach();
+}
+
 /// Waits for a bell; for ever, if there is none.
 async fn rung(bell: Option<Rc<Bell>>) {
     match bell {
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -15,6 +15,7 @@
     Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
     LeaseWrite, Renewed, StoredLease, Watching, WriteAnswer,
 };
+use sedgewall_fleet::note::Note;
 use sedgewall_platform::{StoreError, store::StoredObject};
 use serde::Deserialize;
 
@@ -273,6 +274,8 @@
     if is_done {
         return Some(Kept { lease, renewed: sent, order_from });
     }
+    node.outbox.borrow_mut().push(Note::StoreFails);
+    node.ring_notes();
     let Ok(stored) = read(node).await else {
         compio::time::sleep(FAILED_PAUSE).await;
         return Some(Kept { lease, renewed, order_from });
@@ -292,8 +295,10 @@
 }
 
 async fn read(node: &FleetNode) -> Result<Option<StoredLease>, StoreError> {
-    let object = node.store.get(LEASES_KIND, ORDERS_LEASE).await?;
-    Ok(object.and_then(|object| decode(&object)))
+    let read = node.store.get(LEASES_KIND, ORDERS_LEASE).await;
+    // The holder counts on our word: who can read the record can take it.
+    node.note_store(read.is_err());
+    Ok(read?.and_then(|object| decode(&object)))
 }
 
 fn decode(object: &StoredObject) -> Option<StoredLease> {
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -127,6 +127,8 @@
     /// it does.
     pub(crate) store_is_out: Cell<bool>,
     pub(crate) store_regained: Cell<Option<Instant>>,
+    /// Whether we see just now if it answers.
+    pub(crate) is_probing: Cell<bool>,
     /// When it failed to last.
     pub(crate) store_failed: Cell<Option<Instant>>,
     /// Whether others must hear at once what we say of ourselves.
@@ -197,6 +199,7 @@
             waiting: RefCell::default(),
             store_is_out: Cell::new(false),
             store_regained: Cell::new(None),
+            is_probing: Cell::new(false),
             store_failed: Cell::new(None),
             is_news: Cell::new(false),
             last_words: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -15,6 +15,7 @@
 use sedgewall_state::id::EndpointId;
 
 use super::{
+    follow,
     node::{FleetNode, Stage},
     note_sender::{LARGEST_NOTE, NoteSender},
 };
@@ -81,7 +82,7 @@
     }
 }
 
-fn hear(node: &FleetNode, sender: &NoteSender, note: Note) {
+fn hear(node: &Rc<FleetNode>, sender: &NoteSender, note: Note) {
     let now = Instant::now();
     node.work.notes_heard.set(node.work.notes_heard.get() + 1);
     match note {
@@ -104,6 +105,7 @@
         Note::Leaving(endpoint) => {
             node.view.borrow_mut().hear_leaving(&endpoint);
         }
+        Note::StoreFails => follow::probe_store(node),
         Note::Suspect(endpoint) => {
             node.view.borrow_mut().hear_suspect(&endpoint, now);
             node.wake_all();
