Followers, store state, orders and what is under way in files of their own

No behaviour changes. The follower of all kinds had grown to 590 lines and the node to 510: the loop (follow), configuration and versions, endpoints and instances stand apart, with the loop below and the daemon above; whether the store answers is one type; orders, rooms of engines and what is under way left the loader and the table.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -13,13 +13,15 @@
     time::{Duration, Instant},
 };
 
-use sedgewall_state::id::{EndpointId, Epoch, ModelName, ZoneName};
+use sedgewall_state::id::{EndpointId, Epoch};
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     demand::Demand,
     endpoint_state::EndpointState,
+    engine_room::{EngineRoom, Place},
     note::{Placed, Removed},
+    order::{Order, Task},
     route::{Deployment, EngineGroup},
     store_rate::StoreRate,
     view::FleetView,
@@ -74,44 +76,6 @@
 /// An order that shows no effect is given again after this long.
 const ORDER_AGAIN: Duration = Duration::from_secs(4);
 
-/// What an engine is told to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Task {
-    /// Report what it holds, before it gets orders.
-    Sync,
-    /// Load a base model.
-    LoadModel(ModelName),
-    /// Load an adapter, or replace it by its newest version.
-    Load(AdapterKey, WeightVersion),
-    /// Remove an adapter.
-    Unload(AdapterKey),
-}
-
-/// One order to an engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Order {
-    /// The engine.
-    pub endpoint: EndpointId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// What to do.
-    pub task: Task,
-    /// Whether the weight store is needed.
-    pub is_cold: bool,
-}
-
-impl Order {
-    /// Takes back what the table believes of an order that was not carried
-    /// out, or may not have been. What its engine holds is known again once it
-    /// reports: an adapter that was to leave is still there.
-    pub fn take_back(&self, view: &mut FleetView) {
-        if let Task::Load(key, _) = &self.task {
-            view.take_back(&self.endpoint, key);
-        }
-        view.lose_track(&self.endpoint);
-    }
-}
-
 /// Decides for all engines, while its instance holds the lease.
 #[derive(Clone, Debug)]
 pub struct Loader {
@@ -201,33 +165,6 @@
     engines: Option<Vec<EngineRoom>>,
 }
 
-/// What one engine can take in this look.
-#[derive(Clone, Debug)]
-struct EngineRoom {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    zone: ZoneName,
-    models: Vec<ModelName>,
-    /// Requests under way, as a part of its slots.
-    load: f64,
-    /// Requests a second that its adapters stand for, an adapter's shared
-    /// among those that hold it.
-    rate_per_s: f64,
-    place: Place,
-}
-
-/// The next place for an adapter on an engine.
-#[derive(Clone, Debug)]
-enum Place {
-    /// All are taken by what may be in use, or enough is on its way.
-    None,
-    /// One is free.
-    Free,
-    /// One is free once this adapter has left, which is asked for so often a
-    /// second.
-    Of(AdapterKey, f64),
-}
-
 impl Turn<'_> {
     /// Engines of which nobody knows what they hold are asked.
     fn sync_engines(&mut self, orders: &mut Vec<Order>) {
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -9,7 +9,8 @@
 use sedgewall_fleet::{
     adapter::AdapterKey,
     demand::Demand,
-    loader::{Loader, Order, Task},
+    loader::Loader,
+    order::{Order, Task},
     store_rate::StoreRate,
     view::FleetView,
 };
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/bell.rs
@@ -0,0 +1,34 @@
+//! Wakes one waiting part of an instance.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use futures_channel::oneshot;
+
+/// Wakes one waiting part of the instance.
+#[derive(Default)]
+pub(crate) struct Bell {
+    is_rung: Cell<bool>,
+    waiting: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+impl Bell {
+    pub(crate) fn ring(&self) {
+        self.is_rung.set(true);
+        if let Some(tx) = self.waiting.borrow_mut().take() {
+            // The part may have woken by its time.
+            let _ = tx.send(());
+        }
+    }
+
+    pub(crate) async fn wait(&self, within: Duration) -> bool {
+        if !self.is_rung.get() {
+            let (tx, rx) = oneshot::channel();
+            *self.waiting.borrow_mut() = Some(tx);
+            let _ = compio::time::timeout(within, rx).await;
+        }
+        self.is_rung.replace(false)
+    }
+}
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -18,7 +18,11 @@
 };
 
 use super::{
-    caller, follow, leader, lease,
+    caller, follow,
+    follow_configuration::{Configuration, Versions},
+    follow_endpoints::Endpoints,
+    follow_instances::{Instances, announce},
+    leader, lease,
     log_buffer::LogBuffer,
     node::{FleetNode, Stage},
     note_sender, notes,
@@ -89,7 +93,7 @@
     let (stopping, stop) = stop_signal();
     let orders = Orders::new(node.clone(), sender.clone());
     compio::runtime::spawn(log.clone().run()).detach();
-    follow::start(&node);
+    start_to_follow(&node);
     compio::runtime::spawn(notes::receive(
         node.clone(),
         sender.clone(),
@@ -112,6 +116,14 @@
     Ok(())
 }
 
+fn start_to_follow(node: &Rc<FleetNode>) {
+    follow::spawn(node, Configuration(node.clone()));
+    follow::spawn(node, Endpoints::new(node));
+    follow::spawn(node, Versions(node.clone()));
+    follow::spawn(node, Instances(node.clone()));
+    compio::runtime::spawn(announce(node.clone())).detach();
+}
+
 fn store_address(url: &str) -> Result<SocketAddr, DaemonError> {
     let address = url.trim_start_matches("http://").trim_end_matches('/');
     address.parse().map_err(|_| DaemonError::StoreAddress(url.to_owned()))
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -1,55 +1,24 @@
-//! Follows the platform's store: configuration, endpoints, versions of
-//! weights, and the other instances.
+//! Follows one kind of objects in the platform's store.
 //!
 //! Each kind is listed once and then watched. While the store is out, what was
-//! known stays in force. The invariant: a configuration is never replaced by
-//! an older one.
+//! known stays in force; what a kind means is for its [`Follower`].
 
-use std::{
-    cell::RefCell,
-    collections::HashSet,
-    net::SocketAddr,
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, select};
-use sedgewall_fleet::note::Note;
 use sedgewall_platform::{
     StoreError,
-    config::{
-        CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
-    },
-    endpoint::{ENDPOINTS_KIND, decode_endpoint},
+    config::{CONFIG_KIND, CONFIG_NAME},
     store::{Change, Freshness, StoredObject},
 };
-use sedgewall_state::id::{EndpointId, ZoneName};
-use serde::{Deserialize, Serialize};
-
-use super::node::{Bell, FleetNode, Peer, Stage};
 
-/// The kind of our own instances' entries.
-pub(crate) const INSTANCES_KIND: &str = "sedgewall-instances";
+use super::{bell::Bell, node::FleetNode};
 
-/// How long a watch of endpoints waits for a change. A channel that went dead
-/// without a word is noticed after this time; then all is listed anew.
-const ENDPOINTS_WATCH: Duration = Duration::from_secs(4);
-
-/// How long other watches wait. Each call has a price; what other instances
+/// How long a watch waits, but for that of endpoints. Each call has a price; what other instances
 /// know in a newer version is listed soon. It is well within the history that
 /// the store keeps, 20 s on the deployments that we know: a watch that waits
 /// longer finds its revision gone.
-const QUIET_WATCH: Duration = Duration::from_secs(12);
-
-/// The pause between two watches of endpoints, so that many changes come in
-/// one call. A leaving endpoint may get work for 2 s after the store has taken
-/// its word.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(650);
-
-/// What each instance adds to this pause: the first one that sees an endpoint
-/// leave tells all others.
-const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(40);
+pub(crate) const QUIET_WATCH: Duration = Duration::from_secs(12);
 
 /// Instances that watch with all that was acknowledged. Three may be cut off at
 /// once and one still tells all others.
@@ -63,18 +32,11 @@
 /// it is probed again after this long.
 const PROBE_AGAIN: Duration = Duration::from_millis(500);
 
-/// The pause between two watches of instances: all write their entries when
-/// all start, and each that is watched would wake all others.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
-
-/// The longest pause between two watches of endpoints.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
-
 /// The first pause after a failed call; it doubles.
-const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
+pub(crate) const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
 
 /// The longest pause after failed calls.
-const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
+pub(crate) const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
 
 /// The same for an instance that does not watch for the others.
 const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
@@ -83,19 +45,8 @@
 /// another kind reaches the store again: one kind's calls show that.
 const RUNG_BACK_OFF: Duration = Duration::from_secs(4);
 
-/// What an instance tells the others about itself.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct InstanceEntry {
-    /// Where its notes go.
-    notes_address: SocketAddr,
-    /// Where it is.
-    zone: ZoneName,
-    /// The part of a processor that it has, in hundredths.
-    cpu_percent: u32,
-}
-
 /// Takes in the objects of one kind.
-trait Follower {
+pub(crate) trait Follower {
     const KIND: &'static str;
     const WATCH: Duration;
     /// How new the first list has to be. What the watch tells next follows on
@@ -123,26 +74,8 @@
     fn change(&self, change: Change);
 }
 
-struct Configuration(Rc<FleetNode>);
-struct Endpoints {
-    node: Rc<FleetNode>,
-    /// Endpoints whose entries are gone, and may be back soon.
-    lapsed: Rc<RefCell<HashSet<EndpointId>>>,
-}
-struct Versions(Rc<FleetNode>);
-struct Instances(Rc<FleetNode>);
-
-/// Starts to follow everything.
-pub(crate) fn start(node: &Rc<FleetNode>) {
-    spawn(node, Configuration(node.clone()));
-    let lapsed = Rc::default();
-    spawn(node, Endpoints { node: node.clone(), lapsed });
-    spawn(node, Versions(node.clone()));
-    spawn(node, Instances(node.clone()));
-    compio::runtime::spawn(announce(node.clone())).detach();
-}
-
-fn spawn<F: Follower + 'static>(node: &Rc<FleetNode>, follower: F) {
+/// Starts to follow one kind.
+pub(crate) fn spawn<F: Follower + 'static>(node: &Rc<FleetNode>, follower: F) {
     compio::runtime::spawn(follow(node.clone(), follower)).detach();
 }
 
@@ -248,7 +181,7 @@
 /// Sees whether the store answers, for the holder of the lease to hear. Our own
 /// watches may still wait on connections that were made before an outage.
 pub(crate) fn probe_store(node: &Rc<FleetNode>) {
-    if node.store_is_out.get() || node.is_probing.replace(true) {
+    if !node.store_state.begin_probe() {
         return;
     }
     let node = node.clone();
@@ -263,11 +196,11 @@
                 break;
             }
             compio::time::sleep(PROBE_AGAIN).await;
-            if !node.store_is_out.get() {
+            if !node.store_state.is_out() {
                 break;
             }
         }
-        node.is_probing.set(false);
+        node.store_state.end_probe();
     })
     .detach();
 }
@@ -279,313 +212,3 @@
         None => std::future::pending().await,
     }
 }
-
-impl Follower for Configuration {
-    const KIND: &'static str = CONFIG_KIND;
-    /// An older configuration must not be in force after a newer one.
-    const FIRST_LIST: Freshness = Freshness::Newest;
-    const WATCH: Duration = QUIET_WATCH;
-
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.configuration_bell.clone())
-    }
-
-    fn list(&self, objects: Vec<StoredObject>) {
-        for object in objects {
-            self.take(&object);
-        }
-    }
-
-    fn change(&self, change: Change) {
-        // A configuration that is gone stays in force.
-        if !change.is_deleted {
-            self.take(&change.object);
-        }
-    }
-}
-
-impl Configuration {
-    fn take(&self, object: &StoredObject) {
-        if object.name != CONFIG_NAME {
-            return;
-        }
-        let node = &self.0;
-        let deployment = match decode_config(&object.spec) {
-            Ok(deployment) => deployment,
-            Err(err) => {
-                let cause = err.to_string();
-                tracing::error!(event = "configuration_unreadable", cause);
-                return;
-            }
-        };
-        let known = node.deployment().map_or(0, |known| known.version);
-        if deployment.version <= known {
-            return;
-        }
-        tracing::info!(
-            event = "configuration",
-            version = deployment.version,
-            routes = deployment.routes.len(),
-            replaces = known,
-        );
-        *node.deployment.borrow_mut() = Some(Rc::new(deployment));
-        node.forget_patience();
-        if node.stage.get() == Stage::Starting {
-            node.stage.set(Stage::Ready);
-        }
-        node.wake_all();
-    }
-}
-
-impl Follower for Endpoints {
-    const KIND: &'static str = ENDPOINTS_KIND;
-    const WATCH: Duration = ENDPOINTS_WATCH;
-
-    fn pause(&self) -> Duration {
-        let peers = self.node.peers.borrow().len() as u32;
-        ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(LONGEST_PAUSE)
-    }
-
-    fn list(&self, objects: Vec<StoredObject>) {
-        let read: Vec<_> = objects.iter().filter_map(decoded).collect();
-        let listed: HashSet<&EndpointId> =
-            read.iter().map(|endpoint| &endpoint.id).collect();
-        let known: Vec<EndpointId> = self
-            .node
-            .view
-            .borrow()
-            .endpoints()
-            .map(|state| state.id().clone())
-            .collect();
-        for id in known.iter().filter(|id| !listed.contains(id)) {
-            self.entry_gone(id);
-        }
-        for endpoint in read {
-            self.entry_back(&endpoint.id);
-            self.node.view.borrow_mut().list(endpoint, Instant::now());
-        }
-        self.node.wake_all();
-        self.node.ring_loader();
-    }
-
-    fn change(&self, change: Change) {
-        let node = &self.node;
-        let id = &change.object.name;
-        if change.is_deleted {
-            self.entry_gone(id);
-            return;
-        }
-        let Some(endpoint) = decoded(&change.object) else { return };
-        self.entry_back(id);
-        let mut view = node.view.borrow_mut();
-        let was_draining =
-            view.get(id).map(|state| state.endpoint.is_draining);
-        if was_draining != Some(endpoint.is_draining) {
-            tracing::info!(
-                event = "endpoint",
-                endpoint = id,
-                service = endpoint.service,
-                zone = endpoint.zone,
-                is_draining = endpoint.is_draining,
-                adapters = adapter_count(&endpoint),
-                revision = change.object.revision,
-            );
-        }
-        let is_leaving = was_draining == Some(false) && endpoint.is_draining;
-        view.list(endpoint, Instant::now());
-        drop(view);
-        if is_leaving {
-            node.outbox.borrow_mut().push(Note::Leaving(id.clone()));
-            node.ring_notes();
-        }
-        node.wake_all();
-    }
-}
-
-impl Endpoints {
-    /// Takes an endpoint out whose entry is gone. Just after an outage it may
-    /// have lapsed meanwhile, and is waited for: a live endpoint writes it again.
-    fn entry_gone(&self, id: &EndpointId) {
-        let left = self.node.entries_return_within(Instant::now());
-        if left.is_zero() {
-            take_out(&self.node, id);
-            return;
-        }
-        if !self.lapsed.borrow_mut().insert(id.clone()) {
-            return;
-        }
-        let left_ms = left.as_millis() as u64;
-        tracing::info!(event = "endpoint_lapsed", endpoint = id, left_ms);
-        let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
-        let id = id.clone();
-        compio::runtime::spawn(async move {
-            compio::time::sleep(left).await;
-            if lapsed.borrow_mut().remove(&id) {
-                take_out(&node, &id);
-            }
-        })
-        .detach();
-    }
-
-    /// An entry that is there again belongs to the same life of its endpoint,
-    /// but what that holds is asked for anew.
-    fn entry_back(&self, id: &EndpointId) {
-        if self.lapsed.borrow_mut().remove(id) {
-            self.node.view.borrow_mut().lose_track(id);
-        }
-    }
-}
-
-fn take_out(node: &FleetNode, id: &EndpointId) {
-    tracing::info!(event = "endpoint_gone", endpoint = id);
-    node.view.borrow_mut().unlist(id);
-}
-
-fn adapter_count(endpoint: &sedgewall_fleet::endpoint::Endpoint) -> usize {
-    endpoint.models.iter().map(|model| model.adapters.len()).sum()
-}
-
-fn decoded(
-    object: &StoredObject,
-) -> Option<sedgewall_fleet::endpoint::Endpoint> {
-    match decode_endpoint(&object.name, &object.spec) {
-        Ok(endpoint) => Some(endpoint),
-        Err(err) => {
-            let cause = err.to_string();
-            tracing::error!(event = "endpoint_unreadable", cause);
-            None
-        }
-    }
-}
-
-impl Follower for Versions {
-    const KIND: &'static str = VERSIONS_KIND;
-    const WATCH: Duration = QUIET_WATCH;
-
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.versions_bell.clone())
-    }
-
-    fn list(&self, objects: Vec<StoredObject>) {
-        for object in objects {
-            self.take(&object);
-        }
-    }
-
-    fn change(&self, change: Change) {
-        if !change.is_deleted {
-            self.take(&change.object);
-        }
-    }
-}
-
-impl Versions {
-    fn take(&self, object: &StoredObject) {
-        match decode_version(&object.name, &object.spec) {
-            Ok((key, version)) => {
-                let name = key.to_string();
-                tracing::info!(event = "version", key = name, version);
-                let mut view = self.0.view.borrow_mut();
-                view.name_version(&key, version, Instant::now());
-                drop(view);
-                self.0.ring_loader();
-            }
-            Err(err) => {
-                let cause = err.to_string();
-                tracing::error!(event = "version_unreadable", cause);
-            }
-        }
-    }
-}
-
-impl Follower for Instances {
-    const KIND: &'static str = INSTANCES_KIND;
-    const WATCH: Duration = QUIET_WATCH;
-
-    fn pause(&self) -> Duration {
-        INSTANCES_PAUSE
-    }
-
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.instances_bell.clone())
-    }
-
-    fn list(&self, objects: Vec<StoredObject>) {
-        let is_listed =
-            |id: &String| objects.iter().any(|object| object.name == *id);
-        self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
-        for object in objects {
-            self.take(&object);
-        }
-    }
-
-    fn change(&self, change: Change) {
-        if change.is_deleted {
-            self.0.peers.borrow_mut().remove(&change.object.name);
-        } else {
-            self.take(&change.object);
-        }
-    }
-}
-
-impl Instances {
-    fn take(&self, object: &StoredObject) {
-        if object.name == *self.0.id() {
-            return;
-        }
-        match InstanceEntry::deserialize(&object.spec) {
-            Ok(entry) => {
-                let mut peers = self.0.peers.borrow_mut();
-                let known = peers.get(&object.name);
-                let peer = Peer {
-                    address: entry.notes_address,
-                    zone: entry.zone,
-                    cpu_percent: entry.cpu_percent,
-                    known_since: known
-                        .map_or_else(Instant::now, |peer| peer.known_since),
-                };
-                peers.insert(object.name.clone(), peer);
-            }
-            Err(err) => {
-                let cause = err.to_string();
-                tracing::error!(event = "instance_unreadable", cause);
-            }
-        }
-    }
-}
-
-/// Writes our own entry, until the store has it.
-async fn announce(node: Rc<FleetNode>) {
-    let entry = InstanceEntry {
-        notes_address: node.settings.peer_listen,
-        zone: node.settings.zone.clone(),
-        cpu_percent: node.cpu_percent(),
-    };
-    let Ok(spec) = serde_json::to_value(&entry) else { return };
-    let mut back_off = FIRST_BACK_OFF;
-    while let Err(err) = write_entry(&node, &spec).await {
-        let cause = err.to_string();
-        tracing::warn!(event = "announce_failed", cause);
-        compio::time::sleep(back_off).await;
-        back_off = (back_off * 2).min(LONGEST_BACK_OFF);
-    }
-}
-
-async fn write_entry(
-    node: &FleetNode,
-    spec: &serde_json::Value,
-) -> Result<(), StoreError> {
-    let written = node.store.create(INSTANCES_KIND, node.id(), spec).await;
-    match written {
-        // A start at the same address changes nothing.
-        Err(StoreError::Conflict(Some(known))) if known.spec == *spec => {
-            Ok(())
-        }
-        Err(StoreError::Conflict(Some(known))) => {
-            let revision = known.revision;
-            let (kind, name) = (INSTANCES_KIND, node.id());
-            node.store.replace(kind, name, revision, spec).await.map(|_| ())
-        }
-        written => written.map(|_| ()),
-    }
-}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -0,0 +1,124 @@
+//! Follows the configuration and the versions of weights.
+//!
+//! The invariant: a configuration is never replaced by an older one.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_platform::{
+    config::{
+        CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
+    },
+    store::{Change, Freshness, StoredObject},
+};
+
+use super::{
+    bell::Bell,
+    follow::{Follower, QUIET_WATCH},
+    node::{FleetNode, Stage},
+};
+
+/// Takes in the operator's configuration.
+pub(crate) struct Configuration(pub(crate) Rc<FleetNode>);
+
+/// Takes in named versions of weights.
+pub(crate) struct Versions(pub(crate) Rc<FleetNode>);
+
+impl Follower for Configuration {
+    const KIND: &'static str = CONFIG_KIND;
+    /// An older configuration must not be in force after a newer one.
+    const FIRST_LIST: Freshness = Freshness::Newest;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.configuration_bell.clone())
+    }
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        // A configuration that is gone stays in force.
+        if !change.is_deleted {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Configuration {
+    fn take(&self, object: &StoredObject) {
+        if object.name != CONFIG_NAME {
+            return;
+        }
+        let node = &self.0;
+        let deployment = match decode_config(&object.spec) {
+            Ok(deployment) => deployment,
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "configuration_unreadable", cause);
+                return;
+            }
+        };
+        let known = node.deployment().map_or(0, |known| known.version);
+        if deployment.version <= known {
+            return;
+        }
+        tracing::info!(
+            event = "configuration",
+            version = deployment.version,
+            routes = deployment.routes.len(),
+            replaces = known,
+        );
+        *node.deployment.borrow_mut() = Some(Rc::new(deployment));
+        node.forget_patience();
+        if node.stage.get() == Stage::Starting {
+            node.stage.set(Stage::Ready);
+        }
+        node.wake_all();
+    }
+}
+
+impl Follower for Versions {
+    const KIND: &'static str = VERSIONS_KIND;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.versions_bell.clone())
+    }
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        if !change.is_deleted {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Versions {
+    fn take(&self, object: &StoredObject) {
+        match decode_version(&object.name, &object.spec) {
+            Ok((key, version)) => {
+                let name = key.to_string();
+                tracing::info!(event = "version", key = name, version);
+                let mut view = self.0.view.borrow_mut();
+                view.name_version(&key, version, Instant::now());
+                drop(view);
+                self.0.ring_loader();
+            }
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "version_unreadable", cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -0,0 +1,133 @@
+//! Follows the entries of the other instances, and writes our own.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_platform::{
+    StoreError,
+    store::{Change, StoredObject},
+};
+use sedgewall_state::id::ZoneName;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    bell::Bell,
+    follow::{FIRST_BACK_OFF, Follower, LONGEST_BACK_OFF, QUIET_WATCH},
+    node::{FleetNode, Peer},
+};
+
+/// The kind of our own instances' entries.
+pub(crate) const INSTANCES_KIND: &str = "sedgewall-instances";
+
+/// The pause between two watches of instances: all write their entries when
+/// all start, and each that is watched would wake all others.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// What an instance tells the others about itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct InstanceEntry {
+    /// Where its notes go.
+    notes_address: SocketAddr,
+    /// Where it is.
+    zone: ZoneName,
+    /// The part of a processor that it has, in hundredths.
+    cpu_percent: u32,
+}
+
+/// Takes in the entries of the other instances.
+pub(crate) struct Instances(pub(crate) Rc<FleetNode>);
+
+impl Follower for Instances {
+    const KIND: &'static str = INSTANCES_KIND;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn pause(&self) -> Duration {
+        INSTANCES_PAUSE
+    }
+
+    fn bell(&self) -> Option<Rc<Bell>> {
+        Some(self.0.instances_bell.clone())
+    }
+
+    fn list(&self, objects: Vec<StoredObject>) {
+        let is_listed =
+            |id: &String| objects.iter().any(|object| object.name == *id);
+        self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
+        for object in objects {
+            self.take(&object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        if change.is_deleted {
+            self.0.peers.borrow_mut().remove(&change.object.name);
+        } else {
+            self.take(&change.object);
+        }
+    }
+}
+
+impl Instances {
+    fn take(&self, object: &StoredObject) {
+        if object.name == *self.0.id() {
+            return;
+        }
+        match InstanceEntry::deserialize(&object.spec) {
+            Ok(entry) => {
+                let mut peers = self.0.peers.borrow_mut();
+                let known = peers.get(&object.name);
+                let peer = Peer {
+                    address: entry.notes_address,
+                    zone: entry.zone,
+                    cpu_percent: entry.cpu_percent,
+                    known_since: known
+                        .map_or_else(Instant::now, |peer| peer.known_since),
+                };
+                peers.insert(object.name.clone(), peer);
+            }
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "instance_unreadable", cause);
+            }
+        }
+    }
+}
+
+/// Writes our own entry, until the store has it.
+pub(crate) async fn announce(node: Rc<FleetNode>) {
+    let entry = InstanceEntry {
+        notes_address: node.settings.peer_listen,
+        zone: node.settings.zone.clone(),
+        cpu_percent: node.cpu_percent(),
+    };
+    let Ok(spec) = serde_json::to_value(&entry) else { return };
+    let mut back_off = FIRST_BACK_OFF;
+    while let Err(err) = write_entry(&node, &spec).await {
+        let cause = err.to_string();
+        tracing::warn!(event = "announce_failed", cause);
+        compio::time::sleep(back_off).await;
+        back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+    }
+}
+
+async fn write_entry(
+    node: &FleetNode,
+    spec: &serde_json::Value,
+) -> Result<(), StoreError> {
+    let written = node.store.create(INSTANCES_KIND, node.id(), spec).await;
+    match written {
+        // A start at the same address changes nothing.
+        Err(StoreError::Conflict(Some(known))) if known.spec == *spec => {
+            Ok(())
+        }
+        Err(StoreError::Conflict(Some(known))) => {
+            let revision = known.revision;
+            let (kind, name) = (INSTANCES_KIND, node.id());
+            node.store.replace(kind, name, revision, spec).await.map(|_| ())
+        }
+        written => written.map(|_| ()),
+    }
+}
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -166,8 +166,7 @@
     }
     // A holder may go on while all say that the store is out, we among them:
     // then what it said before that has not ended its lease.
-    let was_out = node.store_is_out.get()
-        || node.store_regained.get().is_some_and(|at| now - at < OUTAGE_MARKS);
+    let was_out = node.store_state.was_out_within(OUTAGE_MARKS);
     let noted = node.leader.borrow().as_ref().map(|leader| leader.noted);
     watching.ended_by(noted.filter(|_| !was_out)).unwrap_or(now)
 }
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -2,13 +2,17 @@
 //!
 //! Each instance dispatches by itself on a table of endpoints; one of them at
 //! a time holds the lease on orders to engines. [`node`] holds what all parts
-//! share; [`caller`], [`leader`], [`follow`] and [`notes`] stand beside each
-//! other above it, and [`daemon`] starts them.
+//! share; [`caller`], [`leader`], [`follow`] with its three kinds of followers,
+//! and [`notes`] stand beside each other above it, and [`daemon`] starts them.
 
 mod attempt;
+mod bell;
 mod caller;
 pub(crate) mod daemon;
 mod follow;
+mod follow_configuration;
+mod follow_endpoints;
+mod follow_instances;
 mod leader;
 mod lease;
 mod log_buffer;
@@ -18,3 +22,4 @@
 mod orders;
 mod refusal;
 mod relay;
+mod store_state;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -28,6 +28,8 @@
 use sedgewall_transport::EndpointPool;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::{bell::Bell, store_state::StoreState};
+
 /// Notes of the holder that may be lost in a row before it is missed.
 const LEADER_LOSSES: u32 = 4;
 
@@ -35,11 +37,6 @@
 /// not there.
 const NEW_PEER_FOR: Duration = Duration::from_secs(6);
 
-/// Entries that lapsed during an outage are back within two seconds of its end
-/// (the platform's pages); the rest is for our own calls. An endpoint that has
-/// really left gets no work for longer: 3 s after the end we are held to that.
-const ENTRIES_RETURN: Duration = Duration::from_millis(2_500);
-
 /// The holder is asked for the same adapter again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
@@ -123,16 +120,8 @@
     pub(crate) demand: RefCell<Demand>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
-    /// Whether the store did not answer us when we asked last, and since when
-    /// it does.
-    pub(crate) store_is_out: Cell<bool>,
-    pub(crate) store_regained: Cell<Option<Instant>>,
-    /// Whether we see just now if it answers.
-    pub(crate) is_probing: Cell<bool>,
-    /// When it failed to last.
-    pub(crate) store_failed: Cell<Option<Instant>>,
-    /// Whether others must hear at once what we say of ourselves.
-    pub(crate) is_news: Cell<bool>,
+    /// Whether the store answers us.
+    pub(crate) store_state: StoreState,
     /// What the other instances say of themselves.
     pub(crate) last_words: RefCell<LastWords>,
     /// Engines that could not be reached, for the holder to hear.
@@ -197,11 +186,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
-            store_is_out: Cell::new(false),
-            store_regained: Cell::new(None),
-            is_probing: Cell::new(false),
-            store_failed: Cell::new(None),
-            is_news: Cell::new(false),
+            store_state: StoreState::default(),
             last_words: RefCell::default(),
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
@@ -251,30 +236,11 @@
         !peers.is_empty() && words.nobody_reaches_store(peers.keys(), now)
     }
 
-    /// Returns for how long entries of endpoints that lapsed while the store
-    /// was out may still come back. It was out until our last failed call at
-    /// the least.
-    pub(crate) fn entries_return_within(&self, now: Instant) -> Duration {
-        let Some(failed) = self.store_failed.get() else {
-            return Duration::ZERO;
-        };
-        (failed + ENTRIES_RETURN).saturating_duration_since(now)
-    }
-
-    /// Notes whether the store answered.
+    /// Notes whether the store answered; others hear at once what changed.
     pub(crate) fn note_store(&self, is_out: bool) {
-        if is_out {
-            self.store_failed.set(Some(Instant::now()));
+        if self.store_state.note(is_out) {
+            self.ring_notes();
         }
-        if self.store_is_out.replace(is_out) == is_out {
-            return;
-        }
-        if !is_out {
-            self.store_regained.set(Some(Instant::now()));
-        }
-        // The holder of the lease counts on our word.
-        self.is_news.set(true);
-        self.ring_notes();
     }
 
     /// Returns the instance that gives orders, if it was heard lately.
@@ -441,32 +407,6 @@
     }
 }
 
-/// Wakes one waiting part of the instance.
-#[derive(Default)]
-pub(crate) struct Bell {
-    is_rung: Cell<bool>,
-    waiting: RefCell<Option<oneshot::Sender<()>>>,
-}
-
-impl Bell {
-    pub(crate) fn ring(&self) {
-        self.is_rung.set(true);
-        if let Some(tx) = self.waiting.borrow_mut().take() {
-            // The part may have woken by its time.
-            let _ = tx.send(());
-        }
-    }
-
-    pub(crate) async fn wait(&self, within: Duration) -> bool {
-        if !self.is_rung.get() {
-            let (tx, rx) = oneshot::channel();
-            *self.waiting.borrow_mut() = Some(tx);
-            let _ = compio::time::timeout(within, rx).await;
-        }
-        self.is_rung.replace(false)
-    }
-}
-
 /// A request under way at an endpoint; dropping it counts it out.
 pub(crate) struct UnderWay {
     node: Rc<FleetNode>,
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -247,7 +247,7 @@
         let left = next.saturating_duration_since(Instant::now());
         is_urgent |= node.notes_rung(left).await;
         let now = Instant::now();
-        if now >= next_status || node.is_news.take() {
+        if now >= next_status || node.store_state.take_news() {
             let pause = status_pause(&node, now);
             next_status = now + pause;
             sequence += 1;
@@ -335,7 +335,7 @@
         leads,
         configuration: node.deployment().map_or(0, |known| known.version),
         versions: node.view.borrow().versions_named(),
-        store_is_out: node.store_is_out.get(),
+        store_is_out: node.store_state.is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
         in_flight,
         is_total,
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -15,8 +15,9 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use sedgewall_fleet::{
-    loader::{Loader, Order, Task},
+    loader::Loader,
     note::{Note, Placed, Removed},
+    order::{Order, Task},
 };
 use sedgewall_platform::engine::{self, Holder, OrderAnswer};
 use sedgewall_state::id::{EndpointId, Epoch};
