Engines are chosen and filled by the prompts they have yet to read

Ruled out: longer waits for absent adapters. Logs: a served request tells its prompt, what was unread before it, the predicted and the measured part of the engine. Tests: properties of the line, views, a copy.

--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -109,8 +109,15 @@
     let (view, demand, deployment) = (view(now), demand(now), deployment());
     criterion.bench_function("choose", |bench| {
         let key = key(400);
-        let need =
-            Need { service: SERVICE, key: Some(&key), exclude: &[], draw: 7 };
+        let need = Need {
+            service: SERVICE,
+            key: Some(&key),
+            exclude: &[],
+            draw: 7,
+            prompt_tokens: 600,
+            target_latency: Duration::from_millis(600),
+            is_patient: false,
+        };
         bench.iter(|| black_box(view.choose(black_box(need), now)));
     });
     criterion.bench_function("plan, 300 waiting", |bench| {
--- a/crates/fleet/src/engine_room.rs
+++ b/crates/fleet/src/engine_room.rs
@@ -1,6 +1,6 @@
 //! What each engine can take, worked out once in a look at demand.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use sedgewall_state::id::{EndpointId, ModelName, ZoneName};
 
@@ -13,8 +13,14 @@
     pub(crate) address: SocketAddr,
     pub(crate) zone: ZoneName,
     pub(crate) models: Vec<ModelName>,
-    /// Requests under way, as a part of its slots.
-    pub(crate) load: f64,
+    /// Whether its slots are nearly all taken.
+    pub(crate) is_full: bool,
+    /// How long it reads prompts before a new one's turn.
+    pub(crate) backlog: Duration,
+    /// What it has to do, in parts of its slots ([`FleetView::pressure`]).
+    ///
+    /// [`FleetView::pressure`]: crate::view::FleetView::pressure
+    pub(crate) pressure: f64,
     /// Requests a second that its adapters stand for, an adapter's shared
     /// among those that hold it.
     pub(crate) rate_per_s: f64,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod loader;
 pub mod note;
 pub mod order;
+pub mod pace;
 pub mod relays;
 pub mod retry_budget;
 pub mod route;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -24,7 +24,7 @@
     order::{Order, Task},
     route::{Deployment, EngineGroup},
     store_rate::StoreRate,
-    view::FleetView,
+    view::{BUSY_BACKLOG, FleetView},
 };
 
 /// Adapters on their way to one engine at once; the platform allows this many.
@@ -67,7 +67,7 @@
 
 /// What a home in another zone than the one that asks costs, in parts of an
 /// engine's load: bytes between zones have a price.
-const OTHER_ZONE_COST: f64 = 0.3;
+const OTHER_ZONE_COST: f64 = 0.08;
 
 /// How often more is looked at than what requests wait for: engines that came,
 /// versions, replicas.
@@ -274,7 +274,9 @@
     /// Returns whether some engine that holds an adapter, or will soon, has
     /// room for a request.
     fn can_be_served(&self, key: &AdapterKey) -> bool {
-        self.holders(key).any(|state| state.load() < FULL_LOAD)
+        self.holders(key).any(|state| {
+            state.load() < FULL_LOAD && self.view.backlog(state) < BUSY_BACKLOG
+        })
     }
 
     /// Adapters that fill their engines get another one.
@@ -346,7 +348,8 @@
         let warm = self.view.warm(key);
         let candidates = || {
             engines.iter().filter(|engine| {
-                engine.load < FULL_LOAD
+                !engine.is_full
+                    && (holds.is_empty() || engine.backlog < BUSY_BACKLOG)
                     && engine.models.contains(&key.model)
                     && !holds.contains(&&engine.endpoint)
             })
@@ -366,7 +369,7 @@
             let is_near = Some(engine.zone.as_str()) == zone;
             let expected = engine.rate_per_s * SERVICE_TIME_S;
             let cost = expected / f64::from(self.group.slots)
-                + engine.load
+                + engine.pressure
                 + lost
                 + if is_near { 0.0 } else { OTHER_ZONE_COST };
             if best.is_none_or(|(least, _)| cost < least) {
@@ -402,7 +405,9 @@
             address: state.endpoint.address,
             zone: state.endpoint.zone.clone(),
             models: models.map(|model| model.key.model.clone()).collect(),
-            load: state.load(),
+            is_full: state.load() >= FULL_LOAD,
+            backlog: self.view.backlog(state),
+            pressure: self.view.pressure(state),
             rate_per_s: shares.sum(),
             place: self.next_place(state),
         }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -23,6 +23,7 @@
     endpoint::{Endpoint, EngineReport},
     endpoint_state::EndpointState,
     note::{FEW_PEERS, Placed, Removed},
+    pace::Pace,
     route::ServiceName,
 };
 
@@ -32,7 +33,7 @@
 
 /// What another availability zone costs, in parts of an endpoint's load:
 /// bytes between zones have a price.
-const OTHER_ZONE_COST: f64 = 0.25;
+const OTHER_ZONE_COST: f64 = 0.08;
 
 /// What a share of failed requests costs, in parts of an endpoint's load: an
 /// endpoint that fails half of its requests gets one only if the others are
@@ -57,6 +58,11 @@
 /// behind each slot still come in time.
 const SERVICE_FILL: f64 = 4.0;
 
+/// An engine that reads prompts for longer than this before a new one's turn
+/// is busy: an adapter would come to another engine from the weight store in a
+/// quarter of a second.
+pub(crate) const BUSY_BACKLOG: Duration = Duration::from_millis(300);
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -68,6 +74,12 @@
     pub exclude: &'a [EndpointId],
     /// A number that spreads equal choices.
     pub draw: u64,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Within this time, its answer should begin.
+    pub target_latency: Duration,
+    /// Whether it may wait for a place where it begins sooner.
+    pub is_patient: bool,
 }
 
 /// Where a request goes.
@@ -81,6 +93,10 @@
     Absent,
     /// Nowhere; all that could serve it are full.
     Full,
+    /// Nowhere yet: it would come late at all that hold the adapter, and sooner
+    /// at another engine, where the adapter may be ready then if it is known to
+    /// be on its way.
+    Busy(Option<Duration>),
     /// Nowhere; the service has no usable endpoint.
     Nobody,
 }
@@ -98,6 +114,8 @@
     pub in_flight: u32,
     /// Prompt tokens that it has yet to read before this one's.
     pub unread_tokens: u64,
+    /// When the answer is likely to begin, from now; none if nothing is known.
+    pub predicted: Option<Duration>,
 }
 
 /// One instance's table of endpoints.
@@ -115,6 +133,8 @@
     /// Until when the holder's sums count.
     totals_until: Option<Instant>,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
+    /// How fast the engines of each service begin to answer.
+    paces: HashMap<ServiceName, Pace>,
 }
 
 impl FleetView {
@@ -129,6 +149,7 @@
             peers: HashMap::new(),
             totals_until: None,
             newest: HashMap::new(),
+            paces: HashMap::new(),
         }
     }
 
@@ -394,54 +415,55 @@
         let mut found = Choice::Nobody;
         let mut best: Option<(f64, &EndpointState)> = None;
         for state in usable {
-            match self.fit(state, need, now) {
-                Choice::Send(_) => {
-                    let cost = self.cost(state, need.draw);
-                    if best.is_none_or(|(least, _)| cost < least) {
-                        best = Some((cost, state));
-                    }
-                }
-                other => found = nearer(found, other),
+            if let Some(obstacle) = self.obstacle(state, need, now) {
+                found = nearer(found, obstacle);
+                continue;
+            }
+            let cost = self.cost(state, need);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, state));
             }
         }
-        match best {
-            Some((_, state)) => Choice::Send(self.target(state, need, now)),
-            None => found,
+        let Some((_, state)) = best else { return found };
+        if need.is_patient && self.would_be_late(state, need) {
+            return Choice::Busy(match found {
+                Choice::Coming(ready_in) => Some(ready_in),
+                _ => None,
+            });
         }
+        Choice::Send(self.target(state, need, now))
     }
 
-    fn fit(
+    /// Returns whether a request would come late at an engine because of the
+    /// prompts before it.
+    fn would_be_late(&self, state: &EndpointState, need: Need<'_>) -> bool {
+        self.predicted(state, need).is_some_and(|p| p > need.target_latency)
+            && self.backlog(state) > BUSY_BACKLOG
+    }
+
+    /// Returns why a request cannot go to an endpoint now, if it cannot.
+    fn obstacle(
         &self,
         state: &EndpointState,
         need: Need<'_>,
         now: Instant,
-    ) -> Choice {
+    ) -> Option<Choice> {
         let fill = match need.key {
             Some(_) => ENGINE_FILL,
             None => SERVICE_FILL,
         };
-        let is_full = state.load() >= fill;
-        let Some(key) = need.key else {
-            return if is_full { Choice::Full } else { self.sent(state) };
+        let full = (state.load() >= fill).then_some(Choice::Full);
+        let Some(key) = need.key else { return full };
+        let Some(seat) = state.seats.get(key) else {
+            return Some(Choice::Absent);
         };
-        let Some(seat) = state.seats.get(key) else { return Choice::Absent };
         if self.is_outdated(key, seat.version, now) {
-            return Choice::Absent;
+            return Some(Choice::Absent);
         }
         if !seat.is_ready(now) {
-            return Choice::Coming(seat.ready_at - now);
+            return Some(Choice::Coming(seat.ready_at - now));
         }
-        if is_full { Choice::Full } else { self.sent(state) }
-    }
-
-    fn sent(&self, state: &EndpointState) -> Choice {
-        Choice::Send(Target {
-            id: state.endpoint.id.clone(),
-            address: state.endpoint.address,
-            expect_version: None,
-            in_flight: state.in_flight(),
-            unread_tokens: state.unread_tokens(),
-        })
+        full
     }
 
     fn target(
@@ -460,6 +482,7 @@
             expect_version,
             in_flight: state.in_flight(),
             unread_tokens: state.unread_tokens(),
+            predicted: self.predicted(state, need),
         }
     }
 
@@ -473,28 +496,71 @@
         version < *newest && now - *named >= OLD_VERSION_GRACE
     }
 
-    fn cost(&self, state: &EndpointState, draw: u64) -> f64 {
+    fn cost(&self, state: &EndpointState, need: Need<'_>) -> f64 {
         let zone = match state.endpoint.zone == self.zone {
             true => 0.0,
             false => OTHER_ZONE_COST,
         };
         // Equal endpoints are told apart by the draw, so that instances with
         // the same table do not all choose the same one.
-        let hash = xxh3_64(state.endpoint.id.as_bytes()) ^ draw;
+        let hash = xxh3_64(state.endpoint.id.as_bytes()) ^ need.draw;
         let spread = xxh3_64(&hash.to_le_bytes()) as f64 / u64::MAX as f64;
         let failures = state.health.failed_share() * FAILURE_COST;
         let doubt = match self.peers.len() > FEW_PEERS {
             true => MANY_DOUBT,
             false => FEW_DOUBT,
         };
-        state.load() + zone + failures + spread * doubt
+        let wait = self.predicted(state, need).map_or(0.0, |wait| {
+            wait.as_secs_f64() / need.target_latency.as_secs_f64().max(1e-3)
+        });
+        state.load() + wait + zone + failures + spread * doubt
+    }
+
+    /// Returns when a request's answer is likely to begin at an endpoint.
+    fn predicted(
+        &self,
+        state: &EndpointState,
+        need: Need<'_>,
+    ) -> Option<Duration> {
+        need.key?;
+        let tokens = state.unread_tokens() + need.prompt_tokens;
+        self.paces.get(need.service)?.predict(tokens)
+    }
+
+    /// Returns how much an endpoint has to do: requests as a part of its slots,
+    /// and the seconds that it needs for the prompts it has yet to read.
+    pub fn pressure(&self, state: &EndpointState) -> f64 {
+        state.load() + self.backlog(state).as_secs_f64()
+    }
+
+    /// Returns how long an engine reads before a new prompt's turn.
+    pub fn backlog(&self, state: &EndpointState) -> Duration {
+        let pace = self.paces.get(&state.endpoint.service);
+        pace.map_or(Duration::ZERO, |pace| {
+            pace.reading_time(state.unread_tokens())
+        })
+    }
+
+    /// Takes in how long an engine took to begin an answer, before which it
+    /// had to read so many tokens.
+    pub fn observe_pace(
+        &mut self,
+        service: &str,
+        tokens: u64,
+        took: Duration,
+    ) {
+        let Some(pace) = self.paces.get_mut(service) else {
+            self.paces.insert(service.to_owned(), Pace::default());
+            return self.observe_pace(service, tokens, took);
+        };
+        pace.observe(tokens, took);
     }
 }
 
 /// Returns which of two reasons not to send is nearer to a send.
 fn nearer(a: Choice, b: Choice) -> Choice {
     let rank = |choice: &Choice| match choice {
-        Choice::Send(_) => 0,
+        Choice::Send(_) | Choice::Busy(_) => 0,
         Choice::Full => 1,
         Choice::Coming(_) => 2,
         Choice::Absent => 3,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -82,9 +82,7 @@
     key: &AdapterKey,
     now: std::time::Instant,
 ) -> Choice {
-    let need =
-        Need { service: SERVICE, key: Some(key), exclude: &[], draw: 7 };
-    view.choose(need, now)
+    view.choose(need(key), now)
 }
 
 pub fn sent_to(choice: &Choice) -> Option<&str> {
@@ -118,3 +116,16 @@
         is_total: false,
     }
 }
+
+/// A request with a short prompt.
+pub fn need(key: &AdapterKey) -> Need<'_> {
+    Need {
+        service: SERVICE,
+        key: Some(key),
+        exclude: &[],
+        draw: 7,
+        prompt_tokens: 600,
+        target_latency: Duration::from_millis(600),
+        is_patient: false,
+    }
+}
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    MODEL, PLACES, deployment, endpoint, key, report, requests, status,
+    MODEL, PLACES, SERVICE, deployment, endpoint, key, report, requests,
+    status,
 };
 use proptest::prelude::*;
 use sedgewall_fleet::{
@@ -159,6 +160,32 @@
     assert_eq!(loads(&orders), [("e2", key(1))]);
 }
 
+/// Engines with long prompts before them are passed over as homes, and what
+/// they hold gets a copy where it begins sooner.
+#[test]
+fn an_adapter_on_an_engine_with_much_to_read_gets_a_copy() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1]), ("e2", &[]), ("e3", &[])], now);
+    for n in 1..40_u64 {
+        let took = Duration::from_millis(n * 50);
+        view.observe_pace(SERVICE, n * 1_000, took);
+    }
+    for id in ["e1", "e2"] {
+        if let Some(state) = view.get_mut(&id.to_owned()) {
+            state.own_work.begin(Some(&key(8)), 20_000);
+        }
+    }
+    let mut demand = Demand::default();
+    asked(&mut demand, 1, 1, now);
+    let mut loader = loader(1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e3", key(1))]);
+    // One copy is enough while it is on its way.
+    asked(&mut demand, 1, 1, now);
+    let orders = loader.plan(&deployment(), &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), []);
+}
+
 #[test]
 fn a_new_version_replaces_the_old_one_in_place() {
     let now = Instant::now();
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    SERVICE, choose, endpoint, key, report, requests, sent_to, status,
+    SERVICE, choose, endpoint, key, need, report, requests, sent_to, status,
 };
 use sedgewall_fleet::{
     adapter::AdapterKey,
@@ -201,8 +201,7 @@
     let chosen: Vec<String> = (0..700)
         .filter_map(|draw| {
             let key = key(1);
-            let need =
-                Need { service: SERVICE, key: Some(&key), exclude: &[], draw };
+            let need = Need { draw, ..need(&key) };
             sent_to(&view.choose(need, now)).map(str::to_owned)
         })
         .collect();
@@ -265,8 +264,7 @@
     view.list(endpoint("e1", "z1", &[1]), now);
     let exclude = ["e1".to_owned()];
     let key = key(1);
-    let need =
-        Need { service: SERVICE, key: Some(&key), exclude: &exclude, draw: 1 };
+    let need = Need { exclude: &exclude, ..need(&key) };
     assert_eq!(view.choose(need, now), Choice::Nobody);
 }
 
@@ -316,3 +314,70 @@
     view.list(endpoint("e1", "z1", &[1]), now);
     assert!(view.get(&id).is_some_and(|s| !s.is_ordered_by_us()));
 }
+
+/// Takes in answers of engines that read 20 tokens in a millisecond.
+fn learn_pace(view: &mut FleetView) {
+    for n in 1..40_u64 {
+        let took = Duration::from_millis(n * 50);
+        view.observe_pace(SERVICE, n * 1_000, took);
+    }
+}
+
+#[test]
+fn the_engine_that_begins_sooner_gets_the_request() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.list(endpoint("e2", "z1", &[1]), now);
+    learn_pace(&mut view);
+    // One long prompt against three requests that are being answered.
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        state.own_work.begin(Some(&key(1)), 30_000);
+    }
+    if let Some(state) = view.get_mut(&"e2".to_owned()) {
+        state.own_work = requests(3);
+    }
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e2"));
+}
+
+#[test]
+fn a_request_that_would_come_late_waits_for_a_copy_if_it_may() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    view.list(endpoint("e2", "z1", &[]), now);
+    learn_pace(&mut view);
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        state.own_work.begin(Some(&key(1)), 30_000);
+    }
+    let key = key(1);
+    let patient = Need { is_patient: true, ..need(&key) };
+    assert_eq!(view.choose(patient, now), Choice::Busy(None));
+    // It knows when a copy is on its way.
+    let ready_in = Duration::from_millis(200);
+    let placed = Placed {
+        epoch: 1,
+        endpoint: "e2".to_owned(),
+        key: key.clone(),
+        version: 1,
+        ready_in_ms: 200,
+    };
+    view.hear_placed(&placed, now);
+    assert_eq!(view.choose(patient, now), Choice::Busy(Some(ready_in)));
+    assert_eq!(sent_to(&view.choose(patient, now + ready_in)), Some("e2"));
+    // One that may wait no longer is sent where it can run.
+    let hasty = Need { is_patient: false, ..patient };
+    assert_eq!(sent_to(&view.choose(hasty, now)), Some("e1"));
+}
+
+/// A prompt that is too long by itself gains nothing by waiting.
+#[test]
+fn a_request_that_is_late_by_its_own_length_does_not_wait() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    learn_pace(&mut view);
+    let key = key(1);
+    let long = Need { prompt_tokens: 40_000, is_patient: true, ..need(&key) };
+    assert_eq!(sent_to(&view.choose(long, now)), Some("e1"));
+}
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -135,6 +135,7 @@
     let mut under_way =
         UnderWay::begin(node, &target.id, call.key(), prompt_tokens);
     let request = build(call, target, last_event);
+    let began = Instant::now();
     let sending = node.pool.send(target.address, request, CONNECT_TIME);
     let ended = match compio::time::timeout(limits.within, sending).await {
         Ok(Ok(answer)) => judge(call, answer, limits.is_last),
@@ -145,6 +146,11 @@
         Err(_) => Err(AttemptError::TimedOut),
     };
     under_way.answer_begins();
+    if ended.is_ok() && call.key().is_some() {
+        let tokens = target.unread_tokens + prompt_tokens;
+        let mut view = node.view.borrow_mut();
+        view.observe_pace(&call.service, tokens, began.elapsed());
+    }
     note(node, call, target, &ended);
     ended.map(|answer| GoodAnswer { answer, under_way })
 }
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -48,6 +48,10 @@
 /// for; the rest is for the prompt and the queue at the engine.
 const COMING_PART: f64 = 0.75;
 
+/// How long a request that would come late everywhere waits for its adapter to
+/// be loaded where it begins sooner. From the weight store that takes 0.25 s.
+const COPY_WAIT: Duration = Duration::from_millis(330);
+
 /// How often a request looks again for a place at full endpoints.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
@@ -315,13 +319,19 @@
             (wait_until, coming_until, LOOK_AGAIN)
         }
     };
+    // Where it would come late it waits for another engine to get the adapter.
+    let patient_until = began + COPY_WAIT;
     loop {
         let now = Instant::now();
+        let is_patient = now < patient_until;
         let need = Need {
             service: &call.service,
             key: call.key(),
             exclude: &progress.tried,
             draw,
+            prompt_tokens: call.facts.prompt_tokens,
+            target_latency: target,
+            is_patient,
         };
         let choice = node.view.borrow().choose(need, now);
         progress.waited = now - began;
@@ -338,6 +348,15 @@
                 ask_for(node, call);
                 (Reason::Full, wait_until, look_again)
             }
+            Choice::Busy(ready_in) => {
+                if ready_in.is_none() {
+                    ask_for(node, call);
+                }
+                let left = patient_until - now;
+                sleep_or_hear(node, call, ready_in.unwrap_or(left).min(left))
+                    .await;
+                continue;
+            }
             Choice::Nobody => {
                 // All have failed it; what may run again goes round again.
                 if progress.runs > 0 {
@@ -352,11 +371,20 @@
         if now >= until || is_too_far {
             return Err(reason);
         }
-        let pause = pause.min(until - now) + Duration::from_millis(1);
-        match call.key() {
-            Some(key) => node.wait_for(key, pause).await,
-            None => compio::time::sleep(pause).await,
-        }
+        sleep_or_hear(node, call, pause.min(until - now)).await;
+    }
+}
+
+/// Waits for a time, or until something is heard of the request's adapter.
+async fn sleep_or_hear(
+    node: &FleetNode,
+    call: &CallerRequest,
+    time: Duration,
+) {
+    let pause = time + Duration::from_millis(1);
+    match call.key() {
+        Some(key) => node.wait_for(key, pause).await,
+        None => compio::time::sleep(pause).await,
     }
 }
 
@@ -444,6 +472,7 @@
         endpoint = target.id,
         in_flight = target.in_flight,
         unread_tokens = target.unread_tokens,
+        predicted_ms = target.predicted.map(|p| p.as_millis() as u64),
         prompt_tokens = call.facts.prompt_tokens,
         engine_ms = progress.engine.as_millis() as u64,
         sends = progress.sends,
