--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -30,10 +30,9 @@
 /// Adapters on their way to one engine at once; the platform allows this many.
 const COMING_PER_ENGINE: usize = 4;
 
-/// An adapter that was asked for within this time is not removed: its next
-/// request would bring it again. Worth of 12 mixed days against 1.2 s: 0.5 s
-/// -0.007 +- 0.002, none -0.004 +- 0.003.
-const IN_USE_FOR: Duration = Duration::from_millis(1_200);
+/// An adapter that was asked for within this time is not removed: a request
+/// may be on its way to it that nobody has told of yet.
+const IN_USE_FOR: Duration = Duration::from_millis(300);
 
 /// How long an adapter takes from the weight store, before one was measured.
 const COLD_LOAD: Duration = Duration::from_millis(270);
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -413,11 +413,16 @@
         *response.headers_mut() = headers;
         return response;
     }
-    let head_ms = call.arrived.elapsed();
+    let head = call.arrived.elapsed();
     let whole = compio::time::timeout(call.left(), good.answer.whole()).await;
     match whole {
         Ok(Ok(body)) => {
-            log_served(&call, &progress, &target, head_ms, body.len());
+            let delivered = Delivered {
+                head,
+                bytes: body.len(),
+                longest_pause: Duration::ZERO,
+            };
+            log_served(&call, &progress, &target, &delivered);
             let mut response = Response::new(LocalBody::whole(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
@@ -453,17 +458,25 @@
     );
 }
 
+/// What a caller got of an endpoint's answer, and when.
+pub(crate) struct Delivered {
+    /// From the request's arrival to the head of the answer.
+    pub(crate) head: Duration,
+    pub(crate) bytes: usize,
+    /// The longest time without a byte, after the head.
+    pub(crate) longest_pause: Duration,
+}
+
 /// One line for each request that an endpoint served.
 pub(crate) fn log_served(
     call: &CallerRequest,
     progress: &Progress,
     target: &Target,
-    head: Duration,
-    bytes: usize,
+    delivered: &Delivered,
 ) {
     metrics::counter!("sedgewall_served_total").increment(1);
     metrics::histogram!("sedgewall_first_byte_seconds")
-        .record(head.as_secs_f64());
+        .record(delivered.head.as_secs_f64());
     tracing::info!(
         event = "served",
         request = call.facts.request_id,
@@ -478,9 +491,12 @@
         sends = progress.sends,
         waited_ms = progress.waited.as_millis() as u64,
         is_later_try = call.is_later_try,
-        head_ms = head.as_millis() as u64,
+        head_ms = delivered.head.as_millis() as u64,
+        longest_pause_ms = delivered.longest_pause.as_millis() as u64,
+        target_ms = call.route.target_latency.as_millis() as u64,
+        gap_ms = call.route.gap.map(|gap| gap.as_millis() as u64),
         took_ms = call.arrived.elapsed().as_millis() as u64,
-        bytes,
+        bytes = delivered.bytes,
     );
 }
 
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -145,6 +145,8 @@
     waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
     loader_bell: Bell,
     notes_bell: Bell,
+    /// Whether work was sent that the other instances have not heard of.
+    pub(crate) has_untold_work: Cell<bool>,
     /// Ring when what was watched must be listed anew.
     pub(crate) configuration_bell: Rc<Bell>,
     pub(crate) versions_bell: Rc<Bell>,
@@ -202,6 +204,7 @@
             waiters: RefCell::default(),
             loader_bell: Bell::default(),
             notes_bell: Bell::default(),
+            has_untold_work: Cell::new(false),
             configuration_bell: Rc::default(),
             versions_bell: Rc::default(),
             instances_bell: Rc::default(),
@@ -426,6 +429,9 @@
         if let Some(state) = node.view.borrow_mut().get_mut(endpoint) {
             state.own_work.begin(key, prompt_tokens);
         }
+        if key.is_some() && !node.has_untold_work.replace(true) {
+            node.ring_notes();
+        }
         UnderWay {
             node: node.clone(),
             endpoint: endpoint.clone(),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -49,6 +49,12 @@
 /// holder hears some 1,000 a second at the most, each some 20 us.
 const URGENT_PAUSE: Duration = Duration::from_millis(1);
 
+/// The least pause between two notes of what an instance has under way. Until
+/// a send is heard of, others choose its engine too and the holder may order
+/// its adapter out: with 150 ms, an adapter may not be removed within 1.2 s of
+/// its last request, with this within 0.3 s (worth of 15 days +0.006 +- 0.006).
+const SOON_PAUSE: Duration = Duration::from_millis(20);
+
 /// Notes in one datagram at most, so that it fits one packet.
 const BATCH_LEN: usize = 16;
 
@@ -235,9 +241,13 @@
     let mut next_forget = Instant::now();
     let mut next_batch = Instant::now();
     let mut next_urgent = Instant::now();
+    let mut next_soon = Instant::now();
     let mut is_urgent = false;
     loop {
         let mut next = next_status.min(next_asked);
+        if node.has_untold_work.get() {
+            next = next.min(next_soon);
+        }
         if !node.outbox.borrow().is_empty() {
             next = next.min(next_batch);
         }
@@ -250,8 +260,13 @@
         if now >= next_status || node.store_state.take_news() {
             let pause = status_pause(&node, now);
             next_status = now + pause;
+            next_soon = now + soon_pause(&node);
             sequence += 1;
             tell_status(&node, &sender, sequence, pause);
+        } else if node.has_untold_work.get() && now >= next_soon {
+            next_soon = now + soon_pause(&node);
+            let pause = status_pause(&node, now);
+            tell_work_soon(&node, &sender, &mut sequence, pause);
         }
         if now >= next_batch {
             next_batch = now + batch_pause(&node);
@@ -313,12 +328,67 @@
     since.as_millis() as u64
 }
 
+/// Among a few instances, all hear soon what was sent; among many, only the
+/// holder does, as often as it can hear them all.
+fn soon_pause(node: &FleetNode) -> Duration {
+    SOON_PAUSE.max(urgent_pause(node))
+}
+
+/// Tells between two regular notes what was sent since the last one. Until
+/// it is heard others send to the same engines, and the holder of the lease may
+/// remove an adapter that is in use.
+fn tell_work_soon(
+    node: &FleetNode,
+    sender: &NoteSender,
+    sequence: &mut u64,
+    pause: Duration,
+) {
+    let is_many = node.peers.borrow().len() > FEW_PEERS;
+    if is_many && node.current_lease(Instant::now()).is_some() {
+        // What the holder sends itself is in the sums that it tells anyway.
+        node.has_untold_work.set(false);
+        return;
+    }
+    if !is_many {
+        *sequence += 1;
+        return tell_status(node, sender, *sequence, pause);
+    }
+    let Some(holder) = node.live_leader(Instant::now()) else { return };
+    *sequence += ALL_HEAR_EACH;
+    let status = status(node, *sequence, pause);
+    let note = Note::Status(status);
+    sender.send_to_peer(node, &holder.instance, &note);
+}
+
 fn tell_status(
     node: &FleetNode,
     sender: &NoteSender,
     sequence: u64,
     pause: Duration,
 ) {
+    let mut status = status(node, sequence, pause);
+    let is_many = node.peers.borrow().len() > FEW_PEERS;
+    let holder = node
+        .live_leader(Instant::now())
+        .filter(|_| is_many && status.leads.is_none());
+    if let Some(holder) = holder {
+        // The holder alone needs to know of adapters in use. Of two notes with
+        // one number it keeps the first.
+        let note = Note::Status(status.clone());
+        sender.send_to_peer(node, &holder.instance, &note);
+        if !sequence.is_multiple_of(ALL_HEAR_EACH) {
+            return;
+        }
+        status.next_in_ms *= ALL_HEAR_EACH;
+        for (_, work) in &mut status.work {
+            *work = work.without_adapters();
+        }
+    }
+    sender.broadcast(node, &Note::Status(status));
+}
+
+/// Returns what this instance says of itself now.
+fn status(node: &FleetNode, sequence: u64, next_in: Duration) -> Status {
     let now = Instant::now();
     let leads = node.current_lease(now).map(|held| Lead {
         epoch: held.epoch,
@@ -327,34 +397,21 @@
     });
     let is_many = node.peers.borrow().len() > FEW_PEERS;
     let is_total = is_many && leads.is_some();
+    node.has_untold_work.set(false);
     let work = node.view.borrow_mut().tell_work(is_total);
-    let mut status = Status {
+    let versions = node.view.borrow().versions_named();
+    Status {
         from: node.id().clone(),
         sequence,
-        next_in_ms: pause.as_millis() as u64,
+        next_in_ms: next_in.as_millis() as u64,
         leads,
         configuration: node.deployment().map_or(0, |known| known.version),
-        versions: node.view.borrow().versions_named(),
+        versions,
         store_is_out: node.store_state.is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
         work,
         is_total,
-    };
-    let holder = node.live_leader(now).filter(|_| is_many && leads.is_none());
-    if let Some(holder) = holder {
-        // The holder alone needs to know of adapters in use. Of two notes with
-        // one number it keeps the first.
-        let note = Note::Status(status.clone());
-        sender.send_to_peer(node, &holder.instance, &note);
-        if !sequence.is_multiple_of(ALL_HEAR_EACH) {
-            return;
-        }
-        status.next_in_ms *= ALL_HEAR_EACH;
-        for (_, work) in &mut status.work {
-            *work = work.without_adapters();
-        }
     }
-    sender.broadcast(node, &Note::Status(status));
 }
 
 fn tell_asked(node: &FleetNode, sender: &NoteSender) {
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -41,6 +41,9 @@
     cutter: Option<EventCutter>,
     head: Duration,
     bytes: usize,
+    /// When the last bytes came, and the longest time without any.
+    last_bytes: Instant,
+    longest_pause: Duration,
     is_over: bool,
 }
 
@@ -75,6 +78,8 @@
         _open: open,
         cutter,
         bytes: 0,
+        last_bytes: Instant::now(),
+        longest_pause: Duration::ZERO,
         is_over: false,
     };
     LocalBody::chunks(stream::unfold(relay, |mut relay| async move {
@@ -91,6 +96,7 @@
         loop {
             match self.read().await {
                 Ok(Some(bytes)) => {
+                    self.note_pause();
                     let whole = match &mut self.cutter {
                         Some(cutter) => cutter.push(&bytes).into(),
                         None => bytes,
@@ -110,6 +116,12 @@
         }
     }
 
+    fn note_pause(&mut self) {
+        let now = Instant::now();
+        let pause = now - std::mem::replace(&mut self.last_bytes, now);
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+
     async fn read(&mut self) -> Result<Option<Bytes>, Stopped> {
         let left = self.call.left();
         let patience = self.patience();
@@ -135,8 +147,11 @@
             &self.call,
             &self.progress,
             &self.target,
-            self.head,
-            self.bytes,
+            &caller::Delivered {
+                head: self.head,
+                bytes: self.bytes,
+                longest_pause: self.longest_pause,
+            },
         );
         let rest = self.cutter.as_mut().map(EventCutter::rest)?;
         (!rest.is_empty()).then(|| Ok(rest.into()))
