No process is started while a test looks for a free address

A process that is being started holds its parent's sockets until it has become another program, also the listener with which another thread tests whether a port is free; its child then finds the port taken. Ruled out: ports of outgoing connections (they begin at 32768, ours end below 30000); two runs with one block of ports (no other ran its tests then); slowness (the process had ended, and 60 s were waited). Conclusion: mended; no product code changes.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -9,7 +9,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -511,14 +514,11 @@
             .append(true)
             .open(log)
             .expect("a log file");
-        let child = Command::new(binary(program))
-            .args(args)
-            .stdout(Stdio::null())
-            .stderr(Stdio::from(log))
-            .spawn()
-            .unwrap_or_else(|err| {
-                panic!("{program} does not start ({err}); run scripts/test")
-            });
+        let mut command = Command::new(binary(program));
+        command.args(args).stdout(Stdio::null()).stderr(Stdio::from(log));
+        let child = start(&mut command).unwrap_or_else(|err| {
+            panic!("{program} does not start ({err}); run scripts/test")
+        });
         if let Some(mut old) = self.children.insert(name.to_owned(), child) {
             let _ = old.kill();
             let _ = old.wait();
@@ -613,8 +613,26 @@
         let idx = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_LEN;
         let port = FIRST_PORT + block * PORTS_LEN + idx;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let _starting = starting();
         if TcpListener::bind(address).is_ok() {
             return address.to_string();
         }
     }
 }
+
+/// Starts a process while no address is being looked at. Until it has become
+/// another program it holds the sockets of its parent; an engine that was given
+/// such an address once ended with "Address already in use".
+///
+/// # Errors
+///
+/// When the process cannot be started.
+pub fn start(command: &mut Command) -> std::io::Result<Child> {
+    let _starting = starting();
+    command.spawn()
+}
+
+fn starting() -> MutexGuard<'static, ()> {
+    static STARTING: Mutex<()> = Mutex::new(());
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
