Failed calls to the store, departures heard and changes in a list write a line

Cause: the record of the incident could not tell which call failed last and when it was sent, whether a departure was heard, and what a list (not a watch) changed. Change: store_call_failed (kind, whether it was a list, how long ago it was sent, cause), endpoint_leaving_heard, endpoint also from lists, endpoint_lapsed with the age of the last failure. No decision changes.

--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -3,7 +3,11 @@
 //! Each kind is listed once and then watched. While the store is out, what was
 //! known stays in force; what a kind means is for its [`Follower`].
 
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{FutureExt, select};
 use sedgewall_platform::{
@@ -86,6 +90,7 @@
     let mut watches = Freshness::Newest;
     let mut lists = F::FIRST_LIST;
     loop {
+        let sent = Instant::now();
         let done = match since {
             None => node.store.list(F::KIND, lists).await.map(|listing| {
                 lists = Freshness::Newest;
@@ -138,8 +143,16 @@
             }
             Err(err) => {
                 node.note_store(true);
+                let cause = err.to_string();
+                let sent_ms_ago = sent.elapsed().as_millis() as u64;
+                tracing::info!(
+                    event = "store_call_failed",
+                    kind = F::KIND,
+                    is_list = since.is_none(),
+                    sent_ms_ago,
+                    cause,
+                );
                 if !is_out {
-                    let cause = err.to_string();
                     tracing::warn!(
                         event = "store_lost",
                         kind = F::KIND,
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -14,7 +14,7 @@
 use sedgewall_fleet::{endpoint::Endpoint, note::Note};
 use sedgewall_platform::{
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
-    store::{Change, StoredObject},
+    store::{Change, Revision, StoredObject},
 };
 use sedgewall_state::id::EndpointId;
 
@@ -53,9 +53,12 @@
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
-        let read: Vec<_> = objects.iter().filter_map(decoded).collect();
+        let read: Vec<_> = objects
+            .iter()
+            .filter_map(|object| Some((decoded(object)?, object.revision)))
+            .collect();
         let listed: HashSet<&EndpointId> =
-            read.iter().map(|endpoint| &endpoint.id).collect();
+            read.iter().map(|(endpoint, _)| &endpoint.id).collect();
         let known: Vec<EndpointId> = self
             .node
             .view
@@ -66,7 +69,8 @@
         for id in known.iter().filter(|id| !listed.contains(id)) {
             self.entry_gone(id);
         }
-        for endpoint in read {
+        for (endpoint, revision) in read {
+            self.log_changed(&endpoint, revision);
             self.entry_back(&endpoint.id);
             self.node.view.borrow_mut().list(endpoint, Instant::now());
         }
@@ -83,23 +87,9 @@
         }
         let Some(endpoint) = decoded(&change.object) else { return };
         self.entry_back(id);
-        let mut view = node.view.borrow_mut();
-        let was_draining =
-            view.get(id).map(|state| state.endpoint.is_draining);
-        if was_draining != Some(endpoint.is_draining) {
-            tracing::info!(
-                event = "endpoint",
-                endpoint = id,
-                service = endpoint.service,
-                zone = endpoint.zone,
-                is_draining = endpoint.is_draining,
-                adapters = adapter_count(&endpoint),
-                revision = change.object.revision,
-            );
-        }
+        let was_draining = self.log_changed(&endpoint, change.object.revision);
         let is_leaving = was_draining == Some(false) && endpoint.is_draining;
-        view.list(endpoint, Instant::now());
-        drop(view);
+        node.view.borrow_mut().list(endpoint, Instant::now());
         if is_leaving {
             node.outbox.borrow_mut().push(Note::Leaving(id.clone()));
             node.ring_notes();
@@ -113,6 +103,30 @@
         Endpoints { node: node.clone(), lapsed: Rc::default() }
     }
 
+    /// Logs an endpoint that is new, or that now leaves; returns whether it was
+    /// leaving before, if it was known.
+    fn log_changed(
+        &self,
+        endpoint: &Endpoint,
+        revision: Revision,
+    ) -> Option<bool> {
+        let view = self.node.view.borrow();
+        let known = view.get(&endpoint.id);
+        let was_draining = known.map(|state| state.endpoint.is_draining);
+        if was_draining != Some(endpoint.is_draining) {
+            tracing::info!(
+                event = "endpoint",
+                endpoint = endpoint.id,
+                service = endpoint.service,
+                zone = endpoint.zone,
+                is_draining = endpoint.is_draining,
+                adapters = adapter_count(endpoint),
+                revision,
+            );
+        }
+        was_draining
+    }
+
     /// Takes an endpoint out whose entry is gone. Just after an outage it may
     /// have lapsed meanwhile, and is waited for: a live endpoint writes it again.
     fn entry_gone(&self, id: &EndpointId) {
@@ -125,7 +139,13 @@
             return;
         }
         let left_ms = left.as_millis() as u64;
-        tracing::info!(event = "endpoint_lapsed", endpoint = id, left_ms);
+        let failed_ms_ago = self.node.store_state.failed_ms_ago();
+        tracing::info!(
+            event = "endpoint_lapsed",
+            endpoint = id,
+            left_ms,
+            failed_ms_ago,
+        );
         let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
         let id = id.clone();
         compio::runtime::spawn(async move {
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -107,6 +107,7 @@
             node.view.borrow_mut().hear_status(status, now);
         }
         Note::Leaving(endpoint) => {
+            tracing::info!(event = "endpoint_leaving_heard", endpoint);
             node.view.borrow_mut().hear_leaving(&endpoint);
         }
         Note::StoreFails => follow::probe_store(node),
--- a/crates/sedgewalld/src/fleet/store_state.rs
+++ b/crates/sedgewalld/src/fleet/store_state.rs
@@ -57,6 +57,11 @@
         ENTRIES_RETURN.saturating_sub(failed.elapsed())
     }
 
+    /// Returns how long ago a call failed last, in milliseconds, for the log.
+    pub(crate) fn failed_ms_ago(&self) -> Option<u64> {
+        Some(self.failed.get()?.elapsed().as_millis() as u64)
+    }
+
     /// Returns whether others have yet to hear of a change, once.
     pub(crate) fn take_news(&self) -> bool {
         self.is_news.take()
