Failing tests of the incident; what calls show of the store is pure

Cause: an endpoint that left while two instances were cut off from the store got requests from them for 12 s. Ruled out: lost notes, since `behind` shows that they arrived; a wrong decoding, since five instances took it out within 0.6 s. StoreState moves to crates/fleet as StoreContact, with time as an argument, and keeps when a failed call was sent; what it decides is the same.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod relays;
 pub mod retry_budget;
 pub mod route;
+pub mod store_contact;
 pub mod store_rate;
 pub mod suspicion;
 pub mod view;
--- /dev/null
+++ b/crates/fleet/tests/store_contact_rules.rs
@@ -0,0 +1,43 @@
+//! What calls show of the store, and how long missing entries are waited for.
+
+use std::time::{Duration, Instant};
+
+use sedgewall_fleet::store_contact::{CallFailure, StoreContact};
+
+/// An instance that reaches the store again is held to what it lists after
+/// this long (the platform's pages).
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
+
+fn unanswered(sent: Instant, for_ms: u64) -> CallFailure {
+    let noticed = sent + Duration::from_millis(for_ms);
+    CallFailure { sent, noticed, is_unanswered: true }
+}
+
+/// Symptom: an instance that was cut off from the store sent requests to an
+/// endpoint for 3.2 s after its path was back, though that had left.
+/// Sequence: a call sent just before the path was back stayed unanswered for
+/// its 1.2 s; only from then on the missing entry was waited for, 2.5 s.
+/// Cause: a failure was dated by when it was noticed.
+/// Settled by: `endpoint_lapsed` with `left_ms` 1456 at 74.752 s, so the last
+/// failure counted from 73.71 s, while `store_regained` stands at 73.08 s.
+#[test]
+fn a_missing_entry_is_not_waited_for_beyond_contact_regained() {
+    let sent = Instant::now();
+    let mut contact = StoreContact::default();
+    contact.failed(unanswered(sent, 1_200));
+    let in_touch = sent + IN_TOUCH_AFTER;
+    assert_eq!(contact.entries_return_within(in_touch), Duration::ZERO);
+}
+
+#[test]
+fn a_missing_entry_is_waited_for_after_an_outage() {
+    let now = Instant::now();
+    let mut contact = StoreContact::default();
+    assert_eq!(contact.entries_return_within(now), Duration::ZERO);
+    let turned_away =
+        CallFailure { sent: now, noticed: now, is_unanswered: false };
+    contact.failed(turned_away);
+    contact.reached(now + Duration::from_millis(200));
+    let entries_back = now + Duration::from_secs(2);
+    assert!(contact.entries_return_within(entries_back) > Duration::ZERO);
+}
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -127,7 +127,7 @@
         };
         match done {
             Ok(revision) => {
-                node.note_store(false);
+                node.store_reached();
                 if is_out {
                     tracing::info!(event = "store_regained", kind = F::KIND);
                     is_out = false;
@@ -142,7 +142,7 @@
                 since = None;
             }
             Err(err) => {
-                node.note_store(true);
+                node.store_failed(sent, &err);
                 let cause = err.to_string();
                 let sent_ms_ago = sent.elapsed().as_millis() as u64;
                 tracing::info!(
@@ -194,26 +194,29 @@
 /// Sees whether the store answers, for the holder of the lease to hear. Our own
 /// watches may still wait on connections that were made before an outage.
 pub(crate) fn probe_store(node: &Rc<FleetNode>) {
-    if !node.store_state.begin_probe() {
+    if !node.store_contact.borrow_mut().begin_probe() {
         return;
     }
     let node = node.clone();
     compio::runtime::spawn(async move {
         loop {
+            let sent = Instant::now();
             let probe = node.store.probe(CONFIG_KIND, CONFIG_NAME);
-            let answered = compio::time::timeout(PROBE_TIME, probe).await;
-            let is_out = !matches!(answered, Ok(Ok(())));
-            tracing::info!(event = "store_probed", is_out);
-            node.note_store(is_out);
-            if !is_out {
+            let probed = compio::time::timeout(PROBE_TIME, probe)
+                .await
+                .unwrap_or(Err(StoreError::Unanswered));
+            tracing::info!(event = "store_probed", is_out = probed.is_err());
+            let Err(err) = probed else {
+                node.store_reached();
                 break;
-            }
+            };
+            node.store_failed(sent, &err);
             compio::time::sleep(PROBE_AGAIN).await;
-            if !node.store_state.is_out() {
+            if !node.store_contact.borrow().is_out() {
                 break;
             }
         }
-        node.store_state.end_probe();
+        node.store_contact.borrow_mut().end_probe();
     })
     .detach();
 }
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -130,7 +130,9 @@
     /// Takes an endpoint out whose entry is gone. Just after an outage it may
     /// have lapsed meanwhile, and is waited for: a live endpoint writes it again.
     fn entry_gone(&self, id: &EndpointId) {
-        let left = self.node.store_state.entries_return_within();
+        let now = Instant::now();
+        let contact = self.node.store_contact.borrow();
+        let left = contact.entries_return_within(now);
         if left.is_zero() {
             take_out(&self.node, id);
             return;
@@ -139,12 +141,14 @@
             return;
         }
         let left_ms = left.as_millis() as u64;
-        let failed_ms_ago = self.node.store_state.failed_ms_ago();
+        let last = contact.last_failure();
+        let ms_ago = |at: Instant| (now - at).as_millis() as u64;
         tracing::info!(
             event = "endpoint_lapsed",
             endpoint = id,
             left_ms,
-            failed_ms_ago,
+            failed_ms_ago = last.map(|last| ms_ago(last.noticed)),
+            sent_ms_ago = last.map(|last| ms_ago(last.sent)),
         );
         let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
         let id = id.clone();
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -171,7 +171,8 @@
     }
     // A holder may go on while all say that the store is out, we among them:
     // then what it said before that has not ended its lease.
-    let was_out = node.store_state.was_out_within(OUTAGE_MARKS);
+    let contact = node.store_contact.borrow();
+    let was_out = contact.was_out_within(OUTAGE_MARKS, now);
     let noted = node.leader.borrow().as_ref().map(|leader| leader.noted);
     watching.ended_by(noted.filter(|_| !was_out)).unwrap_or(now)
 }
@@ -308,9 +309,13 @@
 }
 
 async fn read(node: &FleetNode) -> Result<Option<StoredLease>, StoreError> {
+    let sent = Instant::now();
     let read = node.store.get(LEASES_KIND, ORDERS_LEASE).await;
     // The holder counts on our word: who can read the record can take it.
-    node.note_store(read.is_err());
+    match &read {
+        Ok(_) => node.store_reached(),
+        Err(err) => node.store_failed(sent, err),
+    }
     Ok(read?.and_then(|object| decode(&object)))
 }
 
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -22,4 +22,3 @@
 mod orders;
 mod refusal;
 mod relay;
-mod store_state;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -16,11 +16,12 @@
     note::{Lead, Note},
     retry_budget::{RetryAllowance, RetryBudget},
     route::Deployment,
+    store_contact::{CallFailure, StoreContact},
     suspicion::Suspicions,
     view::FleetView,
     vouch::{LastWords, WORD_HOLDS},
 };
-use sedgewall_platform::Store;
+use sedgewall_platform::{Store, StoreError};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -28,7 +29,7 @@
 use sedgewall_transport::EndpointPool;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{bell::Bell, store_state::StoreState};
+use super::bell::Bell;
 
 /// Notes of the holder that may be lost in a row before it is missed.
 const LEADER_LOSSES: u32 = 4;
@@ -128,7 +129,7 @@
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
     /// Whether the store answers us.
-    pub(crate) store_state: StoreState,
+    pub(crate) store_contact: RefCell<StoreContact>,
     /// What the other instances say of themselves.
     pub(crate) last_words: RefCell<LastWords>,
     /// Engines that could not be reached, for the holder to hear.
@@ -196,7 +197,7 @@
             demand: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
-            store_state: StoreState::default(),
+            store_contact: RefCell::default(),
             last_words: RefCell::default(),
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
@@ -247,9 +248,21 @@
         !peers.is_empty() && words.nobody_reaches_store(peers.keys(), now)
     }
 
-    /// Notes whether the store answered; others hear at once what changed.
-    pub(crate) fn note_store(&self, is_out: bool) {
-        if self.store_state.note(is_out) {
+    /// Notes that the store answered; others hear at once what changed.
+    pub(crate) fn store_reached(&self) {
+        if self.store_contact.borrow_mut().reached(Instant::now()) {
+            self.ring_notes();
+        }
+    }
+
+    /// Notes that a call to the store failed; others hear at once what changed.
+    pub(crate) fn store_failed(&self, sent: Instant, err: &StoreError) {
+        let failure = CallFailure {
+            sent,
+            noticed: Instant::now(),
+            is_unanswered: matches!(err, StoreError::Unanswered),
+        };
+        if self.store_contact.borrow_mut().failed(failure) {
             self.ring_notes();
         }
     }
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -256,7 +256,7 @@
         let left = next.saturating_duration_since(Instant::now());
         is_urgent |= node.notes_rung(left).await;
         let now = Instant::now();
-        if now >= next_status || node.store_state.take_news() {
+        if now >= next_status || node.store_contact.borrow_mut().take_news() {
             let pause = status_pause(&node, now);
             next_status = now + pause;
             next_soon = now + soon_pause(&node);
@@ -406,7 +406,7 @@
         leads,
         configuration: node.deployment().map_or(0, |known| known.version),
         versions,
-        store_is_out: node.store_state.is_out(),
+        store_is_out: node.store_contact.borrow().is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
         work,
         is_total,
