A failed call speaks of when the store is known to have failed

Cause: a call without an answer was dated by when its time was over, up to 1.2 s (a watch: 5 s) after it was sent. A missing entry was then waited for that much longer, while the endpoint had left; and a call lost before another was answered put the store out again in what this instance tells, on which the holder of the lease counts. Ruled out: a shorter wait alone, which would still start from the wrong moment. Change: without an answer the time of sending counts; an answer that came later outweighs it. The wait is 2.8 s from there, not 2.5 s, since the end of the outage now lies later than that point, by up to a call's pause; 3 s is the bound. Before: a missing entry was waited for 3.7 s after the call was sent. After: 2.8 s.

--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -1,15 +1,17 @@
 //! What an instance's calls show of the platform's store: whether it answers,
 //! and when it was last known not to.
 //!
-//! It does no I/O and reads no clock. The invariant: entries of endpoints that
-//! are missing are waited for only for a while after the store was out.
+//! It does no I/O and reads no clock. The invariant: a failure speaks of the
+//! time at which the store is known to have failed, never of a later one.
 
 use std::time::{Duration, Instant};
 
-/// Entries that lapsed during an outage are back within two seconds of its end
-/// (the platform's pages); the rest is for our own calls. An endpoint that has
-/// really left gets no work for longer: 3 s after the end we are held to that.
-const ENTRIES_RETURN: Duration = Duration::from_millis(2_500);
+/// How long after the store was last known to be out a missing entry may still
+/// come back. Entries that lapsed are back within two seconds of the outage's
+/// end (the platform's pages), which lies up to a call's pause later. An endpoint
+/// that has really left gets no work for longer: 3 s after the end we are held to
+/// that, and 0.2 s are for requests that were just sent.
+const ENTRIES_RETURN: Duration = Duration::from_millis(2_800);
 
 /// A call to the store that failed.
 #[derive(Clone, Copy, Debug)]
@@ -23,11 +25,23 @@
     pub is_unanswered: bool,
 }
 
+impl CallFailure {
+    /// Returns when the store is known not to have answered. A call without an
+    /// answer may be lost on a path that has worked again ever since.
+    pub fn known_out_at(&self) -> Instant {
+        match self.is_unanswered {
+            true => self.sent,
+            false => self.noticed,
+        }
+    }
+}
+
 /// What this instance's calls show of the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreContact {
     is_out: bool,
     failed: Option<CallFailure>,
+    answered: Option<Instant>,
     regained: Option<Instant>,
     is_probing: bool,
     is_news: bool,
@@ -36,6 +50,7 @@
 impl StoreContact {
     /// Notes that a call was answered; returns whether that is news.
     pub fn reached(&mut self, now: Instant) -> bool {
+        self.answered = Some(now);
         if !std::mem::take(&mut self.is_out) {
             return false;
         }
@@ -45,9 +60,18 @@
     }
 
     /// Notes that a call failed; returns whether that is news. The holder of
-    /// the lease counts on our word.
+    /// the lease counts on our word, so a call that was lost before another was
+    /// answered does not put the store out again.
     pub fn failed(&mut self, failure: CallFailure) -> bool {
-        self.failed = Some(failure);
+        let out_at = failure.known_out_at();
+        let is_newest =
+            self.failed.is_none_or(|last| last.known_out_at() <= out_at);
+        if is_newest {
+            self.failed = Some(failure);
+        }
+        if self.answered.is_some_and(|at| at >= out_at) {
+            return false;
+        }
         if std::mem::replace(&mut self.is_out, true) {
             return false;
         }
@@ -67,11 +91,10 @@
     }
 
     /// Returns for how long entries of endpoints that lapsed while the store
-    /// was out may still come back. It was out until our last failed call at
-    /// the least.
+    /// was out may still come back.
     pub fn entries_return_within(&self, now: Instant) -> Duration {
         let Some(failed) = self.failed else { return Duration::ZERO };
-        ENTRIES_RETURN.saturating_sub(now - failed.noticed)
+        ENTRIES_RETURN.saturating_sub(now - failed.known_out_at())
     }
 
     /// Returns the last call that failed.
--- a/crates/fleet/tests/store_contact_rules.rs
+++ b/crates/fleet/tests/store_contact_rules.rs
@@ -29,6 +29,20 @@
     assert_eq!(contact.entries_return_within(in_touch), Duration::ZERO);
 }
 
+/// Many watches that were lost together would have all instances say that the
+/// store is out, and the holder of the lease go on by their word, while the
+/// store answers.
+#[test]
+fn a_call_lost_before_another_was_answered_does_not_put_the_store_out() {
+    let sent = Instant::now();
+    let mut contact = StoreContact::default();
+    contact.reached(sent + Duration::from_secs(3));
+    assert!(!contact.failed(unanswered(sent, 5_000)));
+    assert!(!contact.is_out());
+    assert!(contact.failed(unanswered(sent + Duration::from_secs(4), 1_200)));
+    assert!(contact.is_out());
+}
+
 #[test]
 fn a_missing_entry_is_waited_for_after_an_outage() {
     let now = Instant::now();
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -147,8 +147,7 @@
             event = "endpoint_lapsed",
             endpoint = id,
             left_ms,
-            failed_ms_ago = last.map(|last| ms_ago(last.noticed)),
-            sent_ms_ago = last.map(|last| ms_ago(last.sent)),
+            known_out_ms_ago = last.map(|last| ms_ago(last.known_out_at())),
         );
         let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
         let id = id.clone();
