Endpoints are listed as soon as any call reaches the store again

Cause: of the four kinds that are followed, endpoints alone had no bell, so they were listed 1.7 s after the store was reached. The test showed a second part: after a failed call a kind watched again, and a watch answers only once something changes, up to 12 s later; so one whose path was back did not know it and rang for nobody. Ruled out: a longer back-off (it was at 1.2 s at most here). Change: endpoints have a bell; after a failed call a kind lists, which is answered at once; a ring ends the pause between two watches; whoever regains the store does not ring for itself, and a ring that a list already answers is taken back (a regained store cost each kind two to three lists before). Before: the endpoint's watch ran into its 5 s. After: listed when the configuration was.

--- a/crates/sedgewalld/src/fleet/bell.rs
+++ b/crates/sedgewalld/src/fleet/bell.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Takes back a ring that nobody has heard: what it asks for is done now.
+    pub(crate) fn mute(&self) {
+        self.is_rung.set(false);
+    }
+
     pub(crate) async fn wait(&self, within: Duration) -> bool {
         if !self.is_rung.get() {
             let (tx, rx) = oneshot::channel();
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -42,11 +42,11 @@
 /// The longest pause after failed calls.
 pub(crate) const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
 
-/// The same for an instance that does not watch for the others.
-const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
+/// The same for the endpoints at an instance that does not watch for the others.
+pub(crate) const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
 
-/// The longest pause after failed calls of a kind that is rung for when
-/// another kind reaches the store again: one kind's calls show that.
+/// The same for all other kinds: once one kind's calls reach the store again,
+/// all are rung for.
 const RUNG_BACK_OFF: Duration = Duration::from_secs(4);
 
 /// Takes in the objects of one kind.
@@ -61,16 +61,10 @@
         Duration::ZERO
     }
     /// What rings when all is to be listed anew.
-    fn bell(&self) -> Option<Rc<Bell>> {
-        None
-    }
-    /// The longest pause after failed calls, where others watch as well. What
-    /// has a bell is rung for once the store is regained.
+    fn bell(&self) -> Rc<Bell>;
+    /// The longest pause after failed calls, where others watch as well.
     fn longest_back_off(&self) -> Duration {
-        match self.bell() {
-            Some(_) => RUNG_BACK_OFF,
-            None => OTHERS_BACK_OFF,
-        }
+        RUNG_BACK_OFF
     }
     /// Takes in all objects.
     fn list(&self, objects: Vec<StoredObject>);
@@ -92,24 +86,27 @@
     loop {
         let sent = Instant::now();
         let done = match since {
-            None => node.store.list(F::KIND, lists).await.map(|listing| {
-                lists = Freshness::Newest;
-                tracing::info!(
-                    event = "listed",
-                    kind = F::KIND,
-                    objects = listing.objects.len(),
-                    revision = listing.revision,
-                );
-                follower.list(listing.objects);
-                listing.revision
-            }),
+            None => {
+                follower.bell().mute();
+                node.store.list(F::KIND, lists).await.map(|listing| {
+                    lists = Freshness::Newest;
+                    tracing::info!(
+                        event = "listed",
+                        kind = F::KIND,
+                        objects = listing.objects.len(),
+                        revision = listing.revision,
+                    );
+                    follower.list(listing.objects);
+                    listing.revision
+                })
+            }
             Some(revision) => {
                 watches = freshness(&node, watches, F::KIND);
                 let watch =
                     node.store.watch(F::KIND, revision, F::WATCH, watches);
                 let mut watch = pin!(watch.fuse());
                 let bell = follower.bell();
-                let mut rung = pin!(rung(bell).fuse());
+                let mut rung = pin!(rung(&bell).fuse());
                 let watched = select! {
                     watched = watch => watched,
                     () = rung => {
@@ -131,11 +128,14 @@
                 if is_out {
                     tracing::info!(event = "store_regained", kind = F::KIND);
                     is_out = false;
-                    node.list_anew();
+                    node.list_others_anew(&follower.bell());
                 }
                 since = Some(revision);
                 back_off = FIRST_BACK_OFF;
-                compio::time::sleep(follower.pause()).await;
+                let pause = follower.pause();
+                if !pause.is_zero() && follower.bell().wait(pause).await {
+                    since = None;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 tracing::warn!(event = "history_gone", kind = F::KIND);
@@ -160,12 +160,16 @@
                     );
                     is_out = true;
                 }
+                // A watch answers only once something changes; a list tells at
+                // once that the store is regained, and what was missed.
+                since = None;
                 // Whoever regains the store first rings for the others.
-                let mut regained = pin!(rung(follower.bell()).fuse());
+                let bell = follower.bell();
+                let mut regained = pin!(rung(&bell).fuse());
                 let mut pause = pin!(compio::time::sleep(back_off).fuse());
                 select! {
                     () = pause => {}
-                    () = regained => since = None,
+                    () = regained => {}
                 }
                 let longest = match node.rank(0) < FRESH_WATCHERS {
                     true => LONGEST_BACK_OFF,
@@ -221,10 +225,7 @@
     .detach();
 }
 
-/// Waits for a bell; for ever, if there is none.
-async fn rung(bell: Option<Rc<Bell>>) {
-    match bell {
-        Some(bell) => while !bell.wait(QUIET_WATCH).await {},
-        None => std::future::pending().await,
-    }
+/// Waits for a bell.
+async fn rung(bell: &Bell) {
+    while !bell.wait(QUIET_WATCH).await {}
 }
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -32,8 +32,8 @@
     const FIRST_LIST: Freshness = Freshness::Newest;
     const WATCH: Duration = QUIET_WATCH;
 
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.configuration_bell.clone())
+    fn bell(&self) -> Rc<Bell> {
+        self.0.configuration_bell.clone()
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
@@ -87,8 +87,8 @@
     const KIND: &'static str = VERSIONS_KIND;
     const WATCH: Duration = QUIET_WATCH;
 
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.versions_bell.clone())
+    fn bell(&self) -> Rc<Bell> {
+        self.0.versions_bell.clone()
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -18,7 +18,11 @@
 };
 use sedgewall_state::id::EndpointId;
 
-use super::{follow::Follower, node::FleetNode};
+use super::{
+    bell::Bell,
+    follow::{Follower, OTHERS_BACK_OFF},
+    node::FleetNode,
+};
 
 /// How long a watch of endpoints waits for a change. A channel that went dead
 /// without a word is noticed after this time; then all is listed anew.
@@ -52,6 +56,16 @@
         ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(LONGEST_PAUSE)
     }
 
+    fn bell(&self) -> Rc<Bell> {
+        self.node.endpoints_bell.clone()
+    }
+
+    /// Their calls show that the store is regained, soon enough that what left
+    /// meanwhile is known within the time that we are given for it.
+    fn longest_back_off(&self) -> Duration {
+        OTHERS_BACK_OFF
+    }
+
     fn list(&self, objects: Vec<StoredObject>) {
         let read: Vec<_> = objects
             .iter()
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -48,8 +48,8 @@
         INSTANCES_PAUSE
     }
 
-    fn bell(&self) -> Option<Rc<Bell>> {
-        Some(self.0.instances_bell.clone())
+    fn bell(&self) -> Rc<Bell> {
+        self.0.instances_bell.clone()
     }
 
     fn list(&self, objects: Vec<StoredObject>) {
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -159,6 +159,7 @@
     pub(crate) configuration_bell: Rc<Bell>,
     pub(crate) versions_bell: Rc<Bell>,
     pub(crate) instances_bell: Rc<Bell>,
+    pub(crate) endpoints_bell: Rc<Bell>,
     /// Since when others are heard to know more than we do.
     pub(crate) behind_since: Cell<Option<Instant>>,
     /// What this instance has done, for the log.
@@ -217,6 +218,7 @@
             configuration_bell: Rc::default(),
             versions_bell: Rc::default(),
             instances_bell: Rc::default(),
+            endpoints_bell: Rc::default(),
             behind_since: Cell::new(None),
             work: Work::default(),
             outbox: RefCell::default(),
@@ -401,12 +403,19 @@
         }
     }
 
-    /// Makes everything that is watched be listed anew. Watches that were
-    /// under way while the store was out may never be answered.
-    pub(crate) fn list_anew(&self) {
-        self.configuration_bell.ring();
-        self.versions_bell.ring();
-        self.instances_bell.ring();
+    /// Makes everything that is watched be listed anew, but for what was just
+    /// listed and has this bell. Watches that were under way while the store was
+    /// out may never be answered.
+    pub(crate) fn list_others_anew(&self, listed: &Rc<Bell>) {
+        let bells = [
+            &self.configuration_bell,
+            &self.versions_bell,
+            &self.instances_bell,
+            &self.endpoints_bell,
+        ];
+        for bell in bells.iter().filter(|bell| !Rc::ptr_eq(bell, listed)) {
+            bell.ring();
+        }
     }
 
     /// Wakes the part that gives orders.
