Whoever sees an endpoint leave tells all others, and says it again

Cause: that an endpoint is draining was told once, and only by who read it in a watch; that its entry is gone was told by nobody. An instance that was cut off from the store alone heard all notes of the others and sent to the endpoint for 12 s. Its class: what one instance learned late, or not at all, though others knew it. Ruled out: telling at each status how new the list is, so that who is behind lists anew (configuration and versions do): it does not help an instance that cannot list. Change: a departure is an endpoint and the store's revision at which it had left. It is told at once by whoever sees it, in a watch or a list, draining or gone, and again for 4 s with each status; an entry of that revision or before never makes the endpoint usable, a later one does, and its adapters are asked for anew.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -9,11 +9,16 @@
     route::ServiceName,
 };
 
+/// A revision of the platform's store, which counts each change.
+pub type Revision = u64;
+
 /// One life of an endpoint; a restart has another id.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
     /// Its id.
     pub id: EndpointId,
+    /// The store's revision at which its entry was last changed.
+    pub revision: Revision,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens. Others may listen there after it is gone.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adapter;
 mod adapter_index;
 pub mod demand;
+pub mod departure;
 pub mod endpoint;
 pub mod endpoint_state;
 mod engine_room;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
+    departure::Departure,
     work::Work,
 };
 
@@ -28,8 +29,8 @@
     Placed(Placed),
     /// An adapter is being removed.
     Removed(Removed),
-    /// An endpoint is leaving, as the platform's list says.
-    Leaving(EndpointId),
+    /// An endpoint is leaving or gone, as the platform's store says.
+    Departed(Departure),
     /// The store did not answer the holder of the lease: all see whether it
     /// answers them, and say so.
     StoreFails,
@@ -82,6 +83,9 @@
     pub store_is_out: bool,
     /// Whether it takes no more work and will end.
     pub is_leaving: bool,
+    /// Endpoints that left lately. An instance of the release before says none.
+    #[serde(default)]
+    pub departures: Vec<Departure>,
     /// What is under way, by endpoint; those without work are left out.
     pub work: Vec<(EndpointId, Work)>,
     /// Whether they are those of all instances, as the holder of the lease
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -2,8 +2,8 @@
 //!
 //! The table joins three sources: the platform's list (late, but what holds in
 //! the end), notes of other instances (early, and lost now and then) and the
-//! outcomes of our own requests. The invariant: an endpoint that is leaving,
-//! or that is not known to hold what a request names, is never chosen.
+//! outcomes of our own requests. The invariant: an endpoint that any of them
+//! showed to leave, or that is not known to hold what a request names, is never chosen.
 
 mod choice;
 mod under_way;
@@ -21,7 +21,8 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     adapter_index::AdapterIndex,
-    endpoint::{Endpoint, EngineReport},
+    departure::{Departure, Departures},
+    endpoint::{Endpoint, EngineReport, Revision},
     endpoint_state::EndpointState,
     note::{Placed, Removed},
     pace::Pace,
@@ -47,6 +48,9 @@
     /// Until when the holder's sums count.
     totals_until: Option<Instant>,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
+    departures: Departures,
+    /// Departures that we saw in the store and the others have not heard of.
+    untold: Vec<Departure>,
     /// How fast the engines of each service begin to answer.
     paces: HashMap<ServiceName, Pace>,
 }
@@ -63,13 +67,26 @@
             peers: HashMap::new(),
             totals_until: None,
             newest: HashMap::new(),
+            departures: Departures::default(),
+            untold: Vec::new(),
             paces: HashMap::new(),
         }
     }
 
-    /// Takes in one endpoint's entry.
-    pub fn list(&mut self, endpoint: Endpoint, now: Instant) {
+    /// Takes in one endpoint's entry. An entry from before it left, which a
+    /// list that is seconds old may show, does not bring it back.
+    pub fn list(&mut self, mut endpoint: Endpoint, now: Instant) {
         let id = endpoint.id.clone();
+        if endpoint.is_draining {
+            self.see_departure(&id, endpoint.revision, now);
+        }
+        endpoint.is_draining |=
+            self.departures.has_left(&id, endpoint.revision);
+        let is_back = !endpoint.is_draining
+            && self.get(&id).is_some_and(|state| state.endpoint.is_draining);
+        if is_back {
+            self.lose_track(&id);
+        }
         if !self.endpoints.contains_key(&id) {
             let mut state = EndpointState::new(endpoint.clone());
             state.others_work = self.others_work(&id);
@@ -142,8 +159,18 @@
         }
     }
 
-    /// Takes an endpoint out whose entry is gone.
-    pub fn unlist(&mut self, id: &EndpointId) {
+    /// Takes an endpoint out whose entry is gone, as of a revision of the store.
+    pub fn unlist(
+        &mut self,
+        id: &EndpointId,
+        revision: Revision,
+        now: Instant,
+    ) {
+        let known = self.endpoints.get(id);
+        let Some(known) = known.map(|state| state.endpoint.revision) else {
+            return;
+        };
+        self.see_departure(id, revision.max(known), now);
         let Some(state) = self.endpoints.remove(id) else { return };
         for key in state.seats.keys() {
             self.holders.remove(key, id);
@@ -180,11 +207,56 @@
             .collect()
     }
 
-    /// Takes in that another instance saw an endpoint leave.
-    pub fn hear_leaving(&mut self, id: &EndpointId) {
-        if let Some(state) = self.endpoints.get_mut(id) {
+    /// Notes that we saw an endpoint leave. If its entry goes after it said
+    /// so, nobody needs to hear that.
+    fn see_departure(
+        &mut self,
+        id: &EndpointId,
+        revision: Revision,
+        now: Instant,
+    ) {
+        let was_leaving = self
+            .endpoints
+            .get(id)
+            .is_some_and(|state| state.endpoint.is_draining);
+        let departure = Departure { endpoint: id.clone(), revision };
+        if self.departures.note(&departure, now) && !was_leaving {
+            self.untold.push(departure);
+        }
+    }
+
+    /// Takes in that another instance saw an endpoint leave; returns whether
+    /// that is news.
+    pub fn hear_departure(
+        &mut self,
+        departure: &Departure,
+        now: Instant,
+    ) -> bool {
+        if !self.departures.note(departure, now) {
+            return false;
+        }
+        if let Some(state) = self.endpoints.get_mut(&departure.endpoint)
+            && state.endpoint.revision <= departure.revision
+        {
             state.endpoint.is_draining = true;
         }
+        true
+    }
+
+    /// Returns the departures that we saw and the others have not heard of,
+    /// once.
+    pub fn take_untold(&mut self) -> Vec<Departure> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Returns the departures that others are told of again.
+    pub fn departures(&self, now: Instant) -> Vec<Departure> {
+        self.departures.told(now)
+    }
+
+    /// Forgets departures that nobody speaks of any more.
+    pub fn forget_departures(&mut self, now: Instant) {
+        self.departures.forget(now);
     }
 
     /// Takes in that several instances cannot reach an endpoint.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -29,6 +29,7 @@
         address: ([127, 0, 0, 1], port).into(),
         zone: zone.to_owned(),
         slots: SLOTS,
+        revision: 1,
         is_draining: false,
         remaining: None,
         models: vec![hosted(adapters)],
@@ -112,6 +113,7 @@
         versions: 0,
         store_is_out: false,
         is_leaving: false,
+        departures: Vec::new(),
         work,
         is_total: false,
     }
--- /dev/null
+++ b/crates/fleet/tests/departure_rules.rs
@@ -0,0 +1,140 @@
+//! What left stays left, whatever is heard and read in whatever order.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{choose, endpoint, key, sent_to};
+use proptest::prelude::*;
+use sedgewall_fleet::{
+    departure::Departure,
+    endpoint::{Endpoint, Revision},
+    view::{Choice, FleetView},
+};
+
+fn entry(revision: Revision, is_draining: bool) -> Endpoint {
+    let mut entry = endpoint("e1", "z1", &[1]);
+    entry.revision = revision;
+    entry.is_draining = is_draining;
+    entry
+}
+
+fn departure(revision: Revision) -> Departure {
+    Departure { endpoint: "e1".to_owned(), revision }
+}
+
+fn is_chosen(view: &FleetView, now: Instant) -> bool {
+    sent_to(&choose(view, &key(1), now)) == Some("e1")
+}
+
+/// Symptom: none was reported; found where an endpoint that left unheard was
+/// traced. An instance that watches what may be seconds old would send to a
+/// leaving endpoint for as long as its watch is late.
+/// Sequence: another instance tells that the endpoint leaves; our late watch
+/// brings a change of its entry from before, which still says ready.
+/// Cause: each entry that was read replaced what had been heard.
+#[test]
+fn a_late_list_does_not_bring_back_an_endpoint_that_left() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(3, false), now);
+    view.hear_departure(&departure(5), now);
+    view.list(entry(4, false), now);
+    assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+    view.list(entry(6, false), now);
+    assert!(is_chosen(&view, now));
+}
+
+#[test]
+fn a_departure_is_known_before_the_endpoint_is() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.hear_departure(&departure(5), now);
+    view.list(entry(4, false), now);
+    assert!(!is_chosen(&view, now));
+}
+
+#[test]
+fn what_we_see_leave_is_told_once_and_said_again_for_a_while() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(3, false), now);
+    assert!(view.take_untold().is_empty());
+    view.list(entry(4, true), now);
+    assert_eq!(view.take_untold(), [departure(4)]);
+    view.unlist(&"e1".to_owned(), 5, now);
+    assert!(view.take_untold().is_empty());
+    assert_eq!(view.departures(now), [departure(5)]);
+    let later = now + Duration::from_secs(10);
+    assert!(view.departures(later).is_empty());
+}
+
+#[test]
+fn what_is_heard_is_not_told_as_our_own() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(3, false), now);
+    assert!(view.hear_departure(&departure(4), now));
+    assert!(!view.hear_departure(&departure(4), now));
+    assert!(view.take_untold().is_empty());
+    // A lost note is repaired by whoever heard it.
+    assert_eq!(view.departures(now), [departure(4)]);
+}
+
+/// What may happen to one endpoint's entry, as one instance learns it.
+#[derive(Clone, Debug)]
+enum Step {
+    /// It reads an entry of this revision, which may be old.
+    Read { revision: Revision, is_draining: bool },
+    /// It hears of a departure as of this revision.
+    Heard(Revision),
+    /// It finds the entry missing at this revision.
+    Missing(Revision),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let revision = || 1_u64..30;
+    prop_oneof![
+        3 => (revision(), prop::bool::weighted(0.2)).prop_map(
+            |(revision, is_draining)| Step::Read { revision, is_draining }
+        ),
+        1 => revision().prop_map(Step::Heard),
+        1 => revision().prop_map(Step::Missing),
+    ]
+}
+
+proptest! {
+    /// An endpoint is chosen if and only if the entry that was read last was
+    /// written after all departures that are known.
+    #[test]
+    fn only_a_later_entry_brings_an_endpoint_back(
+        steps in prop::collection::vec(step(), 1..40),
+    ) {
+        let now = Instant::now();
+        let mut view = FleetView::new("z1");
+        let (mut left, mut listed) = (0, None);
+        for step in steps {
+            match step {
+                Step::Read { revision, is_draining } => {
+                    view.list(entry(revision, is_draining), now);
+                    listed = Some(revision);
+                    if is_draining {
+                        left = left.max(revision);
+                    }
+                }
+                Step::Heard(revision) => {
+                    view.hear_departure(&departure(revision), now);
+                    left = left.max(revision);
+                }
+                Step::Missing(revision) => {
+                    view.unlist(&"e1".to_owned(), revision, now);
+                    if let Some(known) = listed.take() {
+                        left = left.max(revision).max(known);
+                    }
+                }
+            }
+            let is_usable = listed.is_some_and(|revision| revision > left);
+            prop_assert_eq!(is_chosen(&view, now), is_usable);
+        }
+    }
+}
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -304,13 +304,17 @@
         }
         let mut demand = Demand::default();
         let mut loader = loader(1, now);
-        for step in steps {
+        for (revision, step) in (2..).zip(steps) {
             match step {
                 Step::Asked(n, times) => asked(&mut demand, n, times, now),
                 Step::Later(ms) => now += Duration::from_millis(ms),
-                Step::Unlisted(e) => view.unlist(&ids[e].to_owned()),
+                Step::Unlisted(e) => {
+                    view.unlist(&ids[e].to_owned(), revision, now);
+                }
                 Step::Listed(e, adapters) => {
-                    view.list(endpoint(ids[e], "z1", &adapters), now);
+                    let mut entry = endpoint(ids[e], "z1", &adapters);
+                    entry.revision = revision;
+                    view.list(entry, now);
                 }
                 Step::TurnedAway(e, n) => {
                     let pause = Duration::from_millis(40);
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -9,6 +9,7 @@
 };
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    departure::Departure,
     note::{Placed, Removed, Status},
     view::{Choice, FleetView, Need},
 };
@@ -23,6 +24,10 @@
     }
 }
 
+fn departure(endpoint: &str, revision: u64) -> Departure {
+    Departure { endpoint: endpoint.to_owned(), revision }
+}
+
 #[test]
 fn a_request_goes_only_where_its_adapter_is() {
     let now = Instant::now();
@@ -59,8 +64,9 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
-    view.hear_leaving(&"e1".to_owned());
+    assert!(view.hear_departure(&departure("e1", 1), now));
     assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+    assert!(!view.hear_departure(&departure("e1", 1), now));
 }
 
 #[test]
@@ -68,7 +74,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
-    view.unlist(&"e1".to_owned());
+    view.unlist(&"e1".to_owned(), 2, now);
     assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
 }
 
@@ -308,8 +314,10 @@
     view.list(endpoint("e1", "z1", &[]), now);
     view.hear_report(&id, &report(&[1], 1), now);
     assert!(view.get(&id).is_some_and(|s| s.is_ordered_by_us()));
-    view.unlist(&id);
-    view.list(endpoint("e1", "z1", &[1]), now);
+    view.unlist(&id, 2, now);
+    let mut back = endpoint("e1", "z1", &[1]);
+    back.revision = 3;
+    view.list(back, now);
     assert!(view.get(&id).is_some_and(|s| !s.is_ordered_by_us()));
 }
 
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -13,7 +13,7 @@
 use sedgewall_platform::{
     StoreError,
     config::{CONFIG_KIND, CONFIG_NAME},
-    store::{Change, Freshness, StoredObject},
+    store::{Change, Freshness, Listing},
 };
 
 use super::{bell::Bell, node::FleetNode};
@@ -67,7 +67,7 @@
         RUNG_BACK_OFF
     }
     /// Takes in all objects.
-    fn list(&self, objects: Vec<StoredObject>);
+    fn list(&self, listing: Listing);
     /// Takes in one change.
     fn change(&self, change: Change);
 }
@@ -96,8 +96,9 @@
                         objects = listing.objects.len(),
                         revision = listing.revision,
                     );
-                    follower.list(listing.objects);
-                    listing.revision
+                    let revision = listing.revision;
+                    follower.list(listing);
+                    revision
                 })
             }
             Some(revision) => {
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -11,7 +11,7 @@
     config::{
         CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
     },
-    store::{Change, Freshness, StoredObject},
+    store::{Change, Freshness, Listing, StoredObject},
 };
 
 use super::{
@@ -36,8 +36,8 @@
         self.0.configuration_bell.clone()
     }
 
-    fn list(&self, objects: Vec<StoredObject>) {
-        for object in objects {
+    fn list(&self, listing: Listing) {
+        for object in listing.objects {
             self.take(&object);
         }
     }
@@ -91,8 +91,8 @@
         self.0.versions_bell.clone()
     }
 
-    fn list(&self, objects: Vec<StoredObject>) {
-        for object in objects {
+    fn list(&self, listing: Listing) {
+        for object in listing.objects {
             self.take(&object);
         }
     }
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -1,12 +1,12 @@
 //! Follows the platform's list of endpoints.
 //!
-//! The invariant: an endpoint that the list shows as leaving or gone gets no
-//! new work, but for the two seconds after an outage in which entries that
-//! lapsed come back.
+//! The invariant: an endpoint that the store shows as leaving or gone, to us or
+//! to any instance that we hear, gets no new work, but for the time after an
+//! outage in which entries that lapsed come back.
 
 use std::{
     cell::RefCell,
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,7 +14,7 @@
 use sedgewall_fleet::{endpoint::Endpoint, note::Note};
 use sedgewall_platform::{
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
-    store::{Change, Revision, StoredObject},
+    store::{Change, Listing, Revision, StoredObject},
 };
 use sedgewall_state::id::EndpointId;
 
@@ -43,8 +43,9 @@
 /// Takes in the entries of endpoints.
 pub(crate) struct Endpoints {
     node: Rc<FleetNode>,
-    /// Endpoints whose entries are gone, and may be back soon.
-    lapsed: Rc<RefCell<HashSet<EndpointId>>>,
+    /// Endpoints whose entries are gone, and may be back soon, with the revision
+    /// at which they were missing.
+    lapsed: Rc<RefCell<HashMap<EndpointId, Revision>>>,
 }
 
 impl Follower for Endpoints {
@@ -66,13 +67,11 @@
         OTHERS_BACK_OFF
     }
 
-    fn list(&self, objects: Vec<StoredObject>) {
-        let read: Vec<_> = objects
-            .iter()
-            .filter_map(|object| Some((decoded(object)?, object.revision)))
-            .collect();
+    fn list(&self, listing: Listing) {
+        let read: Vec<Endpoint> =
+            listing.objects.iter().filter_map(decoded).collect();
         let listed: HashSet<&EndpointId> =
-            read.iter().map(|(endpoint, _)| &endpoint.id).collect();
+            read.iter().map(|endpoint| &endpoint.id).collect();
         let known: Vec<EndpointId> = self
             .node
             .view
@@ -81,34 +80,27 @@
             .map(|state| state.id().clone())
             .collect();
         for id in known.iter().filter(|id| !listed.contains(id)) {
-            self.entry_gone(id);
+            self.entry_gone(id, listing.revision);
         }
-        for (endpoint, revision) in read {
-            self.log_changed(&endpoint, revision);
-            self.entry_back(&endpoint.id);
-            self.node.view.borrow_mut().list(endpoint, Instant::now());
+        for endpoint in read {
+            self.take(endpoint);
         }
+        tell_departures(&self.node);
         self.node.wake_all();
         self.node.ring_loader();
     }
 
     fn change(&self, change: Change) {
-        let node = &self.node;
-        let id = &change.object.name;
-        if change.is_deleted {
-            self.entry_gone(id);
+        let Change { object, is_deleted } = change;
+        if is_deleted {
+            self.entry_gone(&object.name, object.revision);
+            tell_departures(&self.node);
             return;
         }
-        let Some(endpoint) = decoded(&change.object) else { return };
-        self.entry_back(id);
-        let was_draining = self.log_changed(&endpoint, change.object.revision);
-        let is_leaving = was_draining == Some(false) && endpoint.is_draining;
-        node.view.borrow_mut().list(endpoint, Instant::now());
-        if is_leaving {
-            node.outbox.borrow_mut().push(Note::Leaving(id.clone()));
-            node.ring_notes();
-        }
-        node.wake_all();
+        let Some(endpoint) = decoded(&object) else { return };
+        self.take(endpoint);
+        tell_departures(&self.node);
+        self.node.wake_all();
     }
 }
 
@@ -117,14 +109,14 @@
         Endpoints { node: node.clone(), lapsed: Rc::default() }
     }
 
-    /// Logs an endpoint that is new, or that now leaves; returns whether it was
-    /// leaving before, if it was known.
-    fn log_changed(
-        &self,
-        endpoint: &Endpoint,
-        revision: Revision,
-    ) -> Option<bool> {
-        let view = self.node.view.borrow();
+    /// Takes in an entry.
+    fn take(&self, endpoint: Endpoint) {
+        let mut view = self.node.view.borrow_mut();
+        // One that is there again belongs to the same life of its endpoint, but
+        // what that holds is asked for anew.
+        if self.lapsed.borrow_mut().remove(&endpoint.id).is_some() {
+            view.lose_track(&endpoint.id);
+        }
         let known = view.get(&endpoint.id);
         let was_draining = known.map(|state| state.endpoint.is_draining);
         if was_draining != Some(endpoint.is_draining) {
@@ -134,58 +126,67 @@
                 service = endpoint.service,
                 zone = endpoint.zone,
                 is_draining = endpoint.is_draining,
-                adapters = adapter_count(endpoint),
-                revision,
+                adapters = adapter_count(&endpoint),
+                revision = endpoint.revision,
             );
         }
-        was_draining
+        view.list(endpoint, Instant::now());
     }
 
-    /// Takes an endpoint out whose entry is gone. Just after an outage it may
-    /// have lapsed meanwhile, and is waited for: a live endpoint writes it again.
-    fn entry_gone(&self, id: &EndpointId) {
+    /// Takes an endpoint out whose entry was missing at a revision of the store.
+    /// Just after an outage it may have lapsed meanwhile, and is waited for: a
+    /// live endpoint writes it again.
+    fn entry_gone(&self, id: &EndpointId, revision: Revision) {
         let now = Instant::now();
         let contact = self.node.store_contact.borrow();
         let left = contact.entries_return_within(now);
         if left.is_zero() {
-            take_out(&self.node, id);
+            take_out(&self.node, id, revision);
             return;
         }
-        if !self.lapsed.borrow_mut().insert(id.clone()) {
+        if self.lapsed.borrow().contains_key(id) {
             return;
         }
-        let left_ms = left.as_millis() as u64;
+        self.lapsed.borrow_mut().insert(id.clone(), revision);
         let last = contact.last_failure();
         let ms_ago = |at: Instant| (now - at).as_millis() as u64;
         tracing::info!(
             event = "endpoint_lapsed",
             endpoint = id,
-            left_ms,
+            revision,
+            left_ms = left.as_millis() as u64,
             known_out_ms_ago = last.map(|last| ms_ago(last.known_out_at())),
         );
         let (node, lapsed) = (self.node.clone(), self.lapsed.clone());
         let id = id.clone();
         compio::runtime::spawn(async move {
             compio::time::sleep(left).await;
-            if lapsed.borrow_mut().remove(&id) {
-                take_out(&node, &id);
+            // One that came back and lapsed again has a wait of its own.
+            if lapsed.borrow().get(&id) != Some(&revision) {
+                return;
             }
+            lapsed.borrow_mut().remove(&id);
+            take_out(&node, &id, revision);
+            tell_departures(&node);
         })
         .detach();
     }
+}
 
-    /// An entry that is there again belongs to the same life of its endpoint,
-    /// but what that holds is asked for anew.
-    fn entry_back(&self, id: &EndpointId) {
-        if self.lapsed.borrow_mut().remove(id) {
-            self.node.view.borrow_mut().lose_track(id);
-        }
-    }
+fn take_out(node: &FleetNode, id: &EndpointId, revision: Revision) {
+    tracing::info!(event = "endpoint_gone", endpoint = id, revision);
+    node.view.borrow_mut().unlist(id, revision, Instant::now());
 }
 
-fn take_out(node: &FleetNode, id: &EndpointId) {
-    tracing::info!(event = "endpoint_gone", endpoint = id);
-    node.view.borrow_mut().unlist(id);
+/// Tells all others of endpoints that we saw leave: their watches may be late,
+/// or their way to the store cut.
+fn tell_departures(node: &FleetNode) {
+    let untold = node.view.borrow_mut().take_untold();
+    if untold.is_empty() {
+        return;
+    }
+    node.outbox.borrow_mut().extend(untold.into_iter().map(Note::Departed));
+    node.ring_notes();
 }
 
 fn adapter_count(endpoint: &Endpoint) -> usize {
@@ -193,7 +194,7 @@
 }
 
 fn decoded(object: &StoredObject) -> Option<Endpoint> {
-    match decode_endpoint(&object.name, &object.spec) {
+    match decode_endpoint(&object.name, object.revision, &object.spec) {
         Ok(endpoint) => Some(endpoint),
         Err(err) => {
             let cause = err.to_string();
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -8,7 +8,7 @@
 
 use sedgewall_platform::{
     StoreError,
-    store::{Change, StoredObject},
+    store::{Change, Listing, StoredObject},
 };
 use sedgewall_state::id::ZoneName;
 use serde::{Deserialize, Serialize};
@@ -52,7 +52,8 @@
         self.0.instances_bell.clone()
     }
 
-    fn list(&self, objects: Vec<StoredObject>) {
+    fn list(&self, listing: Listing) {
+        let objects = listing.objects;
         let is_listed =
             |id: &String| objects.iter().any(|object| object.name == *id);
         self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -10,7 +10,10 @@
 };
 
 use compio::BufResult;
-use sedgewall_fleet::note::{Asked, FEW_PEERS, Lead, Note, Status};
+use sedgewall_fleet::{
+    departure::Departure,
+    note::{Asked, FEW_PEERS, Lead, Note, Status},
+};
 
 use sedgewall_state::id::EndpointId;
 
@@ -98,6 +101,9 @@
                 node.hear_leader(&status.from, lead, next_in);
             }
             hear_newer(node, &status, now);
+            for departure in &status.departures {
+                hear_departure(node, departure, now);
+            }
             node.last_words.borrow_mut().hear(
                 &status.from,
                 status.store_is_out,
@@ -106,10 +112,7 @@
             );
             node.view.borrow_mut().hear_status(status, now);
         }
-        Note::Leaving(endpoint) => {
-            tracing::info!(event = "endpoint_leaving_heard", endpoint);
-            node.view.borrow_mut().hear_leaving(&endpoint);
-        }
+        Note::Departed(departure) => hear_departure(node, &departure, now),
         Note::StoreFails => follow::probe_store(node),
         Note::Suspect(endpoint) => {
             node.view.borrow_mut().hear_suspect(&endpoint, now);
@@ -138,6 +141,16 @@
     }
 }
 
+/// Hears that an endpoint has left, so that none of our requests goes there.
+fn hear_departure(node: &FleetNode, departure: &Departure, now: Instant) {
+    if !node.view.borrow_mut().hear_departure(departure, now) {
+        return;
+    }
+    let Departure { endpoint, revision } = departure;
+    tracing::info!(event = "departure_heard", endpoint, revision);
+    node.wake_all();
+}
+
 /// Lists anew what another instance knows in a newer version for a while: a
 /// watch of ours may be on a channel that says nothing further.
 fn hear_newer(node: &FleetNode, status: &Status, now: Instant) {
@@ -282,6 +295,7 @@
         if now >= next_forget {
             next_forget = now + FORGET_EVERY;
             node.view.borrow_mut().forget_silent_peers(now);
+            node.view.borrow_mut().forget_departures(now);
             node.suspicions.borrow_mut().forget(now);
         }
     }
@@ -408,6 +422,7 @@
         versions,
         store_is_out: node.store_contact.borrow().is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
+        departures: node.view.borrow().departures(now),
         work,
         is_total,
     }
