The following of one kind is a type of its own, with a step each for list, watch and failure

Cause: follow() had grown to a hundred lines with five variables that every branch changed. Change: Following holds them; no decision changes.

--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -13,7 +13,7 @@
 use sedgewall_platform::{
     StoreError,
     config::{CONFIG_KIND, CONFIG_NAME},
-    store::{Change, Freshness, Listing},
+    store::{Change, Freshness, Listing, Revision},
 };
 
 use super::{bell::Bell, node::FleetNode};
@@ -77,108 +77,134 @@
     compio::runtime::spawn(follow(node.clone(), follower)).detach();
 }
 
+/// How far the following of one kind has come.
+struct Following<F> {
+    node: Rc<FleetNode>,
+    follower: F,
+    /// Where the next watch goes on; without it, all is listed.
+    since: Option<Revision>,
+    /// How new the next list has to be.
+    list_freshness: Freshness,
+    /// How new the last watch had to be.
+    watch_freshness: Freshness,
+    /// Whether the last call of this kind failed.
+    is_out: bool,
+    back_off: Duration,
+}
+
 async fn follow<F: Follower>(node: Rc<FleetNode>, follower: F) {
-    let mut back_off = FIRST_BACK_OFF;
-    let mut since = None;
-    let mut is_out = false;
-    let mut watches = Freshness::Newest;
-    let mut lists = F::FIRST_LIST;
+    let mut following = Following {
+        node,
+        follower,
+        since: None,
+        list_freshness: F::FIRST_LIST,
+        watch_freshness: Freshness::Newest,
+        is_out: false,
+        back_off: FIRST_BACK_OFF,
+    };
     loop {
+        following.go_on().await;
+    }
+}
+
+impl<F: Follower> Following<F> {
+    /// Lists or watches once, and pauses as its outcome asks for.
+    async fn go_on(&mut self) {
         let sent = Instant::now();
-        let done = match since {
-            None => {
-                follower.bell().mute();
-                node.store.list(F::KIND, lists).await.map(|listing| {
-                    lists = Freshness::Newest;
-                    tracing::info!(
-                        event = "listed",
-                        kind = F::KIND,
-                        objects = listing.objects.len(),
-                        revision = listing.revision,
-                    );
-                    let revision = listing.revision;
-                    follower.list(listing);
-                    revision
-                })
-            }
-            Some(revision) => {
-                watches = freshness(&node, watches, F::KIND);
-                let watch =
-                    node.store.watch(F::KIND, revision, F::WATCH, watches);
-                let mut watch = pin!(watch.fuse());
-                let bell = follower.bell();
-                let mut rung = pin!(rung(&bell).fuse());
-                let watched = select! {
-                    watched = watch => watched,
-                    () = rung => {
-                        since = None;
-                        continue;
-                    }
-                };
-                watched.map(|changes| {
-                    for change in changes.changes {
-                        follower.change(change);
-                    }
-                    changes.revision
-                })
-            }
+        let done = match self.since {
+            None => self.list().await.map(Some),
+            Some(revision) => self.watch(revision).await,
         };
         match done {
-            Ok(revision) => {
-                node.store_reached();
-                if is_out {
-                    tracing::info!(event = "store_regained", kind = F::KIND);
-                    is_out = false;
-                    node.list_others_anew(&follower.bell());
-                }
-                since = Some(revision);
-                back_off = FIRST_BACK_OFF;
-                let pause = follower.pause();
-                if !pause.is_zero() && follower.bell().wait(pause).await {
-                    since = None;
-                }
-            }
+            Ok(Some(revision)) => self.reached(revision).await,
+            // What was watched is to be listed anew.
+            Ok(None) => self.since = None,
             Err(StoreError::HistoryGone) => {
                 tracing::warn!(event = "history_gone", kind = F::KIND);
-                since = None;
-            }
-            Err(err) => {
-                node.store_failed(sent, &err);
-                let cause = err.to_string();
-                let sent_ms_ago = sent.elapsed().as_millis() as u64;
-                tracing::info!(
-                    event = "store_call_failed",
-                    kind = F::KIND,
-                    is_list = since.is_none(),
-                    sent_ms_ago,
-                    cause,
-                );
-                if !is_out {
-                    tracing::warn!(
-                        event = "store_lost",
-                        kind = F::KIND,
-                        cause
-                    );
-                    is_out = true;
-                }
-                // A watch answers only once something changes; a list tells at
-                // once that the store is regained, and what was missed.
-                since = None;
-                // Whoever regains the store first rings for the others.
-                let bell = follower.bell();
-                let mut regained = pin!(rung(&bell).fuse());
-                let mut pause = pin!(compio::time::sleep(back_off).fuse());
-                select! {
-                    () = pause => {}
-                    () = regained => {}
-                }
-                let longest = match node.rank(0) < FRESH_WATCHERS {
-                    true => LONGEST_BACK_OFF,
-                    false => follower.longest_back_off(),
-                };
-                back_off = (back_off * 2).min(longest);
+                self.since = None;
             }
+            Err(err) => self.failed(sent, &err).await,
+        }
+    }
+
+    /// Lists all objects, which answers every ring until now.
+    async fn list(&mut self) -> Result<Revision, StoreError> {
+        self.follower.bell().mute();
+        let listing =
+            self.node.store.list(F::KIND, self.list_freshness).await?;
+        self.list_freshness = Freshness::Newest;
+        let revision = listing.revision;
+        tracing::info!(
+            event = "listed",
+            kind = F::KIND,
+            objects = listing.objects.len(),
+            revision,
+        );
+        self.follower.list(listing);
+        Ok(revision)
+    }
+
+    /// Waits for changes; returns nothing if the bell rang before any came.
+    async fn watch(
+        &mut self,
+        since: Revision,
+    ) -> Result<Option<Revision>, StoreError> {
+        self.watch_freshness =
+            freshness(&self.node, self.watch_freshness, F::KIND);
+        let store = &self.node.store;
+        let watch =
+            store.watch(F::KIND, since, F::WATCH, self.watch_freshness);
+        let bell = self.follower.bell();
+        let mut watch = pin!(watch.fuse());
+        let mut rung = pin!(rung(&bell).fuse());
+        let changes = select! {
+            watched = watch => watched?,
+            () = rung => return Ok(None),
+        };
+        for change in changes.changes {
+            self.follower.change(change);
+        }
+        Ok(Some(changes.revision))
+    }
+
+    /// Goes on from a revision after the follower's pause.
+    async fn reached(&mut self, revision: Revision) {
+        self.node.store_reached();
+        let bell = self.follower.bell();
+        if std::mem::take(&mut self.is_out) {
+            tracing::info!(event = "store_regained", kind = F::KIND);
+            self.node.list_others_anew(&bell);
+        }
+        self.back_off = FIRST_BACK_OFF;
+        let pause = self.follower.pause();
+        let is_rung = !pause.is_zero() && bell.wait(pause).await;
+        self.since = (!is_rung).then_some(revision);
+    }
+
+    /// Waits before the next call, or until another kind reaches the store: the
+    /// first one that does rings for the others.
+    async fn failed(&mut self, sent: Instant, err: &StoreError) {
+        self.node.store_failed(sent, err);
+        let cause = err.to_string();
+        tracing::info!(
+            event = "store_call_failed",
+            kind = F::KIND,
+            is_list = self.since.is_none(),
+            sent_ms_ago = sent.elapsed().as_millis() as u64,
+            cause,
+        );
+        if !std::mem::replace(&mut self.is_out, true) {
+            tracing::warn!(event = "store_lost", kind = F::KIND, cause);
         }
+        // A watch answers only once something changes; a list tells at once
+        // that the store is regained, and what was missed.
+        self.since = None;
+        self.follower.bell().wait(self.back_off).await;
+        let longest = match self.node.rank(0) < FRESH_WATCHERS {
+            true => LONGEST_BACK_OFF,
+            false => self.follower.longest_back_off(),
+        };
+        self.back_off = (self.back_off * 2).min(longest);
     }
 }
 
