An instance that is in doubt whether an endpoint left tells nobody

Cause: after an outage entries that lapsed are back within two seconds, and each instance waits for them by its own knowledge of the outage. With departures told, the one that waited least would have decided for all. Change: what is missing within 4 s of the store being regained is a departure for who sees it, and not told. What is said (draining), or goes while contact is sound, is. The departures of the table move to a file of their own.

--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -47,16 +47,23 @@
 struct Known {
     revision: Revision,
     since: Instant,
+    is_told: bool,
 }
 
 impl Departures {
-    /// Notes a departure; returns whether it is news.
-    pub fn note(&mut self, departure: &Departure, now: Instant) -> bool {
+    /// Notes a departure, and whether others are to be told of it; returns
+    /// whether it is news.
+    pub fn note(
+        &mut self,
+        departure: &Departure,
+        is_told: bool,
+        now: Instant,
+    ) -> bool {
         let Departure { endpoint, revision } = departure;
         if self.has_left(endpoint, *revision) {
             return false;
         }
-        let known = Known { revision: *revision, since: now };
+        let known = Known { revision: *revision, since: now, is_told };
         self.0.insert(endpoint.clone(), known);
         true
     }
@@ -72,7 +79,7 @@
         let mut recent: Vec<(&EndpointId, &Known)> = self
             .0
             .iter()
-            .filter(|(_, known)| now - known.since < TOLD_FOR)
+            .filter(|(_, known)| known.is_told && now - known.since < TOLD_FOR)
             .collect();
         recent.sort_by_key(|(id, known)| (Reverse(known.since), *id));
         recent.truncate(TOLD_LEN);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,9 +3,11 @@
 //! The table joins three sources: the platform's list (late, but what holds in
 //! the end), notes of other instances (early, and lost now and then) and the
 //! outcomes of our own requests. The invariant: an endpoint that any of them
-//! showed to leave, or that is not known to hold what a request names, is never chosen.
+//! showed to leave, or that is not known to hold what a request names, is never
+//! chosen.
 
 mod choice;
+mod departed;
 mod under_way;
 
 use std::{
@@ -78,7 +80,7 @@
     pub fn list(&mut self, mut endpoint: Endpoint, now: Instant) {
         let id = endpoint.id.clone();
         if endpoint.is_draining {
-            self.see_departure(&id, endpoint.revision, now);
+            self.see_departure(&id, endpoint.revision, true, now);
         }
         endpoint.is_draining |=
             self.departures.has_left(&id, endpoint.revision);
@@ -160,17 +162,20 @@
     }
 
     /// Takes an endpoint out whose entry is gone, as of a revision of the store.
+    /// If it may only have lapsed in an outage we are not sure, and tell nobody:
+    /// of all instances, the one that waited least would decide for them.
     pub fn unlist(
         &mut self,
         id: &EndpointId,
         revision: Revision,
+        is_sure: bool,
         now: Instant,
     ) {
         let known = self.endpoints.get(id);
         let Some(known) = known.map(|state| state.endpoint.revision) else {
             return;
         };
-        self.see_departure(id, revision.max(known), now);
+        self.see_departure(id, revision.max(known), is_sure, now);
         let Some(state) = self.endpoints.remove(id) else { return };
         for key in state.seats.keys() {
             self.holders.remove(key, id);
@@ -207,58 +212,6 @@
             .collect()
     }
 
-    /// Notes that we saw an endpoint leave. If its entry goes after it said
-    /// so, nobody needs to hear that.
-    fn see_departure(
-        &mut self,
-        id: &EndpointId,
-        revision: Revision,
-        now: Instant,
-    ) {
-        let was_leaving = self
-            .endpoints
-            .get(id)
-            .is_some_and(|state| state.endpoint.is_draining);
-        let departure = Departure { endpoint: id.clone(), revision };
-        if self.departures.note(&departure, now) && !was_leaving {
-            self.untold.push(departure);
-        }
-    }
-
-    /// Takes in that another instance saw an endpoint leave; returns whether
-    /// that is news.
-    pub fn hear_departure(
-        &mut self,
-        departure: &Departure,
-        now: Instant,
-    ) -> bool {
-        if !self.departures.note(departure, now) {
-            return false;
-        }
-        if let Some(state) = self.endpoints.get_mut(&departure.endpoint)
-            && state.endpoint.revision <= departure.revision
-        {
-            state.endpoint.is_draining = true;
-        }
-        true
-    }
-
-    /// Returns the departures that we saw and the others have not heard of,
-    /// once.
-    pub fn take_untold(&mut self) -> Vec<Departure> {
-        std::mem::take(&mut self.untold)
-    }
-
-    /// Returns the departures that others are told of again.
-    pub fn departures(&self, now: Instant) -> Vec<Departure> {
-        self.departures.told(now)
-    }
-
-    /// Forgets departures that nobody speaks of any more.
-    pub fn forget_departures(&mut self, now: Instant) {
-        self.departures.forget(now);
-    }
-
     /// Takes in that several instances cannot reach an endpoint.
     pub fn hear_suspect(&mut self, id: &EndpointId, now: Instant) {
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/crates/fleet/tests/departure_rules.rs
+++ b/crates/fleet/tests/departure_rules.rs
@@ -62,7 +62,7 @@
     assert!(view.take_untold().is_empty());
     view.list(entry(4, true), now);
     assert_eq!(view.take_untold(), [departure(4)]);
-    view.unlist(&"e1".to_owned(), 5, now);
+    view.unlist(&"e1".to_owned(), 5, true, now);
     assert!(view.take_untold().is_empty());
     assert_eq!(view.departures(now), [departure(5)]);
     let later = now + Duration::from_secs(10);
@@ -81,6 +81,20 @@
     assert_eq!(view.departures(now), [departure(4)]);
 }
 
+/// Entries that lapsed in an outage are back soon; the instance that waits
+/// least must not take the endpoints from all others.
+#[test]
+fn what_may_only_have_lapsed_is_not_told() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(3, false), now);
+    view.unlist(&"e1".to_owned(), 5, false, now);
+    assert!(view.take_untold().is_empty());
+    assert!(view.departures(now).is_empty());
+    view.list(entry(4, false), now);
+    assert!(!is_chosen(&view, now));
+}
+
 /// What may happen to one endpoint's entry, as one instance learns it.
 #[derive(Clone, Debug)]
 enum Step {
@@ -127,7 +141,7 @@
                     left = left.max(revision);
                 }
                 Step::Missing(revision) => {
-                    view.unlist(&"e1".to_owned(), revision, now);
+                    view.unlist(&"e1".to_owned(), revision, true, now);
                     if let Some(known) = listed.take() {
                         left = left.max(revision).max(known);
                     }
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -309,7 +309,7 @@
                 Step::Asked(n, times) => asked(&mut demand, n, times, now),
                 Step::Later(ms) => now += Duration::from_millis(ms),
                 Step::Unlisted(e) => {
-                    view.unlist(&ids[e].to_owned(), revision, now);
+                    view.unlist(&ids[e].to_owned(), revision, true, now);
                 }
                 Step::Listed(e, adapters) => {
                     let mut entry = endpoint(ids[e], "z1", &adapters);
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -74,7 +74,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[1]), now);
-    view.unlist(&"e1".to_owned(), 2, now);
+    view.unlist(&"e1".to_owned(), 2, true, now);
     assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
 }
 
@@ -314,7 +314,7 @@
     view.list(endpoint("e1", "z1", &[]), now);
     view.hear_report(&id, &report(&[1], 1), now);
     assert!(view.get(&id).is_some_and(|s| s.is_ordered_by_us()));
-    view.unlist(&id, 2, now);
+    view.unlist(&id, 2, true, now);
     let mut back = endpoint("e1", "z1", &[1]);
     back.revision = 3;
     view.list(back, now);
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -40,6 +40,10 @@
 /// The longest pause between two watches of endpoints.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// An entry that is missing so soon after the store was regained may have lapsed
+/// while it was out: twice what a lapsed one takes to be back.
+const IN_DOUBT_FOR: Duration = Duration::from_secs(4);
+
 /// Takes in the entries of endpoints.
 pub(crate) struct Endpoints {
     node: Rc<FleetNode>,
@@ -174,8 +178,11 @@
 }
 
 fn take_out(node: &FleetNode, id: &EndpointId, revision: Revision) {
-    tracing::info!(event = "endpoint_gone", endpoint = id, revision);
-    node.view.borrow_mut().unlist(id, revision, Instant::now());
+    let now = Instant::now();
+    let contact = node.store_contact.borrow();
+    let is_sure = !contact.was_out_within(IN_DOUBT_FOR, now);
+    tracing::info!(event = "endpoint_gone", endpoint = id, revision, is_sure);
+    node.view.borrow_mut().unlist(id, revision, is_sure, now);
 }
 
 /// Tells all others of endpoints that we saw leave: their watches may be late,
