Signals to stop and to reload are heard for all of the process's life

Cause: the runtime restores a signal's default once nothing waits for it, and the default ends the process. A planned stop waited for no signal any more, so a signal to reload, or a second one to stop, ended it with all its streams; between two signals to reload there was a moment in which the second did. On our own interface a signal to reload always did. Change: two listeners of each signal, for ever, of which one holds it while the other one takes its turn; both daemons take what they heard from a channel. Before: the test's stream was cut and the process ended by the signal. After: the stream is whole and the stop says cut_off 0.

--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -6,7 +6,7 @@
 };
 
 use compio::net::TcpListener;
-use futures_util::{FutureExt, select};
+use futures_util::{FutureExt, StreamExt, select};
 use log::{info, warn};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use sedgewall_coordination::timeline::EventKind;
@@ -20,6 +20,7 @@
     config_sync, entry, heartbeat, inbox, instances,
     node::{Node, Stage},
     operator,
+    signals::Signals,
 };
 
 /// Error of a daemon that cannot start.
@@ -67,6 +68,7 @@
 }
 
 async fn run_on_loop(settings: Settings) -> Result<(), DaemonError> {
+    let signals = Signals::hear();
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|err| DaemonError::Metrics(err.to_string()))?;
@@ -91,7 +93,7 @@
     compio::runtime::spawn(serve_callers(node.clone(), callers)).detach();
     compio::runtime::spawn(serve_operators(node.clone(), operators, metrics))
         .detach();
-    wait_for_stop(&node).await;
+    wait_for_stop(&node, signals).await;
     stop(&node).await;
     Ok(())
 }
@@ -129,22 +131,21 @@
 }
 
 /// Waits for a signal or an operator's word.
-async fn wait_for_stop(node: &Rc<Node>) {
+async fn wait_for_stop(node: &Rc<Node>, mut signals: Signals) {
     let mut interrupt = Box::pin(compio::signal::ctrl_c()).fuse();
-    let mut terminate = Box::pin(compio::signal::unix::signal(SIGTERM)).fuse();
     while node.stage.get() != Stage::Leaving {
         let mut look = Box::pin(compio::time::sleep(DRAIN_LOOK)).fuse();
         select! {
             _ = interrupt => return,
-            _ = terminate => return,
+            _ = signals.stop.next() => return,
+            _ = signals.reload.next() => {
+                info!("daemon: settings are read at the start alone.");
+            }
             () = look => {}
         }
     }
 }
 
-/// The number of the signal that asks for a planned stop (POSIX).
-const SIGTERM: i32 = 15;
-
 /// Leaves: takes nothing new after the balancer had time to notice, hands the
 /// leases over, and finishes every request that it holds.
 async fn stop(node: &Rc<Node>) {
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -8,7 +8,7 @@
 };
 
 use compio::net::TcpListener;
-use futures_util::{FutureExt, select};
+use futures_util::{FutureExt, StreamExt, select};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -28,7 +28,7 @@
     note_sender, notes,
     orders::Orders,
 };
-use crate::{daemon::DaemonError, process, responses};
+use crate::{daemon::DaemonError, process, responses, signals::Signals};
 
 /// Connections of operators at once.
 const OPERATOR_CONNECTIONS: usize = 64;
@@ -48,10 +48,6 @@
 /// How often a stop looks whether all requests have ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
-/// The numbers of the signals that we answer (POSIX).
-const SIGHUP: i32 = 1;
-const SIGTERM: i32 = 15;
-
 /// Runs an instance until it is told to stop.
 pub(crate) fn run(
     settings: Settings,
@@ -67,6 +63,7 @@
     fleet: FleetSettings,
 ) -> Result<(), DaemonError> {
     let log = LogBuffer::install(&settings.log_level);
+    let signals = Signals::hear();
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|err| DaemonError::Metrics(err.to_string()))?;
@@ -110,7 +107,7 @@
     }
     compio::runtime::spawn(serve_operators(node.clone(), operators, metrics))
         .detach();
-    wait_for_stop().await;
+    wait_for_stop(signals).await;
     finish(&node, stopping).await;
     log.flush();
     Ok(())
@@ -219,15 +216,13 @@
 
 /// Waits for a signal to stop. A signal to reload changes nothing that is in
 /// force: bounds are read at the start.
-async fn wait_for_stop() {
+async fn wait_for_stop(mut signals: Signals) {
     let mut interrupt = Box::pin(compio::signal::ctrl_c()).fuse();
-    let mut terminate = Box::pin(compio::signal::unix::signal(SIGTERM)).fuse();
     loop {
-        let mut reload = Box::pin(compio::signal::unix::signal(SIGHUP)).fuse();
         select! {
             _ = interrupt => return,
-            _ = terminate => return,
-            _ = reload => tracing::info!(event = "reload"),
+            _ = signals.stop.next() => return,
+            _ = signals.reload.next() => tracing::info!(event = "reload"),
         }
     }
 }
--- a/crates/sedgewalld/src/main.rs
+++ b/crates/sedgewalld/src/main.rs
@@ -26,6 +26,7 @@
 mod responses;
 mod routes;
 mod services;
+mod signals;
 mod store;
 mod upkeep;
 
