--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -37,6 +37,8 @@
     Kill,
     /// Asks for a planned stop.
     Term,
+    /// Tells that settings have changed.
+    Hup,
     /// Freezes a process.
     Stop,
     /// Lets it go on.
@@ -294,6 +296,7 @@
         let flag = match signal {
             Signal::Kill => "-KILL",
             Signal::Term => "-TERM",
+            Signal::Hup => "-HUP",
             Signal::Stop => "-STOP",
             Signal::Cont => "-CONT",
         };
--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -531,10 +531,13 @@
             reading.wait(2).await;
             readers.push(reading);
         }
+        cluster.signal(&leader, Signal::Hup);
         cluster.signal(&leader, Signal::Term);
         // A request that the balancer still sent there.
         let late = cluster.complete(&leader, "lineup-7@1", 5, &[]).await;
         assert_whole(&late.expect("an answer"), "lineup-7@1", 5);
+        cluster.signal(&leader, Signal::Hup);
+        cluster.signal(&leader, Signal::Term);
         for reader in readers {
             reader.end_whole().await;
         }
