What a holder must wait for stands in its record

Cause: an instance that found its own record of the lease took itself for the holder that the engines heard last. Where it had taken the lease from another one and the lease lapsed before the turn between the two had passed, it gave orders at once, 2.8 s after those of the other, where 3 s are asked. The same followed from a restart in that time, which no memory survives.

Ruled out: that the turn is counted wrongly (orders_in_ms was 3198 the first time), and that the other held the lease again (its record would stand there).

Change: the record says whether the turn before its holder is still pending. The next renewal after the turn says that it has passed. Whoever finds its own record with a pending turn waits for the rest of it, if it is the process that wrote it, or else for a whole turn. The rule is pure (coordination::turn).

--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -57,6 +57,15 @@
     pub renewal: u64,
     /// Whether the holder gave it up.
     pub is_released: bool,
+    /// Whether endpoints may still hear the holder before this one: the turn
+    /// between the two has not passed. A record of a release that did not say
+    /// so makes its own holder wait once more.
+    #[serde(default = "unknown_is_pending")]
+    pub is_turn_pending: bool,
+}
+
+fn unknown_is_pending() -> bool {
+    true
 }
 
 /// A record together with the platform's version of it.
@@ -223,6 +232,10 @@
     ) -> Lease<Acquiring> {
         let seen = self.state.seen;
         let last_epoch = seen.as_ref().map_or(0, |s| s.record.epoch);
+        let is_turn_pending = seen.as_ref().is_some_and(|before| {
+            before.record.is_turn_pending
+                || before.record.holder != candidate.instance
+        });
         let record = LeaseRecord {
             shard: self.state.shard,
             holder: candidate.instance.clone(),
@@ -231,6 +244,7 @@
             epoch: last_epoch + 1,
             renewal: 0,
             is_released: false,
+            is_turn_pending,
         };
         let expected = seen.map(|stored| stored.version);
         let write = LeaseWrite { record, expected };
@@ -321,6 +335,12 @@
         elapsed >= self.times.renew_every
     }
 
+    /// Notes that the turn after the holder before has passed, so that the next
+    /// renewal says so.
+    pub fn end_turn(&mut self) {
+        self.state.record.is_turn_pending = false;
+    }
+
     /// Returns the renewal to send.
     pub fn renewal(&self) -> LeaseWrite {
         let mut record = self.state.record.clone();
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod membership;
 pub mod rendezvous;
 pub mod timeline;
+pub mod turn;
--- a/crates/coordination/tests/lease_rules.rs
+++ b/crates/coordination/tests/lease_rules.rs
@@ -238,6 +238,7 @@
         epoch: 3,
         renewal: 6,
         is_released: false,
+        is_turn_pending: false,
     };
     watching.observe(Some(StoredLease { record, version: 9 }), now);
     watching
--- /dev/null
+++ b/crates/coordination/tests/turn_rules.rs
@@ -0,0 +1,329 @@
+//! Turns between holders under lapses, restarts, freezes, lost answers and
+//! takeovers: no two instances give orders within one turn.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use sedgewall_coordination::{
+    lease::{
+        Acquired, Candidate, Held, Lease, LeaseRecord, LeaseTimes, LeaseWrite,
+        Renewed, StoredLease, Watching, WriteAnswer,
+    },
+    turn::{Takeover, Turns},
+};
+
+const PLAYERS: usize = 3;
+
+/// Longer than the lease, so that it can lapse before a first order.
+const TURN: Duration = Duration::from_millis(3_200);
+
+const TIMES: LeaseTimes = LeaseTimes {
+    time_to_live: Duration::from_millis(1_300),
+    renew_every: Duration::from_millis(450),
+    margin: Duration::from_millis(250),
+};
+
+/// The store's one object. Writes whose answers are lost may be done later.
+#[derive(Default)]
+struct Store {
+    stored: Option<StoredLease>,
+    late: Vec<LeaseWrite>,
+}
+
+impl Store {
+    fn write(&mut self, write: &LeaseWrite) -> WriteAnswer {
+        let current = self.stored.as_ref().map(|stored| stored.version);
+        if current != write.expected {
+            return WriteAnswer::Conflict;
+        }
+        let version = current.unwrap_or(0) + 1;
+        self.stored =
+            Some(StoredLease { record: write.record.clone(), version });
+        WriteAnswer::Done(version)
+    }
+
+    fn send(&mut self, write: &LeaseWrite, fault: Fault) -> WriteAnswer {
+        match fault {
+            Fault::None => self.write(write),
+            Fault::AnswerLost => {
+                self.write(write);
+                WriteAnswer::Unclear
+            }
+            Fault::Late => {
+                self.late.push(write.clone());
+                WriteAnswer::Unclear
+            }
+            Fault::Out => WriteAnswer::Unclear,
+        }
+    }
+
+    fn do_late_writes(&mut self) {
+        for write in std::mem::take(&mut self.late) {
+            self.write(&write);
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    AnswerLost,
+    Late,
+    Out,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An instance does what is due: takes or renews the lease.
+    Act(usize, Fault),
+    /// It gives an order if it may.
+    Order(usize),
+    /// Time passes; instances that do not act are frozen.
+    Pass(u64),
+    /// It is killed and starts again.
+    Restart(usize),
+    /// It gives the lease up.
+    Release(usize),
+    /// Writes whose answers were lost are done.
+    LateWrites,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        12 => Just(Fault::None),
+        1 => Just(Fault::AnswerLost),
+        1 => Just(Fault::Late),
+        1 => Just(Fault::Out),
+    ];
+    prop_oneof![
+        10 => (0..PLAYERS, fault).prop_map(|(player, f)| Step::Act(player, f)),
+        8 => (0..PLAYERS).prop_map(Step::Order),
+        8 => (1u64..900).prop_map(Step::Pass),
+        1 => (0..PLAYERS).prop_map(Step::Restart),
+        1 => (0..PLAYERS).prop_map(Step::Release),
+        1 => Just(Step::LateWrites),
+    ]
+}
+
+/// What an instance of the fleet does with the lease on orders.
+struct Player {
+    candidate: Candidate,
+    turns: Turns,
+    watching: Lease<Watching>,
+    held: Option<(Lease<Held>, Instant)>,
+}
+
+fn new_lease() -> Lease<Watching> {
+    Lease::new("orders".to_owned(), TIMES)
+}
+
+impl Player {
+    fn start(instance: usize, incarnation: u64) -> Player {
+        let candidate = Candidate {
+            instance: format!("i{instance}"),
+            incarnation,
+            peer_url: String::new(),
+        };
+        let turns = Turns::new(TURN);
+        Player { candidate, turns, watching: new_lease(), held: None }
+    }
+
+    fn act(&mut self, store: &mut Store, fault: Fault, now: Instant) {
+        match self.held.take() {
+            Some((lease, from)) if lease.is_current(now) => {
+                self.renew(lease, from, store, fault, now);
+            }
+            Some(_) => self.watching = new_lease(),
+            None if fault == Fault::Out => {}
+            None => self.take(store, fault, now),
+        }
+    }
+
+    fn take(&mut self, store: &mut Store, fault: Fault, now: Instant) {
+        self.watching.observe(store.stored.clone(), now);
+        let before = self.watching.seen().cloned();
+        let own = &self.candidate.instance;
+        let is_own = before.as_ref().is_some_and(|b| b.holder == *own);
+        if !is_own && !self.watching.is_free(now) {
+            return;
+        }
+        let is_released = before.as_ref().is_some_and(|b| b.is_released);
+        let ended = match is_released {
+            true => now,
+            false => self.watching.ended_by(None).unwrap_or(now),
+        };
+        let watching = std::mem::replace(&mut self.watching, new_lease());
+        let acquiring = watching.acquire(&self.candidate, now);
+        let answer = store.send(acquiring.write(), fault);
+        let acquired = match acquiring.answer(answer, now) {
+            Acquired::Unclear(acquiring) => {
+                acquiring.settle(store.stored.clone(), now)
+            }
+            acquired => acquired,
+        };
+        if let Acquired::Held(lease) = acquired {
+            self.begin(lease, before.as_ref(), ended, now);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        lease: Lease<Held>,
+        before: Option<&LeaseRecord>,
+        ended: Instant,
+        now: Instant,
+    ) {
+        let takeover = Takeover { taken: lease.record(), before, ended };
+        let from = self.turns.begin(takeover, now);
+        self.held = Some((lease, from));
+    }
+
+    fn renew(
+        &mut self,
+        mut lease: Lease<Held>,
+        from: Instant,
+        store: &mut Store,
+        fault: Fault,
+        now: Instant,
+    ) {
+        if now >= from {
+            lease.end_turn();
+        }
+        let write = lease.renewal();
+        let answer = store.send(&write, fault);
+        let renewed = match lease.renewed(write, answer, now, now) {
+            Renewed::Held(lease)
+                if answer == WriteAnswer::Unclear && fault != Fault::Out =>
+            {
+                lease.reconcile(store.stored.clone(), now)
+            }
+            renewed => renewed,
+        };
+        match renewed {
+            Renewed::Held(lease) => self.held = Some((lease, from)),
+            Renewed::Lost(watching) => self.watching = watching,
+        }
+    }
+
+    fn may_order(&self, now: Instant) -> bool {
+        self.held
+            .as_ref()
+            .is_some_and(|(lease, from)| lease.is_current(now) && now >= *from)
+    }
+
+    fn release(&mut self, store: &mut Store) {
+        if let Some((lease, _)) = self.held.take() {
+            store.write(&lease.release());
+            self.watching = new_lease();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    #[test]
+    fn no_two_instances_order_within_a_turn(
+        steps in prop::collection::vec(step(), 1..300)
+    ) {
+        let mut now = Instant::now();
+        let mut store = Store::default();
+        let mut players: Vec<Player> =
+            (0..PLAYERS).map(|n| Player::start(n, n as u64)).collect();
+        let mut lives = PLAYERS as u64;
+        let mut last: Option<(usize, Instant)> = None;
+        for step in steps {
+            match step {
+                Step::Act(player, fault) => {
+                    players[player].act(&mut store, fault, now);
+                }
+                Step::Order(player) if players[player].may_order(now) => {
+                    if let Some((other, at)) = last && other != player {
+                        prop_assert!(
+                            now - at >= TURN,
+                            "i{} ordered {:?} after i{}",
+                            player, now - at, other,
+                        );
+                    }
+                    last = Some((player, now));
+                }
+                Step::Order(_) => {}
+                Step::Pass(ms) => now += Duration::from_millis(ms),
+                Step::Restart(player) => {
+                    lives += 1;
+                    players[player] = Player::start(player, lives);
+                }
+                Step::Release(player) => players[player].release(&mut store),
+                Step::LateWrites => store.do_late_writes(),
+            }
+        }
+    }
+}
+
+/// Two instances, of which the second has just taken the lapsed lease of the
+/// first, whose last order is as old as the lease.
+fn taken_over() -> (Store, Player, Instant) {
+    let start = Instant::now();
+    let mut store = Store::default();
+    let mut first = Player::start(1, 1);
+    first.act(&mut store, Fault::None, start);
+    assert!(first.may_order(start));
+    let mut second = Player::start(2, 2);
+    second.act(&mut store, Fault::None, start);
+    let lapsed = start + TIMES.time_to_live + TIMES.margin;
+    second.act(&mut store, Fault::None, lapsed);
+    assert!(second.held.is_some() && !second.may_order(lapsed));
+    (store, second, lapsed)
+}
+
+/// Symptom: orders of a holder that was restarted before its first one follow
+/// those of the holder before within a turn.
+/// Sequence: a lease is taken over; the new holder is killed at once, starts
+/// again and finds its own record.
+/// Cause: the process that knew of the turn is gone.
+#[test]
+fn a_turn_outlasts_the_restart_of_a_holder() {
+    let (mut store, _, taken) = taken_over();
+    let mut again = Player::start(2, 3);
+    let back = taken + Duration::from_millis(300);
+    again.act(&mut store, Fault::None, back);
+    assert!(again.held.is_some() && !again.may_order(back));
+    let mut now = back;
+    while now < back + TURN {
+        assert!(!again.may_order(now));
+        again.act(&mut store, Fault::None, now);
+        now += TIMES.renew_every;
+    }
+    again.act(&mut store, Fault::None, now);
+    assert!(again.may_order(now));
+}
+
+/// A holder that has given orders is the same one after its restart; waiting
+/// would only stop loads.
+#[test]
+fn a_holder_whose_turn_has_passed_orders_at_once_after_a_restart() {
+    let (mut store, mut second, taken) = taken_over();
+    let mut now = taken;
+    while !second.may_order(now) {
+        now += TIMES.renew_every;
+        second.act(&mut store, Fault::None, now);
+    }
+    second.act(&mut store, Fault::None, now);
+    let mut again = Player::start(2, 3);
+    again.act(&mut store, Fault::None, now);
+    assert!(again.may_order(now));
+}
+
+/// A lease that lapsed and was taken again by the same process waits no longer
+/// than for the rest of the turn.
+#[test]
+fn a_lapse_does_not_lengthen_a_turn() {
+    let (mut store, mut second, taken) = taken_over();
+    let (_, due) = *second.held.as_ref().expect("a lease");
+    let lapsed = taken + TIMES.time_to_live;
+    second.act(&mut store, Fault::None, lapsed);
+    assert!(second.held.is_none());
+    second.act(&mut store, Fault::None, lapsed);
+    let (_, again) = *second.held.as_ref().expect("a lease");
+    assert_eq!(again, due);
+}
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -3,17 +3,19 @@
 //! The rules are those of [`sedgewall_coordination::lease`]; here they meet
 //! the store. Engines that do not check epochs must hear one holder at a time,
 //! so a new holder waits until the last order of the one before is a whole
-//! turn old. An instance whose own record stands there, from a life before or
-//! from before an outage, is the same holder to the engines and need not wait.
+//! turn old ([`sedgewall_coordination::turn`]).
 
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use sedgewall_coordination::lease::{
-    Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
-    LeaseWrite, Renewed, StoredLease, Watching, WriteAnswer,
+use sedgewall_coordination::{
+    lease::{
+        Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
+        LeaseWrite, Renewed, StoredLease, Watching, WriteAnswer,
+    },
+    turn::{Takeover, Turns},
 };
 use sedgewall_fleet::note::Note;
 use sedgewall_platform::{StoreError, store::StoredObject};
@@ -73,6 +75,8 @@
 
 /// Takes the lease when nobody holds it, and keeps it, for ever.
 pub(crate) async fn run(node: Rc<FleetNode>) {
+    let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
+    let mut turns = Turns::new(turn);
     let mut watching = new_lease();
     loop {
         compio::time::sleep(LOOK_EVERY).await;
@@ -84,7 +88,8 @@
             continue;
         }
         if let Some(taken) = take(&node, watching).await {
-            keep(&node, taken).await;
+            let kept = begin(&node, taken, &mut turns);
+            keep(&node, kept).await;
         }
         watching = new_lease();
     }
@@ -205,10 +210,12 @@
 }
 
 /// Renews the lease until it is lost or this instance leaves.
-async fn keep(node: &FleetNode, taken: Taken) {
-    let mut kept = begin(node, taken);
+async fn keep(node: &FleetNode, mut kept: Kept) {
     loop {
         let now = Instant::now();
+        if now >= kept.order_from {
+            kept.lease.end_turn();
+        }
         let is_current =
             kept.lease.is_current(now) || node.nobody_reaches_store(now);
         if !is_current {
@@ -248,16 +255,18 @@
     now - since >= grace.saturating_sub(HAND_OVER)
 }
 
-fn begin(node: &FleetNode, taken: Taken) -> Kept {
+fn begin(node: &FleetNode, taken: Taken, turns: &mut Turns) -> Kept {
     let now = Instant::now();
-    let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
-    let before = taken.before.map(|record| record.holder);
-    let is_turn = before.as_ref().is_some_and(|holder| holder != node.id());
-    let order_from = if is_turn { taken.ended + turn } else { now };
+    let takeover = Takeover {
+        taken: taken.lease.record(),
+        before: taken.before.as_ref(),
+        ended: taken.ended,
+    };
+    let order_from = turns.begin(takeover, now);
     tracing::info!(
         event = "lease_taken",
         epoch = taken.lease.epoch(),
-        before,
+        before = taken.before.map(|record| record.holder),
         rank = node.rank(taken.lease.epoch() - 1),
         orders_in_ms =
             order_from.saturating_duration_since(now).as_millis() as u64,
