A free place is taken while the engines that have an adapter at hand have none

Cause: an adapter waited for an engine that has it at hand, however long that had no place; 250 of 1,000 requests a second were refused beside 160 free places after engines had been replaced.

Change: while none of those can take one more, a place that is free elsewhere is taken.

--- a/crates/fleet/src/loader/homes.rs
+++ b/crates/fleet/src/loader/homes.rs
@@ -43,7 +43,11 @@
 impl Turn<'_> {
     /// The engine for an adapter. One that has it at hand keeps it, even if
     /// that takes a moment: a load from the weight store has a price. Else it
-    /// is one with the least to do, in the zone that asks if possible.
+    /// is one with the least to do, in the zone that asks if possible. While no
+    /// engine that has it at hand can take one more, a place that is free elsewhere
+    /// is taken: after many engines were replaced 250 of 1,000 requests a second
+    /// were refused beside 160 free places. Making way for it elsewhere costs more
+    /// than it brings (-0.014 +- 0.004 of worth where places are scarce).
     pub(super) fn find_home(&mut self, key: &AdapterKey) -> Option<Home> {
         let engines = self.engines.take().unwrap_or_else(|| self.rooms());
         let home = self.cheapest_home(key, &engines);
@@ -68,8 +72,12 @@
                     && !holds.contains(&&engine.endpoint)
             })
         };
-        let is_warm_somewhere =
-            candidates().any(|engine| warm.contains(&engine.endpoint));
+        let is_warm = |engine: &EngineRoom| warm.contains(&engine.endpoint);
+        let has_place =
+            |engine: &EngineRoom| !matches!(engine.place, Place::None);
+        let is_warm_somewhere = candidates().any(is_warm)
+            && (candidates().any(|e| is_warm(e) && has_place(e))
+                || !candidates().any(|e| matches!(e.place, Place::Free)));
         let mut best: Option<(f64, &EngineRoom)> = None;
         for engine in candidates() {
             if warm.contains(&engine.endpoint) != is_warm_somewhere {
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -510,3 +510,28 @@
     let left = orders.iter().any(|o| o.task == Task::Unload(key(9)));
     assert!(!left, "{orders:?}");
 }
+
+/// Symptom: 250 of 1,000 requests a second were refused for adapters that nobody
+/// brought, beside 160 free places.
+/// Sequence: engines are replaced; the new ones hold nothing; adapters are at hand
+/// on the old ones, whose places are all in use.
+/// Cause: an adapter waited for an engine that has it at hand, however long.
+#[test]
+fn a_free_place_is_taken_while_the_engine_at_hand_has_none() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[9]), ("e2", &[])], now);
+    view.hear_report(&"e1".to_owned(), &report(&[1, 2, 3, 4], 0), now);
+    if let Some(state) = view.get_mut(&"e1".to_owned()) {
+        for n in 1..=4 {
+            state.own_work.begin(Some(&key(n)), 100);
+        }
+    }
+    assert_eq!(view.warm(&key(9)), ["e1"]);
+    let mut demand = Demand::default();
+    asked(&mut demand, 9, 1, now);
+    let mut loader = loader(1, now);
+    let mut times = LoadTimes::default();
+    let orders =
+        loader.plan(&deployment(), &mut view, &mut demand, &mut times, now);
+    assert_eq!(loads(&orders), [("e2", key(9))]);
+}
