Customers: keys that stay inside, revocation in time, allowances summed over all

Cause: nothing knew of customers.

The customer's name replaces what the caller says of it, on every send, also repeats and streams that go on elsewhere. Unknown or missing: 401. What a request's rank is comes from its customer first. - Revocation: where keys must stop within a time, each instance asks the store for the newest itself and serves keyed requests only for that time, less 0.3 s, after the moment up to which it is sure to know all changes, on its own steady clock; then it refuses them (503, not run), is not ready, and says so in one line. Weighed: a push cannot say that nothing was pushed; notes of others do not tell when they were true without a clock that all share. A request that was read runs on. - Allowances: each instance says how much each customer asks of it, the holder of the lease tells the sums (among a few, each sums itself). Well below its allowance nobody is turned away; beyond, an instance takes its part of the demand's part of the allowance from a bucket that may go into debt. Weighed: equal shares refuse a customer whose callers are unevenly spread; leases from a holder stop with it.

Keys lie in the platform's object and in buffers of received requests until these are freed; they are not wiped there.

--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -12,6 +12,7 @@
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    customer::Customers,
     demand::Demand,
     endpoint::{Endpoint, EngineReport, HostedModel},
     load_times::LoadTimes,
@@ -103,6 +104,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([(SERVICE.to_owned(), service)]),
         limits: CallerLimits::default(),
+        customers: Customers::default(),
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/allowance.rs
@@ -0,0 +1,250 @@
+//! What each customer may use, summed over all instances, with no store of our
+//! own.
+//!
+//! Each instance says in its notes how much each customer asks of it. While the
+//! sum is well below the customer's allowance, nothing is turned away. Beyond, an
+//! instance takes the part of the allowance that it has of the demand, from a
+//! bucket that may fall into debt: what was taken before the others' demand was
+//! heard of is paid back out of what comes next. The invariant: whatever is
+//! heard, an instance takes no more than its bucket over time, and the parts of
+//! instances that hear each other add up to one.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use crate::customer::{Allowance, Customer, CustomerName};
+
+/// The time over which demand forgets to a third: an instance that gets one
+/// request in some seconds still has its part, and what a customer takes before
+/// it is seen to be hot is paid back.
+const MEMORY: Duration = Duration::from_millis(2_500);
+
+/// The least part of an allowance, in equal parts: for an instance of which a
+/// customer asks for the first time.
+const LEAST_PART: f64 = 0.25;
+
+/// The part of an allowance below which nothing is turned away. Demand within
+/// limits swings by a fifth within seconds.
+const FREE_BELOW: f64 = 0.85;
+
+/// The part of an allowance that is given out: notes are late, and parts add up
+/// to a little more while demand moves from one instance to another.
+const GIVEN_OUT: f64 = 0.95;
+
+/// The largest debt, in seconds of the bucket's rate: beyond, a customer whose
+/// demand jumped would get nothing for longer than anybody counts.
+const LARGEST_DEBT_S: f64 = 6.0;
+
+/// What a customer asks of an instance, or of all.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Asked {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Units a second.
+    pub per_s: f64,
+}
+
+/// One instance's part of all allowances.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    buckets: HashMap<CustomerName, Bucket>,
+    peers: HashMap<InstanceId, Heard>,
+    /// What the holder of the lease says that all ask for.
+    totals: Option<Heard>,
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    asked: Vec<Asked>,
+    until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    /// Units asked for lately, the newest weighing most.
+    asked: f64,
+    /// What may be taken; below zero, what has to come back first.
+    balance: f64,
+    updated: Instant,
+    /// Our part of the allowance when it was last known.
+    part: Option<f64>,
+}
+
+impl Shares {
+    /// Takes units of a customer's allowance for a request, or returns when some
+    /// are there again.
+    ///
+    /// # Errors
+    ///
+    /// The time until then.
+    pub fn take(
+        &mut self,
+        customer: &Customer,
+        units: f64,
+        instances: usize,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let Some(allowance) = customer.allowance else { return Ok(()) };
+        let bucket = self.buckets.entry(customer.name.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        // Without the request itself, which would make the part of an instance
+        // that gets few too large.
+        let own_per_s = bucket.per_s(now);
+        let age = bucket.ask(units, now);
+        let known_part = bucket.part;
+        let total_per_s = self.total(&customer.name, own_per_s, now);
+        let equal = 1.0 / instances.max(1) as f64;
+        let part = match total_per_s {
+            Some(total) => own_per_s / total.max(1e-9),
+            None => known_part.unwrap_or(equal),
+        };
+        let part = part.clamp(equal * LEAST_PART, 1.0);
+        let is_free = total_per_s
+            .is_some_and(|total| total < allowance.per_s * FREE_BELOW);
+        let Some(bucket) = self.buckets.get_mut(&customer.name) else {
+            return Ok(());
+        };
+        bucket.fill(allowance, part, equal, age);
+        if is_free || bucket.balance > 0.0 {
+            let debt = LARGEST_DEBT_S * rate(allowance, part);
+            bucket.balance = (bucket.balance - units).max(-debt);
+            return Ok(());
+        }
+        let missing_s = -bucket.balance / rate(allowance, part).max(1e-9);
+        Err(Duration::from_secs_f64(missing_s.clamp(0.0, LARGEST_DEBT_S)))
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn give_back(&mut self, customer: &Customer, units: f64) {
+        if let Some(bucket) = self.buckets.get_mut(&customer.name) {
+            bucket.balance += units;
+        }
+    }
+
+    /// Returns what each customer asks of this instance.
+    pub fn asked(&self, now: Instant) -> Vec<Asked> {
+        let asked = self.buckets.iter().map(|(name, bucket)| Asked {
+            customer: name.clone(),
+            per_s: bucket.per_s(now).round(),
+        });
+        asked.filter(|asked| asked.per_s >= 1.0).collect()
+    }
+
+    /// Returns what each customer asks of all instances, as far as we hear.
+    pub fn asked_of_all(&self, now: Instant) -> Vec<Asked> {
+        let mut sums: HashMap<CustomerName, f64> = HashMap::new();
+        let heard = self.peers.values().filter(|heard| now < heard.until);
+        let of_peers = heard.flat_map(|heard| heard.asked.clone());
+        for asked in of_peers.chain(self.asked(now)) {
+            *sums.entry(asked.customer).or_default() += asked.per_s;
+        }
+        sums.into_iter()
+            .map(|(customer, per_s)| Asked { customer, per_s })
+            .collect()
+    }
+
+    /// Takes in what customers ask of another instance, which counts until a
+    /// moment.
+    pub fn hear(
+        &mut self,
+        from: &InstanceId,
+        asked: Vec<Asked>,
+        until: Instant,
+    ) {
+        self.peers.insert(from.clone(), Heard { asked, until });
+    }
+
+    /// Takes in what customers ask of all instances.
+    pub fn hear_totals(&mut self, asked: Vec<Asked>, until: Instant) {
+        self.totals = Some(Heard { asked, until });
+    }
+
+    /// Forgets instances that are silent, and customers that ask for nothing.
+    pub fn forget(&mut self, now: Instant) {
+        self.peers.retain(|_, heard| now < heard.until);
+        if self.totals.as_ref().is_some_and(|heard| now >= heard.until) {
+            self.totals = None;
+        }
+        self.buckets.retain(|_, bucket| {
+            let idle = now.saturating_duration_since(bucket.updated);
+            idle < Duration::from_secs_f64(LARGEST_DEBT_S) * 2
+        });
+    }
+
+    /// Returns what a customer asks of all; nothing where too few are heard.
+    fn total(
+        &self,
+        name: &CustomerName,
+        own_per_s: f64,
+        now: Instant,
+    ) -> Option<f64> {
+        let of = |heard: &Heard| {
+            heard
+                .asked
+                .iter()
+                .filter(|asked| asked.customer == *name)
+                .map(|asked| asked.per_s)
+                .sum::<f64>()
+        };
+        let totals = self.totals.as_ref().filter(|heard| now < heard.until);
+        if let Some(totals) = totals {
+            return Some(of(totals).max(own_per_s));
+        }
+        let mut live =
+            self.peers.values().filter(|heard| now < heard.until).peekable();
+        live.peek()?;
+        Some(live.map(of).sum::<f64>() + own_per_s)
+    }
+}
+
+impl Bucket {
+    fn new(now: Instant) -> Bucket {
+        Bucket { asked: 0.0, balance: 0.0, updated: now, part: None }
+    }
+
+    /// Counts what is asked for; returns the time since that was done last.
+    fn ask(&mut self, units: f64, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.updated);
+        self.asked = self.faded(now) + units;
+        self.updated = now;
+        age
+    }
+
+    fn per_s(&self, now: Instant) -> f64 {
+        self.faded(now) / MEMORY.as_secs_f64()
+    }
+
+    fn faded(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.asked * (-age / MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Lets come back what a part of the allowance brings in a time; a bucket
+    /// that is new has an equal part of the burst.
+    fn fill(
+        &mut self,
+        allowance: Allowance,
+        part: f64,
+        equal: f64,
+        age: Duration,
+    ) {
+        let most = allowance.burst * part;
+        let is_new = self.part.replace(part).is_none();
+        let back = rate(allowance, part) * age.as_secs_f64();
+        self.balance = if is_new {
+            allowance.burst * equal
+        } else {
+            (self.balance + back).min(most)
+        };
+    }
+}
+
+/// Returns what a part of an allowance brings, in units a second.
+fn rate(allowance: Allowance, part: f64) -> f64 {
+    allowance.per_s * part * GIVEN_OUT
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod adapter;
 mod adapter_index;
+pub mod allowance;
+pub mod customer;
 pub mod demand;
 pub mod departure;
 pub mod endpoint;
@@ -22,6 +24,7 @@
 pub mod pace;
 pub mod relays;
 pub mod retry_budget;
+pub mod revocation;
 pub mod route;
 pub mod store_contact;
 pub mod store_rate;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
+    allowance,
     departure::Departure,
     work::Work,
 };
@@ -114,6 +115,9 @@
     pub store_is_out: bool,
     /// Whether it takes no more work and will end.
     pub is_leaving: bool,
+    /// What customers ask of the sender, or of all if the work is a total.
+    #[serde(default)]
+    pub asked_by_customers: Vec<allowance::Asked>,
     /// Endpoints that left lately. An instance of the release before says none.
     #[serde(default)]
     pub departures: Vec<Departure>,
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -4,6 +4,8 @@
 
 use sedgewall_state::id::{AdapterName, ModelName};
 
+use crate::customer::Customers;
+
 /// The name of a service.
 pub type ServiceName = String;
 
@@ -18,6 +20,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Whose requests are taken; without any, requests need no key.
+    pub customers: Customers,
 }
 
 /// How often a request may run.
@@ -38,6 +42,8 @@
     pub host: String,
     /// What its paths begin with; it begins and ends with a slash.
     pub path_prefix: String,
+    /// Whether its requests need no key.
+    pub is_public: bool,
     /// How often its requests may run.
     pub repetition: Repetition,
     /// Whether answers are streams of events.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    customer::Customers,
     endpoint::{Endpoint, EngineReport, HostedModel},
     note::Status,
     route::{BaseModel, CallerLimits, Deployment, EngineGroup, Service},
@@ -75,6 +76,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([(SERVICE.to_owned(), service)]),
         limits: CallerLimits::default(),
+        customers: Customers::default(),
     }
 }
 
@@ -113,6 +115,7 @@
         versions: 0,
         store_is_out: false,
         is_leaving: false,
+        asked_by_customers: Vec::new(),
         departures: Vec::new(),
         work,
         is_total: false,
--- /dev/null
+++ b/crates/fleet/tests/customer_rules.rs
@@ -0,0 +1,85 @@
+//! Whose a request is, and for how long that is known.
+
+use std::time::{Duration, Instant};
+
+use sedgewall_fleet::{
+    customer::{Customer, Customers, KeyDigest, Unit},
+    revocation::KeysKnown,
+};
+
+const SECRET: &str = "asnmgkcuyj8pjbvk9m68";
+
+fn customer(name: &str, priority: u8) -> Customer {
+    Customer { name: name.to_owned(), priority, allowance: None }
+}
+
+#[test]
+fn a_request_is_the_customers_whose_key_it_has() {
+    let mut customers = Customers::default();
+    assert!(customers.is_empty());
+    let keys = [SECRET, "k7b2"].map(|key| KeyDigest::of(key.as_bytes()));
+    customers.add(customer("one", 0), keys);
+    customers.add(customer("two", 1), [KeyDigest::of(b"other")]);
+    let of = |key: &[u8]| {
+        let found = customers.of_key(&KeyDigest::of(key));
+        found.map(|customer| customer.name.clone())
+    };
+    assert_eq!(of(SECRET.as_bytes()).as_deref(), Some("one"));
+    assert_eq!(of(b"k7b2").as_deref(), Some("one"));
+    assert_eq!(of(b"other").as_deref(), Some("two"));
+    assert_eq!(of(b"asnmgkcuyj8pjbvk9m6"), None);
+    assert_eq!(of(b""), None);
+}
+
+/// What is printed of a configuration shows neither keys nor their digests.
+#[test]
+fn nothing_prints_a_key() {
+    let mut customers = Customers::default();
+    customers.add(customer("one", 0), [KeyDigest::of(SECRET.as_bytes())]);
+    let printed = format!("{customers:?}");
+    assert!(!printed.contains(SECRET));
+    assert!(printed.contains("KeyDigest(..)"));
+}
+
+#[test]
+fn a_customers_rank_comes_before_its_routes() {
+    let (first, second) = (customer("one", 0), customer("two", 1));
+    for route in 0..10 {
+        assert!(first.rank(route) < second.rank(0));
+        assert!(second.rank(route) <= 9);
+    }
+    assert!(first.rank(0) < first.rank(1));
+    assert_eq!(customer("last", 200).rank(9), 9);
+}
+
+#[test]
+fn a_request_that_tells_no_tokens_counts_what_is_configured() {
+    let tokens = Unit::Tokens { plain: 200.0 };
+    assert_eq!((tokens.count(1_540), tokens.count(0)), (1_540.0, 200.0));
+    assert_eq!(Unit::Requests.count(1_540), 1.0);
+}
+
+/// An instance that is cut off cannot know that a key was taken away: it serves
+/// keyed requests for less than the time within which keys must stop.
+#[test]
+fn keys_are_sure_for_a_time_after_the_newest_was_known() {
+    let within = Duration::from_secs(5);
+    let start = Instant::now();
+    let mut known = KeysKnown::new(Some(within));
+    assert!(!known.is_sure(start));
+    known.confirm(start);
+    // What is heard late says nothing new.
+    known.confirm(start - Duration::from_secs(1));
+    assert!(known.is_sure(start + Duration::from_millis(4_600)));
+    assert!(!known.is_sure(start + Duration::from_millis(4_800)));
+    // After a watch, a third of the time is left for calls that fail.
+    let wait = known.watch_time().expect("it is bounded");
+    assert!(wait < within * 2 / 3);
+}
+
+#[test]
+fn without_a_bound_keys_are_always_sure() {
+    let known = KeysKnown::new(None);
+    assert!(known.is_sure(Instant::now()));
+    assert_eq!(known.watch_time(), None);
+}
--- a/crates/fleet/tests/route_rules.rs
+++ b/crates/fleet/tests/route_rules.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use sedgewall_fleet::customer::Customers;
 use sedgewall_fleet::route::{
     Backend, BaseModel, CallerLimits, Deployment, EngineGroup, Repetition,
     Route,
@@ -12,6 +13,7 @@
         name: name.to_owned(),
         host: host.to_owned(),
         path_prefix: prefix.to_owned(),
+        is_public: false,
         repetition: Repetition::AtMostOnce,
         is_stream: false,
         is_resumable: false,
@@ -33,6 +35,7 @@
         routes,
         services: BTreeMap::new(),
         limits: CallerLimits::default(),
+        customers: Customers::default(),
     }
 }
 
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -61,6 +61,10 @@
     pub store_window_s: f64,
     /// What such a window allows, as a multiple of the weight store's rate.
     pub store_overage: f64,
+    /// A key that was taken away stops within this time on every instance, also
+    /// one that cannot know so, in milliseconds; without it, as soon as it is known.
+    #[serde(default)]
+    pub revoke_within_ms: Option<u64>,
     /// A planned stop is cut off after this long, in seconds.
     pub grace_s: f64,
     /// Where metrics are read, beside the operators' address.
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    customer::Customer,
     route::{Repetition, Route},
     view::Target,
 };
@@ -41,6 +42,8 @@
     pub(crate) end: Instant,
     /// Whether its caller has tried before, as its time tells.
     pub(crate) is_later_try: bool,
+    /// Whose it is.
+    pub(crate) customer: Option<Rc<Customer>>,
     /// Where it was sent last.
     pub(crate) sent_to: RefCell<Option<EndpointId>>,
 }
@@ -109,6 +112,12 @@
         self.facts.key.as_ref().filter(|_| self.is_engine)
     }
 
+    /// Returns the rank: the customer's comes before the route's.
+    pub(crate) fn rank(&self) -> u8 {
+        let route = self.route.priority;
+        self.customer.as_ref().map_or(route, |c| c.rank(route))
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) fn is_repeatable(&self) -> bool {
         self.route.repetition == Repetition::Repeatable
@@ -165,7 +174,8 @@
     let handover = Handover {
         endpoint: &target.id,
         left: call.left(),
-        priority: call.key().map(|_| call.route.priority),
+        priority: call.key().map(|_| call.rank()),
+        customer: call.customer.as_ref().map(|c| c.name.as_str()),
         expect_version: target.expect_version,
         last_event,
     };
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -13,7 +13,11 @@
 
 use http::{Request, Response, header};
 use hyper::body::Incoming;
-use sedgewall_fleet::view::{Choice, Need, Target};
+use sedgewall_fleet::{
+    customer::{Customer, KeyDigest},
+    route::{Deployment, Route},
+    view::{Choice, Need, Target},
+};
 use sedgewall_platform::{CallFacts, call::to_caller};
 use sedgewall_state::id::EndpointId;
 use sedgewall_transport::{
@@ -110,8 +114,8 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<CallerRequest, Unread> {
-    let (head, body) = request.into_parts();
-    let facts = CallFacts::read(&head.headers);
+    let (mut head, body) = request.into_parts();
+    let facts = CallFacts::take(&mut head.headers);
     let path = head.uri.path().to_owned();
     let request_id =
         facts.as_ref().map_or(String::new(), |f| f.request_id.clone());
@@ -128,6 +132,13 @@
         .ok_or_else(|| refuse(Reason::NoRoute))?
         .clone();
     let facts = facts.ok_or_else(|| refuse(Reason::NoRequestId))?;
+    let credential = facts.credential.as_ref();
+    let customer =
+        admit_key(node, &deployment, &route, credential).map_err(&refuse)?;
+    let tokens = facts.prompt_tokens + facts.answer_tokens;
+    if let Some(customer) = &customer {
+        take_allowance(node, customer, tokens).map_err(&refuse)?;
+    }
     let most = deployment.limits.body_bytes;
     let body = read_body(body, most, BODY_TIME).await.map_err(|err| {
         refuse(match err {
@@ -157,10 +168,57 @@
         arrived,
         end,
         is_later_try,
+        customer,
         sent_to: RefCell::default(),
     })
 }
 
+/// Returns whose a request is. Each request is looked at by itself: a key that
+/// was taken away stops on open connections too, and what was read before runs
+/// on.
+fn admit_key(
+    node: &FleetNode,
+    deployment: &Deployment,
+    route: &Route,
+    credential: Option<&KeyDigest>,
+) -> Result<Option<Rc<Customer>>, Reason> {
+    let customers = &deployment.customers;
+    if customers.is_empty() {
+        return Ok(None);
+    }
+    let Some(credential) = credential else {
+        return if route.is_public { Ok(None) } else { Err(Reason::NoKey) };
+    };
+    if !node.keys_are_sure() {
+        return Err(Reason::KeysUnsure);
+    }
+    let known = customers.of_key(credential).cloned();
+    known.map(Some).ok_or(Reason::UnknownKey)
+}
+
+/// Takes what a request counts of its customer's allowance.
+fn take_allowance(
+    node: &FleetNode,
+    customer: &Customer,
+    tokens: u64,
+) -> Result<(), Reason> {
+    let Some(allowance) = customer.allowance else { return Ok(()) };
+    let units = allowance.unit.count(tokens);
+    let (now, instances) = (Instant::now(), node.instances());
+    let mut shares = node.shares.borrow_mut();
+    let taken = shares.take(customer, units, instances, now);
+    taken.map_err(Reason::OverAllowance)
+}
+
+/// Gives back what a request took of its customer's allowance and did not use.
+fn give_back_allowance(node: &FleetNode, call: &CallerRequest) {
+    let Some(customer) = &call.customer else { return };
+    let Some(allowance) = customer.allowance else { return };
+    let tokens = call.facts.prompt_tokens + call.facts.answer_tokens;
+    let units = allowance.unit.count(tokens);
+    node.shares.borrow_mut().give_back(customer, units);
+}
+
 fn host_of(head: &http::request::Parts) -> String {
     let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
@@ -212,6 +270,9 @@
             pass_on(node, call, progress, good, target, open).await
         }
         Err(reason) => {
+            if progress.runs == 0 {
+                give_back_allowance(node, &call);
+            }
             request_log::refused(&call, &progress, reason);
             refusal::answer(reason, call.left())
         }
@@ -395,7 +456,7 @@
 /// Asks the holder of the lease for an adapter.
 fn ask_for(node: &FleetNode, call: &CallerRequest) {
     if let Some(key) = call.key() {
-        node.ask_for(key, call.route.priority);
+        node.ask_for(key, call.rank());
     }
 }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -186,12 +186,12 @@
 ) -> Response<LocalBody> {
     match request.uri().path() {
         "/healthz" => responses::text(StatusCode::OK, "live\n"),
-        "/readyz" => match node.stage.get() {
-            Stage::Ready => responses::text(StatusCode::OK, "ready\n"),
-            Stage::Starting | Stage::Leaving => {
-                responses::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
-            }
-        },
+        "/readyz" if node.takes_requests() => {
+            responses::text(StatusCode::OK, "ready\n")
+        }
+        "/readyz" => {
+            responses::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
         "/metrics" => {
             note_gauges(node);
             responses::text(StatusCode::OK, metrics.render())
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -74,6 +74,13 @@
     fn take_behind(&self) -> bool {
         false
     }
+    /// Returns how new a watch has to be and how long it waits, if that does not
+    /// go by our rank.
+    fn own_watch(&self) -> Option<(Freshness, Duration)> {
+        None
+    }
+    /// Takes in that all changes before a moment are known.
+    fn confirm(&self, _until: Instant) {}
     /// Takes in all objects.
     fn list(&self, listing: Listing);
     /// Takes in one change.
@@ -141,6 +148,7 @@
     async fn list(&mut self) -> Result<Revision, StoreError> {
         self.follower.bell().mute();
         let freshness = self.next_list();
+        let sent = Instant::now();
         let listing = self.node.store.list(F::KIND, freshness).await?;
         self.list_freshness = None;
         let revision = listing.revision;
@@ -151,6 +159,9 @@
             revision,
         );
         self.follower.list(listing);
+        if freshness == Freshness::Newest {
+            self.follower.confirm(sent);
+        }
         Ok(revision)
     }
 
@@ -162,6 +173,7 @@
         match self.list_freshness {
             Some(freshness) => freshness,
             None if self.follower.take_behind() => Freshness::Newest,
+            None if self.follower.own_watch().is_some() => Freshness::Newest,
             None => rank_freshness(&self.node),
         }
     }
@@ -171,11 +183,17 @@
         &mut self,
         since: Revision,
     ) -> Result<Option<Revision>, StoreError> {
-        self.watch_freshness =
-            freshness(&self.node, self.watch_freshness, F::KIND);
+        let (freshness, wait) = match self.follower.own_watch() {
+            Some(own) => own,
+            None => {
+                let before = self.watch_freshness;
+                (freshness(&self.node, before, F::KIND), F::WATCH)
+            }
+        };
+        self.watch_freshness = freshness;
+        let sent = Instant::now();
         let store = &self.node.store;
-        let watch =
-            store.watch(F::KIND, since, F::WATCH, self.watch_freshness);
+        let watch = store.watch(F::KIND, since, wait, freshness);
         let bell = self.follower.bell();
         let mut watch = pin!(watch.fuse());
         let mut rung = pin!(rung(&bell).fuse());
@@ -183,9 +201,14 @@
             watched = watch => watched?,
             () = rung => return Ok(None),
         };
+        // A watch that ended without a change has waited at the store.
+        let is_whole = changes.changes.is_empty() && sent.elapsed() >= wait;
         for change in changes.changes {
             self.follower.change(change);
         }
+        if freshness == Freshness::Newest {
+            self.follower.confirm(if is_whole { sent + wait } else { sent });
+        }
         Ok(Some(changes.revision))
     }
 
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -42,6 +42,21 @@
         self.0.is_configuration_behind.take()
     }
 
+    /// Where keys must stop in time, each instance asks for the newest itself: what
+    /// others say does not tell when it was true.
+    fn own_watch(&self) -> Option<(Freshness, Duration)> {
+        let wait = self.0.keys_known.get().watch_time()?;
+        let has_customers =
+            self.0.deployment().is_some_and(|d| !d.customers.is_empty());
+        has_customers.then_some((Freshness::Newest, wait))
+    }
+
+    fn confirm(&self, until: Instant) {
+        if !self.0.is_configuration_unreadable.get() {
+            self.0.confirm_keys(until);
+        }
+    }
+
     fn list(&self, listing: Listing) {
         for object in listing.objects {
             self.take(&object);
@@ -67,9 +82,11 @@
             Err(err) => {
                 let cause = err.to_string();
                 tracing::error!(event = "configuration_unreadable", cause);
+                node.is_configuration_unreadable.set(true);
                 return;
             }
         };
+        node.is_configuration_unreadable.set(false);
         let known = node.deployment().map_or(0, |known| known.version);
         if deployment.version <= known {
             return;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -12,10 +12,12 @@
 use sedgewall_coordination::lease::{NotedLease, WriteAnswer};
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    allowance::Shares,
     demand::Demand,
     load_times::LoadTimes,
     note::{Lead, Note},
     retry_budget::{RetryAllowance, RetryBudget},
+    revocation::KeysKnown,
     route::Deployment,
     store_contact::{CallFailure, StoreContact},
     suspicion::Suspicions,
@@ -143,6 +145,12 @@
     pub(crate) arrivals: RefCell<Vec<SeenArrival>>,
     pub(crate) asked: RefCell<HashMap<AdapterKey, u32>>,
     pub(crate) waiting: RefCell<HashMap<AdapterKey, u8>>,
+    /// Our part of what customers may use.
+    pub(crate) shares: RefCell<Shares>,
+    /// Whether keys that were taken away are sure to be known.
+    pub(crate) keys_known: Cell<KeysKnown>,
+    /// Whether it was logged that they are not.
+    has_told_unsure: Cell<bool>,
     /// Whether the store answers us.
     pub(crate) store_contact: RefCell<StoreContact>,
     /// What the other instances say of themselves.
@@ -178,6 +186,8 @@
     /// Whether others were heard to know newer ones for a while.
     pub(crate) is_configuration_behind: Cell<bool>,
     pub(crate) is_versions_behind: Cell<bool>,
+    /// Whether the newest configuration could not be read.
+    pub(crate) is_configuration_unreadable: Cell<bool>,
     pub(crate) instances_bell: Rc<Bell>,
     pub(crate) endpoints_bell: Rc<Bell>,
     /// Since when others are heard to know more than we do.
@@ -209,6 +219,7 @@
             true => RetryBudget::after_restart(allowance, Instant::now()),
             false => RetryBudget::new(allowance),
         };
+        let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
         let view = FleetView::new(&settings.zone);
         let pool = EndpointPool::new();
         Rc::new(FleetNode {
@@ -224,6 +235,9 @@
             arrivals: RefCell::default(),
             asked: RefCell::default(),
             waiting: RefCell::default(),
+            shares: RefCell::default(),
+            keys_known: Cell::new(KeysKnown::new(revoke_within)),
+            has_told_unsure: Cell::new(false),
             store_contact: RefCell::default(),
             last_words: RefCell::default(),
             unreachable: RefCell::default(),
@@ -246,6 +260,7 @@
             versions_bell: Rc::default(),
             is_configuration_behind: Cell::new(false),
             is_versions_behind: Cell::new(false),
+            is_configuration_unreadable: Cell::new(false),
             instances_bell: Rc::default(),
             endpoints_bell: Rc::default(),
             behind_since: Cell::new(None),
@@ -266,6 +281,40 @@
         self.deployment.borrow().clone()
     }
 
+    /// Returns whether requests may come here: those that need a key could not be
+    /// served where keys that were taken away are not known.
+    pub(crate) fn takes_requests(&self) -> bool {
+        let has_customers =
+            self.deployment().is_some_and(|d| !d.customers.is_empty());
+        let is_sure = !has_customers || self.keys_are_sure();
+        self.stage.get() == Stage::Ready && is_sure
+    }
+
+    /// Takes in that all changes of the configuration before a moment are known.
+    pub(crate) fn confirm_keys(&self, until: Instant) {
+        let mut known = self.keys_known.get();
+        known.confirm(until);
+        self.keys_known.set(known);
+        let is_sure = known.is_sure(Instant::now());
+        if is_sure && self.has_told_unsure.replace(false) {
+            tracing::info!(event = "keys_sure");
+        }
+    }
+
+    /// Returns whether it is sure which keys are in force; one line when that is
+    /// no longer so.
+    pub(crate) fn keys_are_sure(&self) -> bool {
+        let known = self.keys_known.get();
+        let now = Instant::now();
+        let is_sure = known.is_sure(now);
+        if !is_sure && !self.has_told_unsure.replace(true) {
+            let known_ms_ago =
+                known.age(now).map(|age| age.as_millis() as u64);
+            tracing::warn!(event = "keys_unsure", known_ms_ago);
+        }
+        is_sure
+    }
+
     /// Returns our lease on orders, while it is sure to be ours: until it ends,
     /// or while the store is out for all who could take it.
     pub(crate) fn current_lease(&self, now: Instant) -> Option<HeldLease> {
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -39,6 +39,10 @@
 /// Notes in one datagram at most, so that it fits one packet.
 const BATCH_LEN: usize = 16;
 
+/// Notes of another instance that may be lost in a row before what customers ask
+/// of it counts no longer.
+const CUSTOMERS_LOSSES: u32 = 6;
+
 /// How often peers that fell silent are forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(1);
 
@@ -90,6 +94,7 @@
                 status.is_leaving,
                 now,
             );
+            hear_customers(node, &status, now);
             node.view.borrow_mut().hear_status(status, now);
         }
         Note::Departed(departure) => hear_departure(node, &departure, now),
@@ -196,6 +201,18 @@
     node.ring_loader();
 }
 
+/// Takes in what customers ask of another instance, or of all.
+fn hear_customers(node: &FleetNode, status: &Status, now: Instant) {
+    let until =
+        now + Duration::from_millis(status.next_in_ms) * CUSTOMERS_LOSSES;
+    let asked = status.asked_by_customers.clone();
+    let mut shares = node.shares.borrow_mut();
+    match status.is_total {
+        true => shares.hear_totals(asked, until),
+        false => shares.hear(&status.from, asked, until),
+    }
+}
+
 fn hear_arrivals(node: &FleetNode, arrivals: &[Arrived], now: Instant) {
     let mut times = node.load_times.borrow_mut();
     for arrived in arrivals {
@@ -291,6 +308,7 @@
             node.view.borrow_mut().forget_silent_peers(now);
             node.view.borrow_mut().forget_departures(now);
             node.suspicions.borrow_mut().forget(now);
+            node.shares.borrow_mut().forget(now);
         }
     }
 }
@@ -387,6 +405,11 @@
     node.has_untold_work.set(false);
     let work = node.view.borrow_mut().tell_work(is_total);
     let versions = node.view.borrow().versions_named();
+    let shares = node.shares.borrow();
+    let asked_by_customers = match is_total {
+        true => shares.asked_of_all(now),
+        false => shares.asked(now),
+    };
     Status {
         from: node.id().clone(),
         sequence,
@@ -396,6 +419,7 @@
         versions,
         store_is_out: node.store_contact.borrow().is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
+        asked_by_customers,
         departures: node.view.borrow().departures(now),
         work,
         is_total,
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -23,6 +23,15 @@
     NoRoute,
     /// The request has no id.
     NoRequestId,
+    /// The request has no key, and its route needs one.
+    NoKey,
+    /// No customer has the request's key.
+    UnknownKey,
+    /// This instance cannot know whether the key was taken away.
+    KeysUnsure,
+    /// Its customer has used what all instances may take of it; some is there
+    /// again after this time.
+    OverAllowance(Duration),
     /// The body is longer than the configuration allows.
     BodyTooLong,
     /// The body did not come in time, or broke off.
@@ -50,6 +59,10 @@
             Reason::NoConfiguration => "no_configuration",
             Reason::NoRoute => "no_route",
             Reason::NoRequestId => "no_request_id",
+            Reason::NoKey => "no_key",
+            Reason::UnknownKey => "unknown_key",
+            Reason::KeysUnsure => "keys_unsure",
+            Reason::OverAllowance(_) => "over_allowance",
             Reason::BodyTooLong => "body_too_long",
             Reason::BodyBroken => "body_broken",
             Reason::AdapterAbsent => "adapter_absent",
@@ -68,6 +81,8 @@
             Reason::NoRequestId | Reason::BodyBroken => {
                 StatusCode::BAD_REQUEST
             }
+            Reason::NoKey | Reason::UnknownKey => StatusCode::UNAUTHORIZED,
+            Reason::OverAllowance(_) => StatusCode::TOO_MANY_REQUESTS,
             Reason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Reason::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -96,7 +111,9 @@
             | Reason::Full
             | Reason::NobodyThere
             | Reason::RetriesSpent => Some(most),
-            Reason::TooLate => Some(most.min(SOON)),
+            Reason::OverAllowance(back_in) => Some(most.min(back_in)),
+            // Another instance may know.
+            Reason::TooLate | Reason::KeysUnsure => Some(most.min(SOON)),
             _ => None,
         }
     }
