A holder cut off from the store hears of new engines and versions from others

Cause: a holder whose lease others renew heard of endpoints that left, but not of new ones. While the store turned it away for 7 s, 18 of 74 engines were replaced and unknown to it: 500 adapters waited for places on the other 56.

Ruled out: the weight store (11 to 30 of 72 loads on their way), places held by loads that never came (all listed).

Change: whoever renews the lease for it sends its endpoints, without adapters, and the newest versions along.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use sedgewall_state::id::{EndpointId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
@@ -13,7 +14,7 @@
 pub type Revision = u64;
 
 /// One life of an endpoint; a restart has another id.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Endpoint {
     /// Its id.
     pub id: EndpointId,
@@ -36,7 +37,7 @@
 }
 
 /// A base model on an engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HostedModel {
     /// The model without an adapter.
     pub key: AdapterKey,
@@ -46,6 +47,18 @@
     pub adapters: Vec<(AdapterKey, WeightVersion)>,
 }
 
+impl Endpoint {
+    /// Returns the same without the adapters that it holds, for whoever asks it
+    /// for these anyway.
+    pub fn without_adapters(&self) -> Endpoint {
+        let mut endpoint = self.clone();
+        for model in &mut endpoint.models {
+            model.adapters.clear();
+        }
+        endpoint
+    }
+}
+
 /// What an engine reports of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -12,6 +12,7 @@
     adapter::{AdapterKey, WeightVersion},
     allowance,
     departure::Departure,
+    endpoint::Endpoint,
     work::Work,
 };
 
@@ -65,13 +66,18 @@
     pub write: LeaseWrite,
 }
 
-/// The store's answer to a [`RenewalRequest`].
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+/// The store's answer to a [`RenewalRequest`], and what the holder cannot see
+/// while it does not reach the store.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RenewalAnswer {
     /// The number of the request.
     pub number: u64,
     /// The answer.
     pub answer: WriteAnswer,
+    /// The endpoints, without their adapters.
+    pub endpoints: Vec<Endpoint>,
+    /// The newest versions that were named.
+    pub versions: Vec<(AdapterKey, WeightVersion)>,
 }
 
 /// A note that whoever gets it hears, and passes on to its group.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -104,6 +104,20 @@
         self.change_seats(&id, |state| state.list(endpoint, now));
     }
 
+    /// Takes in entries that another instance knows, without their adapters, while
+    /// we do not reach the store: those of new endpoints, and newer ones of engines
+    /// whose adapters we know by ourselves.
+    pub fn hear_entries(&mut self, entries: Vec<Endpoint>, now: Instant) {
+        for entry in entries {
+            let is_useful = self
+                .get(&entry.id)
+                .is_none_or(|state| state.is_ordered_by_us());
+            if is_useful {
+                self.list(entry, now);
+            }
+        }
+    }
+
     /// Changes what an endpoint holds, and the indexes with it.
     fn change_seats(
         &mut self,
@@ -230,6 +244,13 @@
         }
     }
 
+    /// Returns the newest version of each model and adapter that one was named of.
+    pub fn named_versions(
+        &self,
+    ) -> impl Iterator<Item = (&AdapterKey, WeightVersion)> {
+        self.newest.iter().map(|(key, (version, _))| (key, *version))
+    }
+
     /// Returns how many versions of weights were named, counting each rise.
     pub fn versions_named(&self) -> u64 {
         self.newest.values().map(|(version, _)| version).sum()
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -403,3 +403,29 @@
     let held = view.get(&"e1".to_owned()).expect("an endpoint");
     assert!(held.seat(&key(2)).is_some() && held.seat(&key(1)).is_none());
 }
+
+/// Symptom: 500 adapters waited for places while 18 new engines had none.
+/// Sequence: the store turns the holder of the lease away for 7 s; engines crash
+/// and are replaced meanwhile; others renew its lease.
+/// Cause: it heard of engines that left, but not of new ones.
+#[test]
+fn a_holder_without_the_store_hears_of_new_engines_from_others() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(endpoint("e1", "z1", &[1]), now);
+    let known = endpoint("e1", "z1", &[1]).without_adapters();
+    let new = endpoint("e2", "z1", &[2]).without_adapters();
+    view.hear_entries(vec![known, new], now);
+    // What is known of the adapters of the first comes from its own entry.
+    let first = view.get(&"e1".to_owned()).expect("an engine");
+    assert!(first.seat(&key(1)).is_some());
+    let second = view.get(&"e2".to_owned()).expect("the new engine");
+    assert!(second.has_model("m") && !second.is_ordered_by_us());
+    // One that has left since is not brought back.
+    let id = "e2".to_owned();
+    view.hear_departure(&Departure { endpoint: id, revision: 5 }, now);
+    let older = endpoint("e2", "z1", &[2]).without_adapters();
+    view.hear_entries(vec![older], now);
+    let second = view.get(&"e2".to_owned()).expect("the engine");
+    assert!(!second.is_usable(now));
+}
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -195,13 +195,32 @@
         renewal = write.record.renewal,
         answer = ?answer,
     );
-    let answer = Note::Renewed(RenewalAnswer { number, answer });
-    sender.send_to_peer(node, &from, &answer);
+    let view = node.view.borrow();
+    let entries = view.endpoints().map(|s| s.endpoint.without_adapters());
+    let versions = view.named_versions();
+    let answer = RenewalAnswer {
+        number,
+        answer,
+        endpoints: entries.collect(),
+        versions: versions.map(|(key, v)| (key.clone(), v)).collect(),
+    };
+    sender.send_to_peer(node, &from, &Note::Renewed(answer));
 }
 
 /// Takes in what the store answered to another instance. An answer to an older
 /// request says nothing of the one that is out.
+///
+/// What it knows of endpoints and versions counts in any case: a holder that saw
+/// none of 18 new engines for 7 s left 500 adapters waiting for the others' places.
 pub(super) fn hear_answer(node: &FleetNode, heard: RenewalAnswer) {
+    let now = Instant::now();
+    let mut view = node.view.borrow_mut();
+    view.hear_entries(heard.endpoints, now);
+    for (key, version) in &heard.versions {
+        view.name_version(key, *version, now);
+    }
+    drop(view);
+    node.ring_loader();
     let mut waiting = node.renewal.borrow_mut();
     if waiting.as_ref().is_some_and(|(number, _)| *number == heard.number)
         && let Some((_, tx)) = waiting.take()
