How long a request is held follows from predictions; fewer calls at starts and outages

Cause: a request waited for fixed parts of its target (0.22, 0.75), whatever its prompt and a load take: held though its load would come late, rejected though it would be in time. Change: a type without I/O and clock decides by what is known: an absent adapter is waited for while target, less what the engine takes for this prompt, less what a load takes now, is left; one that is on its way is waited for, since the answer comes sooner than to a new try; all else is rejected at once. The time to come back is that of the adapter if it is known, and spread by a fifth. Cause: 195 instances that start together know nobody, take themselves for the first in rank and read the lease two or three times each; each writes its entry though it stands there; while the store is out all kinds of watches try it. Change: rank counts once the others were listed, an entry that stands is not written, only the configuration is tried while the store is out.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod note_schedule;
 pub mod order;
 pub mod pace;
+pub mod patience;
 pub mod relays;
 pub mod retry_budget;
 pub mod revocation;
--- /dev/null
+++ b/crates/fleet/src/patience.rs
@@ -0,0 +1,104 @@
+//! How long a request that cannot be sent now is held, and when its caller may
+//! come back.
+//!
+//! A request is held while it can still be served in time, by what is known of
+//! the obstacle: when its adapter comes, what a load takes, and what the engine
+//! takes from there. One that can only be late is held where an answer is certain
+//! to come, because its adapter is on its way: the answer comes sooner than to a
+//! new try. All others are rejected as soon as that is known. The invariant: no
+//! request is held beyond the time at which its caller must have an answer.
+
+use std::time::{Duration, Instant};
+
+/// Of the time that is left, a caller waits this part at most before it comes
+/// back.
+const CALLER_WAITS: f64 = 0.31;
+
+/// What is drawn off the time to come back, as a part of it: callers that were
+/// rejected in the same moment do not come back as one wave.
+const SPREAD: f64 = 0.2;
+
+/// The part of the target for which a request waits for a free place, in a queue
+/// of which nothing is known: it is then sent in time as far as the engine keeps
+/// to what it took lately.
+const FULL_PART: f64 = 0.22;
+
+/// How long a request looks for an endpoint at most before it is sent, however
+/// long its target is: an instance that stops has 8 s for all.
+const LONGEST_HOLD: Duration = Duration::from_secs(4);
+
+/// A request that cannot be sent now.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller must have an answer.
+    pub end: Instant,
+    /// Within this time its answer should begin.
+    pub target: Duration,
+    /// What an engine is likely to take until its answer begins.
+    pub engine_time: Duration,
+    /// Whether its caller was rejected before: another rejection leaves it
+    /// nothing.
+    pub is_later_try: bool,
+}
+
+/// Why a request cannot be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Obstacle {
+    /// Its adapter is on its way and ready after this time.
+    Coming(Duration),
+    /// Its adapter is nowhere; a load takes this long from when it begins.
+    Absent {
+        /// What a load takes now.
+        load_time: Duration,
+    },
+    /// All endpoints that could take it are full, or none is usable.
+    NoPlace,
+}
+
+impl Held {
+    /// Returns until when it is held for an obstacle; it is rejected at once if
+    /// that lies before now.
+    pub fn until(&self, obstacle: Obstacle, now: Instant) -> Instant {
+        let last = self.last_send().min(self.arrived + LONGEST_HOLD);
+        match obstacle {
+            // An answer is certain to come; a new try would have it later.
+            Obstacle::Coming(ready_in) if now + ready_in <= last => last,
+            Obstacle::Coming(_) => self.arrived,
+            _ if self.is_later_try => last,
+            Obstacle::Absent { load_time } => {
+                self.in_time(load_time).min(last)
+            }
+            Obstacle::NoPlace => {
+                (self.arrived + self.target.mul_f64(FULL_PART)).min(last)
+            }
+        }
+    }
+
+    /// Returns the last moment at which something that takes so long may begin
+    /// for the answer to begin in time.
+    fn in_time(&self, takes: Duration) -> Instant {
+        let needs = self.engine_time + takes;
+        self.arrived + self.target.saturating_sub(needs)
+    }
+
+    /// Returns the last moment at which it can be sent and be answered.
+    fn last_send(&self) -> Instant {
+        let left = self.end.saturating_duration_since(self.arrived);
+        self.arrived + left.saturating_sub(self.engine_time.max(self.target))
+    }
+}
+
+/// Returns when a caller may come back that has this much time left and whose
+/// obstacle is likely to be gone after another; `draw` is a number between 0 and
+/// 1.
+pub fn come_back(
+    left: Duration,
+    gone_in: Option<Duration>,
+    draw: f64,
+) -> Duration {
+    let most = left.mul_f64(CALLER_WAITS);
+    let wanted = gone_in.map_or(most, |time| time.min(most));
+    wanted.mul_f64(1.0 - SPREAD * draw.clamp(0.0, 1.0))
+}
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -55,6 +55,8 @@
     untold: Vec<Departure>,
     /// How fast the engines of each service begin to answer.
     paces: HashMap<ServiceName, Pace>,
+    /// What the last load from the weight store was expected to take.
+    load_time: Duration,
 }
 
 impl FleetView {
@@ -72,9 +74,16 @@
             departures: Departures::default(),
             untold: Vec::new(),
             paces: HashMap::new(),
+            load_time: Duration::ZERO,
         }
     }
 
+    /// Returns what a load from the weight store was last expected to take;
+    /// nothing before one was heard of.
+    pub fn load_time(&self) -> Duration {
+        self.load_time
+    }
+
     /// Takes in one endpoint's entry. An entry from before it left, which a
     /// list that is seconds old may show, does not bring it back, and one that is
     /// older than what is known changes nothing.
@@ -318,6 +327,9 @@
     /// Takes in that an adapter is on its way.
     pub fn hear_placed(&mut self, placed: &Placed, now: Instant) {
         let id = &placed.endpoint;
+        if placed.is_cold {
+            self.load_time = Duration::from_millis(placed.ready_in_ms);
+        }
         self.change_seats(id, |state| state.hear_placed(placed, now));
         self.note_warm(id, &placed.key);
     }
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -253,6 +253,13 @@
         self.paces.get(need.service)?.predict(tokens)
     }
 
+    /// Returns what an engine of a service is likely to take until the answer to a
+    /// prompt begins, if it has no other to read.
+    pub fn engine_time(&self, service: &str, prompt_tokens: u64) -> Duration {
+        let pace = self.paces.get(service);
+        pace.and_then(|p| p.predict(prompt_tokens)).unwrap_or_default()
+    }
+
     /// Returns how much an endpoint has to do: requests as a part of its slots,
     /// and the seconds that it needs for the prompts it has yet to read. Homes
     /// chosen by this, and none where 0.4 s wait, brought +0.013 +- 0.006 of
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use sedgewall_fleet::{
     customer::{Customer, KeyDigest},
+    patience::{Held, Obstacle, come_back},
     route::{Deployment, Route},
     view::{Choice, Need, Target},
 };
@@ -42,14 +43,6 @@
 /// An answer of ours must leave this long before the caller's time is over.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
-/// The part of the target latency for which a request may wait unsent; what
-/// is refused within it and comes back in time keeps most of its worth.
-const WAIT_PART: f64 = 0.22;
-
-/// The part of the target latency within which a coming adapter is waited
-/// for; the rest is for the prompt and the queue at the engine.
-const COMING_PART: f64 = 0.75;
-
 /// How long a request that would come late everywhere waits for its adapter to
 /// be loaded where it begins sooner. From the weight store that takes 0.25 s.
 /// Copies for such requests brought +0.021 +- 0.008 of worth (12 mixed days).
@@ -106,7 +99,9 @@
         reason = refused.reason.name(),
         held_ms = arrived.elapsed().as_millis() as u64,
     );
-    refusal::answer(refused.reason, PATIENCE_UNSTATED)
+    let draw = draw_of(&refused.request_id);
+    let after = come_back(PATIENCE_UNSTATED, None, draw);
+    refusal::answer(refused.reason, after)
 }
 
 async fn read(
@@ -150,9 +145,8 @@
     let end = arrived + patience.min(route.timeout) - ANSWER_MARGIN;
     let longest = node.longest_patience(&route.name, patience);
     let is_later_try = patience < longest.mul_f64(LATER_TRY_PART);
-    let draw = xxh3_64(facts.request_id.as_bytes());
     let service = route
-        .pick_service(draw as f64 / u64::MAX as f64)
+        .pick_service(draw_of(&facts.request_id))
         .ok_or_else(|| refuse(Reason::NobodyThere))?
         .clone();
     let is_engine = deployment.engine_group(&service).is_some();
@@ -244,6 +238,8 @@
     pub(crate) waited: Duration,
     /// From the last send to the head of its answer.
     pub(crate) engine: Duration,
+    /// When what it was rejected for is likely to be over.
+    pub(crate) gone_in: Option<Duration>,
 }
 
 async fn serve(
@@ -261,6 +257,7 @@
         runs: 0,
         waited: Duration::ZERO,
         engine: Duration::ZERO,
+        gone_in: None,
     };
     let mut watch = request_log::Unanswered::begin(call.clone());
     let last_event = call.facts.last_event.clone();
@@ -274,7 +271,7 @@
                 give_back_allowance(node, &call);
             }
             request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, call.left())
+            refusal::answer(reason, come_back_of(&call, &progress))
         }
     };
     watch.answered();
@@ -372,17 +369,10 @@
     let draw = xxh3_64(call.facts.request_id.as_bytes());
     let began = Instant::now();
     let target = call.route.target_latency;
-    let may_wait = call.is_later_try && call.is_engine;
-    let (wait_until, coming_until, look_again) = match may_wait {
-        true => {
-            let last = call.end - target;
-            (last, last, LOOK_AGAIN_LONG)
-        }
-        false => {
-            let wait_until = call.arrived + target.mul_f64(WAIT_PART);
-            let coming_until = call.arrived + target.mul_f64(COMING_PART);
-            (wait_until, coming_until, LOOK_AGAIN)
-        }
+    let held = held(node, call);
+    let look_again = match held.is_later_try {
+        true => LOOK_AGAIN_LONG,
+        false => LOOK_AGAIN,
     };
     // Where it would come late it waits for another engine to get the adapter.
     let patient_until = began + COPY_WAIT;
@@ -400,18 +390,21 @@
         };
         let choice = node.view.borrow().choose(need, now);
         progress.waited = now - began;
-        let (reason, until, pause) = match choice {
+        let (reason, obstacle, pause) = match choice {
             Choice::Send(found) => return Ok(found),
             Choice::Coming(ready_in) => {
-                (Reason::AdapterAbsent, coming_until, ready_in)
+                let obstacle = Obstacle::Coming(ready_in);
+                (Reason::AdapterAbsent, obstacle, ready_in)
             }
             Choice::Absent => {
                 ask_for(node, call);
-                (Reason::AdapterAbsent, wait_until, target)
+                let load_time = node.view.borrow().load_time();
+                let obstacle = Obstacle::Absent { load_time };
+                (Reason::AdapterAbsent, obstacle, target)
             }
             Choice::Full => {
                 ask_for(node, call);
-                (Reason::Full, wait_until, look_again)
+                (Reason::Full, Obstacle::NoPlace, look_again)
             }
             Choice::Busy(ready_in) => {
                 if ready_in.is_none() {
@@ -427,19 +420,48 @@
                 if progress.runs > 0 {
                     progress.tried.clear();
                 }
-                (Reason::NobodyThere, wait_until, look_again)
+                (Reason::NobodyThere, Obstacle::NoPlace, look_again)
             }
         };
-        let until = until.min(call.end);
-        let is_too_far =
-            matches!(choice, Choice::Coming(_)) && now + pause > until;
-        if now >= until || is_too_far {
+        let until = held.until(obstacle, now);
+        if now >= until {
+            progress.gone_in = match obstacle {
+                Obstacle::Coming(ready_in) => Some(ready_in),
+                Obstacle::Absent { .. } | Obstacle::NoPlace => None,
+            };
             return Err(reason);
         }
         sleep_or_hear(node, call, pause.min(until - now)).await;
     }
 }
 
+/// Returns when a caller whose request is rejected may come back.
+fn come_back_of(call: &CallerRequest, progress: &Progress) -> Duration {
+    let draw = draw_of(&call.facts.request_id);
+    come_back(call.left(), progress.gone_in, draw)
+}
+
+/// Returns a number between 0 and 1 that is drawn for a request.
+fn draw_of(request_id: &str) -> f64 {
+    xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64
+}
+
+/// Returns what is known of a request that may have to wait.
+fn held(node: &FleetNode, call: &CallerRequest) -> Held {
+    let tokens = call.facts.prompt_tokens;
+    let engine_time = match call.key() {
+        Some(_) => node.view.borrow().engine_time(&call.service, tokens),
+        None => Duration::ZERO,
+    };
+    Held {
+        arrived: call.arrived,
+        end: call.end,
+        target: call.route.target_latency,
+        engine_time,
+        is_later_try: call.is_later_try && call.is_engine,
+    }
+}
+
 /// Waits for a time, or until something is heard of the request's adapter.
 async fn sleep_or_hear(
     node: &FleetNode,
@@ -499,7 +521,7 @@
                 false => Reason::OutcomeUnknown,
             };
             request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, call.left())
+            refusal::answer(reason, come_back_of(&call, &progress))
         }
     }
 }
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -42,12 +42,13 @@
 /// The longest pause after failed calls.
 pub(crate) const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
 
-/// The same for the endpoints at an instance that does not watch for the others.
-pub(crate) const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
+/// The same for the kind that is tried first, at an instance that does not watch
+/// for the others.
+const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
 
-/// The same for all other kinds: once one kind's calls reach the store again,
-/// all are rung for.
-const RUNG_BACK_OFF: Duration = Duration::from_secs(4);
+/// The same for all other kinds: once the first kind's calls reach the store
+/// again, all are rung for.
+const RUNG_BACK_OFF: Duration = Duration::from_secs(12);
 
 /// Takes in the objects of one kind.
 pub(crate) trait Follower {
@@ -62,12 +63,8 @@
     }
     /// What rings when all is to be listed anew.
     fn bell(&self) -> Rc<Bell>;
-    /// The longest pause after failed calls, where others watch as well.
-    fn longest_back_off(&self) -> Duration {
-        RUNG_BACK_OFF
-    }
-    /// Whether its calls, and no other kind's, are tried soon after a failure at
-    /// an instance that does not watch for the others.
+    /// Whether its calls, and no other kind's, are tried soon while the store is
+    /// out, at an instance that does not watch for the others.
     const TRIES_FIRST: bool = false;
     /// Returns whether others were heard to know more than the last list and
     /// watch have shown; told once.
@@ -240,16 +237,22 @@
         );
         if !std::mem::replace(&mut self.is_out, true) {
             tracing::warn!(event = "store_lost", kind = F::KIND, cause);
+            if !F::TRIES_FIRST {
+                // Its watch may wait on a channel that says nothing further.
+                self.node.configuration_bell.ring();
+            }
         }
         // A watch answers only once something changes; a list tells at once
         // that the store is regained, and what was missed.
         self.since = None;
         let is_fresh = rank_freshness(&self.node) == Freshness::Newest;
-        let longest = match is_fresh {
-            true => LONGEST_BACK_OFF,
-            false => self.follower.longest_back_off(),
+        let longest = match (is_fresh, F::TRIES_FIRST) {
+            (true, _) => LONGEST_BACK_OFF,
+            (false, true) => OTHERS_BACK_OFF,
+            (false, false) => RUNG_BACK_OFF,
         };
-        let pause = match is_fresh || F::TRIES_FIRST {
+        let is_out = self.node.store_contact.borrow().is_out();
+        let pause = match is_fresh || F::TRIES_FIRST || !is_out {
             true => self.back_off,
             false => longest,
         };
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -18,11 +18,7 @@
 };
 use sedgewall_state::id::EndpointId;
 
-use super::{
-    bell::Bell,
-    follow::{Follower, OTHERS_BACK_OFF},
-    node::FleetNode,
-};
+use super::{bell::Bell, follow::Follower, node::FleetNode};
 
 /// How long a watch of endpoints waits for a change. A channel that went dead
 /// without a word is noticed after this time; then all is listed anew.
@@ -65,12 +61,6 @@
         self.node.endpoints_bell.clone()
     }
 
-    /// Their calls show that the store is regained, soon enough that what left
-    /// meanwhile is known within the time that we are given for it.
-    fn longest_back_off(&self) -> Duration {
-        OTHERS_BACK_OFF
-    }
-
     fn list(&self, listing: Listing) {
         let read: Vec<Endpoint> =
             listing.objects.iter().filter_map(decoded).collect();
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -26,6 +26,12 @@
 /// all start, and each that is watched would wake all others.
 const INSTANCES_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// How long an instance waits for the first list before it writes its entry.
+const FIRST_LIST_TIME: Duration = Duration::from_millis(400);
+
+/// How often it looks whether the list is there.
+const FIRST_LIST_LOOK: Duration = Duration::from_millis(20);
+
 /// What an instance tells the others about itself.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct InstanceEntry {
@@ -54,6 +60,9 @@
 
     fn list(&self, listing: Listing) {
         let objects = listing.objects;
+        let own = objects.iter().find(|object| object.name == *self.0.id());
+        *self.0.own_entry.borrow_mut() = own.map(|object| object.spec.clone());
+        self.0.has_listed_instances.set(true);
         let is_listed =
             |id: &String| objects.iter().any(|object| object.name == *id);
         self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
@@ -105,6 +114,15 @@
         cpu_percent: node.cpu_percent(),
     };
     let Ok(spec) = serde_json::to_value(&entry) else { return };
+    // An instance that starts again at its address finds its entry in the first
+    // list; the write would change nothing, and has the price of a call.
+    let until = Instant::now() + FIRST_LIST_TIME;
+    while !node.has_listed_instances.get() && Instant::now() < until {
+        compio::time::sleep(FIRST_LIST_LOOK).await;
+    }
+    if node.own_entry.take().is_some_and(|known| known == spec) {
+        return;
+    }
     let mut back_off = FIRST_BACK_OFF;
     while let Err(err) = write_entry(&node, &spec).await {
         let cause = err.to_string();
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -51,6 +51,14 @@
 /// held. All start within some 300 ms.
 const SMALLEST_WAITS: Duration = Duration::from_millis(2_000);
 
+/// The longest that an instance waits for the first list of the others; without
+/// the store it could not take the lease either.
+const PEERS_TIME: Duration = Duration::from_secs(2);
+
+/// What an instance waits at the system's first start, in which all write their
+/// entries: these are watched every 1.5 s.
+const FIRST_START: Duration = Duration::from_millis(2_500);
+
 /// The longest that an instance waits for those of a higher rank.
 const LONGEST_RANK_WAIT: Duration = Duration::from_secs(5);
 
@@ -78,6 +86,7 @@
 pub(crate) async fn run(node: Rc<FleetNode>) {
     let turn = Duration::from_millis(node.fleet.order_turn_ms) + TURN_MARGIN;
     let mut turns = Turns::new(turn);
+    wait_for_peers(&node).await;
     let mut watching = new_lease();
     loop {
         compio::time::sleep(LOOK_EVERY).await;
@@ -96,6 +105,20 @@
     }
 }
 
+/// Waits until the others are known, by which an instance knows its rank. All
+/// start at once, and one that knows nobody takes itself for the first: 195 of
+/// them read the record two or three times each, at the full price.
+async fn wait_for_peers(node: &FleetNode) {
+    let began = Instant::now();
+    while !node.has_listed_instances.get() && began.elapsed() < PEERS_TIME {
+        compio::time::sleep(LOOK_EVERY).await;
+    }
+    if !node.fleet.has_run_before {
+        // The others' entries are just being written.
+        compio::time::sleep(FIRST_START).await;
+    }
+}
+
 /// Returns whether this instance takes requests and hears no holder.
 fn may_challenge(node: &FleetNode) -> bool {
     node.stage.get() == Stage::Ready
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -166,6 +166,10 @@
     pub(crate) budget: RefCell<RetryBudget>,
     /// The other instances and where their notes go.
     pub(crate) peers: RefCell<BTreeMap<InstanceId, Peer>>,
+    /// Our own entry, as it was listed.
+    pub(crate) own_entry: RefCell<Option<serde_json::Value>>,
+    /// Whether the entries of instances were listed once.
+    pub(crate) has_listed_instances: Cell<bool>,
     pub(crate) leader: RefCell<Option<LeaderSeen>>,
     /// Our own lease on orders, if we have it.
     pub(crate) held: Cell<Option<HeldLease>>,
@@ -246,6 +250,8 @@
             asked_at: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
+            own_entry: RefCell::default(),
+            has_listed_instances: Cell::new(false),
             leader: RefCell::default(),
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -8,9 +8,6 @@
 
 use crate::responses;
 
-/// The part of its time that a caller waits at most before it comes back.
-const CALLER_WAITS: f64 = 0.31;
-
 /// When a caller may come back whose time was over before we were free.
 const SOON: Duration = Duration::from_millis(100);
 
@@ -97,9 +94,9 @@
         }
     }
 
-    /// When a new try is worth while, for a caller with this much time left.
-    fn retry_after(self, left: Duration) -> Option<Duration> {
-        let most = left.mul_f64(CALLER_WAITS);
+    /// When a new try is worth while, for a caller that may come back after a
+    /// time.
+    fn retry_after(self, most: Duration) -> Option<Duration> {
         match self {
             // Each of these ends after seconds: a load waits for its turn, an
             // outage or a restart for its end. A caller comes back once or
@@ -119,12 +116,14 @@
     }
 }
 
-/// Returns the answer for a reason. `left` is the time that the caller still
-/// has, of which it will wait a part only.
-pub(crate) fn answer(reason: Reason, left: Duration) -> Response<LocalBody> {
+/// Returns the answer for a reason, to a caller that may come back after a time.
+pub(crate) fn answer(
+    reason: Reason,
+    come_back: Duration,
+) -> Response<LocalBody> {
     let mut problem =
         Problem::new(reason.status(), reason.name(), reason.run_state(), "");
-    let retry_after = reason.retry_after(left);
+    let retry_after = reason.retry_after(come_back);
     problem.retry_after_ms = retry_after.map(|d| d.as_millis() as u64);
     let mut response = responses::problem(&problem);
     if let Some(after) = retry_after {
