A load counts once it has come, from when its engine took the order

Each request that asked too early counted, so that 40 of them for one load that never came weighed as 40 loads; and a load counted from when it was planned, 0.8 s before its order went out where engines leave orders unanswered.

Change: a load counts once it has come, with the last answer that it was missing, from when its engine took the order. What is believed is taken a class (6 in 100) longer: a time that is too short counts loads out before they are done, and lets too many begin. One candidate more than is believed may begin, and a second's worth of the weight store's rate in any case, so that a number far too small cannot last.

--- a/crates/fleet/src/load_times.rs
+++ b/crates/fleet/src/load_times.rs
@@ -7,7 +7,9 @@
 //! more are on their way, and by that clock all loads take the same. Each request
 //! that is sent to an adapter on its way brackets that time from one side: it was
 //! there, or not yet. The number whose clock makes the answers contradict each
-//! other least is believed.
+//! other least is believed. The invariant: a load counts from when its engine took
+//! the order, once it is known to have come, and once, however many requests asked
+//! for it too early; one that never comes says nothing.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -33,10 +35,14 @@
     42.0, 50.0, 60.0, 72.0, 87.0, 104.0, 125.0, 150.0, 180.0, 216.0, 260.0,
 ];
 
-/// In one of so many spells of [`TRIED_SOONER`] loads, a fifth more than is
-/// believed to come at full speed is on its way, which shows whether that
-/// number has become larger.
-const TRIED_MORE: u64 = 32;
+/// Loads may begin up to the next candidate beyond the one that is believed, so
+/// that a number that has become larger shows.
+const STEPS_BEYOND: usize = 1;
+
+/// The weight store's rate for a time may always begin, in seconds: a number that
+/// is believed far too small would leave adapters waiting, and nothing would show
+/// it. One that is too large only makes loads later, as expected.
+const ALWAYS_S: f64 = 1.0;
 
 /// The shortest time that is told apart.
 const LEAST_MS: f64 = 10.0;
@@ -52,7 +58,7 @@
 /// which come within a second where a hundred adapters a second are brought.
 const REMEMBERED_PART: f64 = 0.99;
 
-/// Each so many-th load is expected two classes sooner, so that a time that became
+/// Each so many-th load is expected three classes sooner, so that a time that became
 /// shorter is seen, and at most one in so many requests is sent too early for it.
 const TRIED_SOONER: u64 = 64;
 
@@ -74,11 +80,19 @@
 pub struct LoadTimes {
     candidates: Vec<Candidate>,
     believed: usize,
-    loads: HashMap<(EndpointId, AdapterKey), Instant>,
+    loads: HashMap<(EndpointId, AdapterKey), Load>,
     answers: u64,
     predicted: u64,
 }
 
+/// A load that has begun.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    began: Instant,
+    /// When it was last seen not to be done.
+    missing: Option<Instant>,
+}
+
 /// An answer to a request that was sent to an adapter on its way.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
@@ -135,13 +149,28 @@
         key: &AdapterKey,
         now: Instant,
     ) {
-        self.loads.insert((endpoint.clone(), key.clone()), now);
+        let load = Load { began: now, missing: None };
+        self.loads.insert((endpoint.clone(), key.clone()), load);
         for candidate in &mut self.candidates {
             candidate.advance(now);
             candidate.begin();
         }
     }
 
+    /// Takes in that an engine has taken the order for a load: it begins now, and
+    /// not when it was planned.
+    pub fn order_taken(
+        &mut self,
+        endpoint: &EndpointId,
+        key: &AdapterKey,
+        now: Instant,
+    ) {
+        let id = (endpoint.clone(), key.clone());
+        if let Some(load) = self.loads.get_mut(&id) {
+            load.began = now;
+        }
+    }
+
     /// Takes in that a load did not begin after all.
     pub fn cancel(&mut self, endpoint: &EndpointId, key: &AdapterKey) {
         let id = (endpoint.clone(), key.clone());
@@ -162,14 +191,17 @@
         now: Instant,
     ) {
         let id = (endpoint.clone(), key.clone());
-        let Some(&began) = self.loads.get(&id) else { return };
-        if arrival.is_there {
-            self.loads.remove(&id);
+        let Some(load) = self.loads.get_mut(&id) else { return };
+        if !arrival.is_there {
+            load.missing = load.missing.max(Some(arrival.at));
+            return;
         }
+        let load = *load;
+        self.loads.remove(&id);
         self.answers += 1;
         for candidate in &mut self.candidates {
             candidate.advance(now);
-            candidate.observe(began, arrival);
+            candidate.observe(load, arrival.at);
         }
         self.choose();
     }
@@ -182,17 +214,17 @@
         candidate.advance(now);
         let ahead = candidate.on_way.len() as f64 + 1.0;
         let stretch = (ahead / candidate.at_once).max(1.0);
-        let sooner = if is_tried_sooner { CLASS_RATIO.powi(2) } else { 1.0 };
+        let sooner = if is_tried_sooner { CLASS_RATIO.powi(3) } else { 1.0 };
         millis(candidate.full_speed_ms * stretch / sooner)
     }
 
-    /// Returns whether one more load may begin. With as many on their way as come
-    /// at full speed, another one would only make all of them later.
-    pub fn may_begin(&mut self, now: Instant) -> bool {
-        let spell = self.predicted / TRIED_SOONER;
-        let more = usize::from(spell.is_multiple_of(TRIED_MORE));
-        let idx = (self.believed + more).min(self.candidates.len() - 1);
-        let most = self.candidates[idx].at_once;
+    /// Returns whether one more load may begin, from a weight store whose rate for
+    /// base models is this. With many more on their way than come at full speed,
+    /// another one would only make all of them later.
+    pub fn may_begin(&mut self, rate_per_s: f64, now: Instant) -> bool {
+        let idx =
+            (self.believed + STEPS_BEYOND).min(self.candidates.len() - 1);
+        let most = self.candidates[idx].at_once.max(rate_per_s * ALWAYS_S);
         (self.on_way(now) as f64) < most
     }
 
@@ -224,7 +256,7 @@
 
     /// Forgets old loads. Call it about once a second.
     pub fn forget(&mut self, now: Instant) {
-        self.loads.retain(|_, began| now - *began < REMEMBERED_FOR);
+        self.loads.retain(|_, load| now - load.began < REMEMBERED_FOR);
         for candidate in &mut self.candidates {
             candidate.forget(now);
         }
@@ -308,18 +340,22 @@
         }
     }
 
-    fn observe(&mut self, began: Instant, arrival: Arrival) {
-        let took_ms = (self.at(arrival.at) - self.at(began)).max(0.0);
+    fn observe(&mut self, load: Load, there: Instant) {
         for weight in self.early.iter_mut().chain(&mut self.there) {
             *weight *= REMEMBERED_PART;
         }
-        let weights = match arrival.is_there {
-            true => &mut self.there,
-            false => &mut self.early,
-        };
-        weights[class(took_ms)] += 1.0;
+        let began = self.at(load.began);
+        let took = |at: Instant| class((self.at(at) - began).max(0.0));
+        let missing = load.missing.map(took);
+        let there = took(there);
+        self.there[there] += 1.0;
+        if let Some(missing) = missing {
+            self.early[missing] += 1.0;
+        }
         let (likeliest, _) = self.likeliest();
-        self.full_speed_ms = class_end_ms(likeliest);
+        // A class beyond: the clock of a time that is too short counts loads out
+        // before they are done, and lets too many begin.
+        self.full_speed_ms = class_end_ms(likeliest + 1);
     }
 
     /// Returns the weight of the answers that contradict the likeliest time.
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -211,7 +211,7 @@
                 orders.push(order(task, true));
             } else if self.demand.get(&key).is_some()
                 && self.has_free_place(&endpoint)
-                && self.times.may_begin(self.now)
+                && self.times.may_begin(self.group.loads_per_s, self.now)
             {
                 let placed = self.placed_cold(&endpoint, &key, newest);
                 self.view.plan_placed(&placed, self.now);
@@ -278,7 +278,9 @@
     /// Puts an adapter on one more engine; returns whether it could.
     fn place(&mut self, key: &AdapterKey, orders: &mut Vec<Order>) -> bool {
         let Some(home) = self.find_home(key) else { return false };
-        if !home.is_warm && !self.times.may_begin(self.now) {
+        if !home.is_warm
+            && !self.times.may_begin(self.group.loads_per_s, self.now)
+        {
             return false;
         }
         if let Some(victim) = &home.victim {
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -224,6 +224,7 @@
                 self.tell_placed(epoch, order, false);
             }
             OrderAnswer::Accepted => {
+                self.note_taken(order);
                 self.tell_placed(epoch, order, order.is_cold);
             }
             OrderAnswer::Refused(_) | OrderAnswer::Unclear(_) => {
@@ -244,6 +245,13 @@
         }
     }
 
+    /// Notes that an engine has begun a load.
+    fn note_taken(&self, order: &Order) {
+        let Task::Load(key, _) = &order.task else { return };
+        let mut times = self.node.load_times.borrow_mut();
+        times.order_taken(&order.endpoint, key, Instant::now());
+    }
+
     /// Notes that an engine held the adapter already: nothing is loaded, so that
     /// says nothing of what a load takes.
     fn note_there(&self, order: &Order) {
