Requests of plain services spread by what must have come since the sums

Cause: 74 instances saw sums 0.45 s old of requests that last 0.06 s and all took the endpoint that looked empty then: 26 of 100 arrivals rejected while the idlest endpoint had none. Ruled out: too few slots (half were free), slow endpoints (the same with equal ones in the replay). Change: load interpretation. The requests that the sums do not show yet, by Little's law from the observed time under way and the known age of the sums, fill all endpoints to one level, and a request goes to each with the part that it lacks. Parts are learned from loads that stay above the mean.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod content;
 pub mod engine;
+pub mod herd;
 pub mod http;
 pub mod load;
 pub mod object_api;
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -87,6 +87,8 @@
     pub(crate) total_work: Option<Work>,
     /// What our requests show.
     pub health: Health,
+    /// What it is worth against an endpoint as the others, for plain services.
+    pub(crate) part: f64,
     pub(crate) seats: HashMap<AdapterKey, Seat>,
     pub(crate) removed: HashMap<AdapterKey, Instant>,
     /// Whether our own orders alone decide what it holds; then the list, which
@@ -132,6 +134,7 @@
             others_work: Work::default(),
             total_work: None,
             health: Health::default(),
+            part: 1.0,
             seats: HashMap::new(),
             removed: HashMap::new(),
             is_ordered_by_us: false,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry_budget;
 pub mod revocation;
 pub mod route;
+pub mod stay;
 pub mod store_contact;
 pub mod store_rate;
 pub mod suspicion;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -8,6 +8,8 @@
 
 mod choice;
 mod departed;
+mod learned;
+pub mod spread;
 mod under_way;
 
 use std::{
@@ -19,7 +21,7 @@
 
 pub(crate) use self::choice::{BUSY_BACKLOG, OTHER_ZONE_COST};
 pub use self::choice::{Choice, Need, Target};
-use self::under_way::PeerLoad;
+use self::under_way::{HeardTotals, PeerLoad};
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     adapter_index::AdapterIndex,
@@ -29,6 +31,7 @@
     note::{Placed, Removed},
     pace::Pace,
     route::ServiceName,
+    stay::Stay,
 };
 
 /// How long requests may go to the old version after a newer one was named.
@@ -47,14 +50,20 @@
     /// Which endpoints are likely to have an adapter at hand.
     warm: AdapterIndex,
     peers: HashMap<InstanceId, PeerLoad>,
-    /// Until when the holder's sums count.
-    totals_until: Option<Instant>,
+    /// The holder's sums, while they count.
+    totals: Option<HeardTotals>,
+    /// How often each other instance says what it has under way.
+    peer_pause: Duration,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
     departures: Departures,
     /// Departures that we saw in the store and the others have not heard of.
     untold: Vec<Departure>,
     /// How fast the engines of each service begin to answer.
     paces: HashMap<ServiceName, Pace>,
+    /// How long requests of each plain service are under way.
+    stays: HashMap<ServiceName, Stay>,
+    /// When the endpoints' parts were last learned.
+    learned_at: Option<Instant>,
     /// What the last load from the weight store was expected to take.
     load_time: Duration,
 }
@@ -69,11 +78,14 @@
             holders: AdapterIndex::default(),
             warm: AdapterIndex::default(),
             peers: HashMap::new(),
-            totals_until: None,
+            totals: None,
+            peer_pause: Duration::ZERO,
             newest: HashMap::new(),
             departures: Departures::default(),
             untold: Vec::new(),
             paces: HashMap::new(),
+            stays: HashMap::new(),
+            learned_at: None,
             load_time: Duration::ZERO,
         }
     }
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -122,7 +122,7 @@
         };
         let Some(key) = need.key else {
             let all = self.of_service(need.service).filter(is_usable);
-            return self.choose_among(all, need, now);
+            return self.choose_spread(all, need, now);
         };
         let holders = self.holders(key).filter(is_usable);
         match self.choose_among(holders, need, now) {
@@ -172,7 +172,7 @@
     }
 
     /// Returns why a request cannot go to an endpoint now, if it cannot.
-    fn obstacle(
+    pub(super) fn obstacle(
         &self,
         state: &EndpointState,
         need: Need<'_>,
@@ -197,7 +197,7 @@
         full
     }
 
-    fn target(
+    pub(super) fn target(
         &self,
         state: &EndpointState,
         need: Need<'_>,
--- /dev/null
+++ b/crates/fleet/src/view/learned.rs
@@ -0,0 +1,79 @@
+//! What each endpoint of a plain service is worth, learned from the sums.
+//!
+//! By old sums a request goes to each endpoint nearly with the part of its slots,
+//! so that a slow one gets as much as a quick one and never comes to rest. Its
+//! load then stays above the mean, and its part shrinks until it does not: an
+//! integral beside the proportional part in [`super::spread`]. Endpoints at 0.4
+//! of the others' speed: 73 in 100 requests in time without it, 99 with it (74
+//! instances, seven endpoints, in our replay).
+
+use std::time::{Duration, Instant};
+
+use sedgewall_state::id::EndpointId;
+
+use super::FleetView;
+
+/// The time in which a load of twice the mean takes a third off an endpoint's
+/// part: some five times what the sums need to show what a part brought, so that
+/// the parts do not swing.
+const LEARN_TIME: Duration = Duration::from_millis(3_000);
+
+/// The time in which what was learned fades: speeds change over minutes.
+const FADE_TIME: Duration = Duration::from_secs(20);
+
+/// The least time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// The longest time that one look counts for.
+const LONGEST_LOOK: Duration = Duration::from_millis(500);
+
+/// Requests for each slot below which loads say nothing of speeds.
+const LEAST_LOAD: f64 = 0.05;
+
+/// How far one endpoint's load counts, against the mean.
+const LARGEST_EXCESS: f64 = 2.0;
+
+/// The least and the largest part, against an endpoint that is as the others.
+const PARTS: (f64, f64) = (0.1, 3.0);
+
+impl FleetView {
+    /// Learns from what is known of all endpoints now.
+    pub(super) fn learn_parts(&mut self, now: Instant) {
+        let since = self
+            .learned_at
+            .map_or(LOOK_EVERY, |at| now.saturating_duration_since(at));
+        if since < LOOK_EVERY {
+            return;
+        }
+        self.learned_at = Some(now);
+        let look = since.min(LONGEST_LOOK).as_secs_f64();
+        let services: Vec<Vec<EndpointId>> = self
+            .services
+            .values()
+            .map(|ids| ids.iter().cloned().collect())
+            .collect();
+        for ids in services {
+            self.learn_service(&ids, look);
+        }
+    }
+
+    fn learn_service(&mut self, ids: &[EndpointId], look_s: f64) {
+        let states = || ids.iter().filter_map(|id| self.endpoints.get(id));
+        // What has models is chosen by what it holds.
+        if states().any(|state| !state.endpoint.models.is_empty()) {
+            return;
+        }
+        let mean = states().map(|s| s.load()).sum::<f64>() / ids.len() as f64;
+        for id in ids {
+            let Some(state) = self.endpoints.get_mut(id) else { continue };
+            let faded = state.part.ln() * look_s / FADE_TIME.as_secs_f64();
+            let excess = match mean < LEAST_LOAD {
+                true => 0.0,
+                false => (state.load() / mean - 1.0).min(LARGEST_EXCESS),
+            };
+            let learned = excess * look_s / LEARN_TIME.as_secs_f64();
+            let part = state.part * (-learned - faded).exp();
+            state.part = part.clamp(PARTS.0, PARTS.1);
+        }
+    }
+}
--- a/crates/fleet/src/view/under_way.rs
+++ b/crates/fleet/src/view/under_way.rs
@@ -12,6 +12,17 @@
 /// no longer.
 const STATUS_LOSSES: u32 = 6;
 
+/// The holder's sums, as they were heard last.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HeardTotals {
+    /// When.
+    pub(super) at: Instant,
+    /// How often it tells them.
+    pub(super) pause: Duration,
+    /// Until when they count.
+    until: Instant,
+}
+
 /// What another instance has under way.
 #[derive(Clone, Debug)]
 pub(super) struct PeerLoad {
@@ -30,9 +41,11 @@
         {
             return;
         }
-        let holds = Duration::from_millis(status.next_in_ms) * STATUS_LOSSES;
+        let pause = Duration::from_millis(status.next_in_ms);
+        let holds = pause * STATUS_LOSSES;
         if status.is_total {
-            self.totals_until = Some(now + holds);
+            let until = now + holds;
+            self.totals = Some(HeardTotals { at: now, pause, until });
             for state in self.endpoints.values_mut() {
                 state.total_work = Some(Work::default());
             }
@@ -41,6 +54,8 @@
                     state.total_work = Some(total.clone());
                 }
             }
+        } else {
+            self.peer_pause = pause;
         }
         let load = PeerLoad {
             sequence: status.sequence,
@@ -54,12 +69,13 @@
         if let Some(before) = self.peers.insert(status.from, load) {
             self.count_peer(&before, Work::subtract);
         }
+        self.learn_parts(now);
     }
 
     /// Forgets instances that were not heard for too long. Call it about once
     /// a second.
     pub fn forget_silent_peers(&mut self, now: Instant) {
-        if self.totals_until.is_some_and(|until| now >= until) {
+        if self.totals.is_some_and(|heard| now >= heard.until) {
             self.forget_totals();
         }
         let is_silent = |load: &PeerLoad| now >= load.holds_until;
@@ -79,7 +95,7 @@
     /// Counts again what each instance says itself: the holder of the lease is
     /// silent, or it is this instance.
     pub fn forget_totals(&mut self) {
-        self.totals_until = None;
+        self.totals = None;
         for state in self.endpoints.values_mut() {
             state.total_work = None;
         }
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -546,6 +546,9 @@
     key: Option<AdapterKey>,
     /// Tokens of its prompt that still count as unread.
     unread_tokens: u64,
+    began: Instant,
+    /// Requests for each slot there before it, as far as we knew.
+    load: f64,
 }
 
 impl UnderWay {
@@ -557,7 +560,9 @@
     ) -> UnderWay {
         let mut view = node.view.borrow_mut();
         let reads_for = view.reading_time(endpoint, prompt_tokens);
+        let mut load = 0.0;
         if let Some(state) = view.get_mut(endpoint) {
+            load = state.load();
             state.own_work.begin(key, prompt_tokens);
         }
         drop(view);
@@ -574,6 +579,8 @@
             endpoint: endpoint.clone(),
             key: key.cloned(),
             unread_tokens: prompt_tokens,
+            began: Instant::now(),
+            load,
         }
     }
 
@@ -594,6 +601,10 @@
         if let Some(state) = view.get_mut(&self.endpoint) {
             state.own_work.end(self.key.as_ref());
         }
+        if self.key.is_none() {
+            let took = self.began.elapsed();
+            view.observe_stay(&self.endpoint, self.load, took);
+        }
     }
 }
 
