An endpoint may start again under its id; entries of other writers name none

Cause: a life of an endpoint was known by its id alone. The holder of the lease goes on by its own orders, so that an engine that starts again in place, empty, counted as holding its adapters: requests for them were turned away for as long as it lived and nobody asked for a load. An entry that another writer spoiled stayed in force where it came by a watch, and one that could not be read in a list made the whole list unreadable. Change: lives are told apart by their start (born), whatever the clocks say; what was known of the life before goes, and what is heard late of it (entry, report, note, answer to an order) says nothing. An entry of another form names no endpoint; the others hold, also where bytes cannot be read. Left: an order that was left unanswered and is carried out in the new life, whose count of orders may by chance be the same.

--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -402,5 +402,6 @@
         is_draining: false,
         remaining: None,
         models: Vec::new(),
+        born: None,
     }
 }
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -56,6 +56,7 @@
             is_draining: false,
             remaining: None,
             models: vec![hosted(engine)],
+            born: None,
         };
         view.list(endpoint, now);
         let report = EngineReport {
@@ -63,6 +64,7 @@
             coming: Vec::new(),
             is_busy: false,
             orders_taken: 0,
+            born: None,
         };
         view.hear_report(&id(engine), &report, now);
     }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -7,13 +7,14 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
+    life::Born,
     route::ServiceName,
 };
 
 /// A revision of the platform's store, which counts each change.
 pub type Revision = u64;
 
-/// One life of an endpoint; a restart has another id.
+/// An endpoint, in one of its lives.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Endpoint {
     /// Its id.
@@ -34,6 +35,10 @@
     pub remaining: Option<Duration>,
     /// The base models that it holds.
     pub models: Vec<HostedModel>,
+    /// When this life of it began, if it says so. An instance of the release
+    /// before does not pass it on.
+    #[serde(default)]
+    pub born: Option<Born>,
 }
 
 /// A base model on an engine.
@@ -70,4 +75,6 @@
     pub is_busy: bool,
     /// The orders that it has taken in this life.
     pub orders_taken: u64,
+    /// When its life began, if it says so.
+    pub born: Option<Born>,
 }
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -142,6 +142,16 @@
         }
     }
 
+    /// Forgets what it held, what requests showed and what was learned of it.
+    pub(crate) fn begin_life(&mut self) {
+        self.seats.clear();
+        self.removed.clear();
+        self.warm.clear();
+        self.is_ordered_by_us = false;
+        self.health = Health::default();
+        self.part = 1.0;
+    }
+
     /// Returns its id.
     pub fn id(&self) -> &EndpointId {
         &self.endpoint.id
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod engine_room;
 pub mod events;
 pub mod health;
+pub mod life;
 pub mod load_times;
 pub mod loader;
 pub mod note;
--- /dev/null
+++ b/crates/fleet/src/life.rs
@@ -0,0 +1,203 @@
+//! The lives of endpoints: one may start again under the id that it had, and then
+//! holds and knows nothing of before.
+//!
+//! What an endpoint says of itself names the moment of its start, which tells its
+//! lives apart. Clocks may be behind, so the later moment need not be the later
+//! life. The invariant: a life that was followed by another one is over, whatever
+//! is still heard of it, and what stood in the store before a life's first entry
+//! says nothing of it.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use sedgewall_state::id::EndpointId;
+
+use crate::endpoint::Revision;
+
+/// The Unix millisecond of an endpoint's start, on its own clock.
+pub type Born = u64;
+
+/// How many lives that are over are kept for each endpoint: what is said late is
+/// seconds old, and an endpoint takes a second at least to start.
+const ENDED_LEN: usize = 8;
+
+/// How late an entry may show a life that is over: endpoints write theirs once a
+/// second, and a watch that waits for many changes is 2.5 s late.
+const ENTRY_LATE: Duration = Duration::from_secs(4);
+
+/// How late an endpoint's own word may come: a call for it waits for 0.8 s.
+const WORD_LATE: Duration = Duration::from_secs(1);
+
+/// How long lives are kept after they were last heard of: longer than any list or
+/// note may be late.
+const KEPT_FOR: Duration = Duration::from_secs(300);
+
+/// What a word about an endpoint speaks of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Speaks {
+    /// The life that is known, or of no life in particular.
+    OfThis,
+    /// A life that has begun since: all that was known is void.
+    OfNew,
+    /// A life that is over: it says nothing.
+    OfEnded,
+}
+
+/// The lives of all endpoints, as far as they were heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Lives(HashMap<EndpointId, Known>);
+
+#[derive(Clone, Debug)]
+struct Known {
+    born: Born,
+    /// Whether an entry has shown it; else only the endpoint's own word.
+    is_listed: bool,
+    /// The newest revision of the store that showed one of its lives.
+    revision: Revision,
+    /// The life that a word of the endpoint's ended, and until when entries of it
+    /// are taken for late ones.
+    doubted: Option<(Born, Instant)>,
+    /// Lives that only their own words showed, left for another one, and until when
+    /// words of them are taken for late ones. Their entries may yet come.
+    unlisted: VecDeque<(Born, Instant)>,
+    /// Lives that were followed by another one.
+    ended: VecDeque<Born>,
+    heard: Instant,
+}
+
+impl Lives {
+    /// Takes in an entry, as of a revision of the store.
+    pub fn hear_entry(
+        &mut self,
+        id: &EndpointId,
+        born: Option<Born>,
+        revision: Revision,
+        now: Instant,
+    ) -> Speaks {
+        let Some(born) = born else { return Speaks::OfThis };
+        let Some(known) = self.0.get_mut(id) else {
+            self.0.insert(id.clone(), Known::new(born, revision, now));
+            return Speaks::OfThis;
+        };
+        if known.born == born {
+            known.list(revision, now);
+            return Speaks::OfThis;
+        }
+        if revision < known.revision || known.is_over(born, now) {
+            return Speaks::OfEnded;
+        }
+        match known.is_listed {
+            true => known.end(known.born),
+            false => known.leave_unlisted(now),
+        }
+        known.born = born;
+        known.list(revision, now);
+        Speaks::OfNew
+    }
+
+    /// Takes in what an endpoint said of itself when it was asked. Its entry may
+    /// still show the life before for a while, or, if the answer was late, another
+    /// one that has begun since.
+    pub fn hear(
+        &mut self,
+        id: &EndpointId,
+        born: Option<Born>,
+        now: Instant,
+    ) -> Speaks {
+        let Some(born) = born else { return Speaks::OfThis };
+        let Some(known) = self.0.get_mut(id) else {
+            let known = Known { is_listed: false, ..Known::new(born, 0, now) };
+            self.0.insert(id.clone(), known);
+            return Speaks::OfThis;
+        };
+        if known.born == born {
+            known.heard = now;
+            return Speaks::OfThis;
+        }
+        let is_late = known
+            .unlisted
+            .iter()
+            .any(|(left, until)| *left == born && now < *until);
+        if is_late || known.is_over(born, now) {
+            return Speaks::OfEnded;
+        }
+        match known.is_listed {
+            true => known.doubted = Some((known.born, now + ENTRY_LATE)),
+            false => known.leave_unlisted(now),
+        }
+        known.born = born;
+        known.is_listed = false;
+        known.heard = now;
+        Speaks::OfNew
+    }
+
+    /// Returns when the life that is known began.
+    pub fn born(&self, id: &EndpointId) -> Option<Born> {
+        self.0.get(id).map(|known| known.born)
+    }
+
+    /// Returns whether a word about a life speaks of the one that is known, or
+    /// none is known.
+    pub fn is_of_this(&self, id: &EndpointId, born: Option<Born>) -> bool {
+        match (born, self.born(id)) {
+            (Some(born), Some(known)) => born == known,
+            _ => true,
+        }
+    }
+
+    /// Forgets endpoints that were not heard of for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.0.retain(|_, known| {
+            now.saturating_duration_since(known.heard) < KEPT_FOR
+        });
+    }
+}
+
+impl Known {
+    fn new(born: Born, revision: Revision, now: Instant) -> Known {
+        Known {
+            born,
+            is_listed: true,
+            revision,
+            doubted: None,
+            unlisted: VecDeque::new(),
+            ended: VecDeque::new(),
+            heard: now,
+        }
+    }
+
+    /// Notes that an entry shows the life that is known: the one before is over.
+    fn list(&mut self, revision: Revision, now: Instant) {
+        self.is_listed = true;
+        self.revision = self.revision.max(revision);
+        self.heard = now;
+        if let Some((doubted, _)) = self.doubted.take()
+            && doubted != self.born
+        {
+            self.end(doubted);
+        }
+    }
+
+    fn end(&mut self, born: Born) {
+        self.ended.push_back(born);
+        if self.ended.len() > ENDED_LEN {
+            self.ended.pop_front();
+        }
+    }
+
+    fn leave_unlisted(&mut self, now: Instant) {
+        self.unlisted.push_back((self.born, now + WORD_LATE));
+        if self.unlisted.len() > ENDED_LEN {
+            self.unlisted.pop_front();
+        }
+    }
+
+    fn is_over(&self, born: Born, now: Instant) -> bool {
+        let is_doubted = self
+            .doubted
+            .is_some_and(|(known, until)| known == born && now < until);
+        is_doubted || self.ended.contains(&born)
+    }
+}
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -345,6 +345,7 @@
             epoch: self.loader.epoch,
             endpoint: endpoint.clone(),
             key: key.clone(),
+            born: self.view.life(endpoint),
         };
         self.view.hear_removed(&removed, self.now);
     }
@@ -386,6 +387,7 @@
             version,
             ready_in_ms: takes.as_millis() as u64,
             is_cold,
+            born: self.view.life(endpoint),
         }
     }
 
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -13,6 +13,7 @@
     allowance,
     departure::Departure,
     endpoint::Endpoint,
+    life::Born,
     work::Work,
 };
 
@@ -183,6 +184,9 @@
     /// Whether it comes from the weight store.
     #[serde(default)]
     pub is_cold: bool,
+    /// Which life of the engine was ordered, if it tells its lives apart.
+    #[serde(default)]
+    pub born: Option<Born>,
 }
 
 /// An adapter that leaves an engine.
@@ -194,4 +198,7 @@
     pub endpoint: EndpointId,
     /// The adapter.
     pub key: AdapterKey,
+    /// Which life of the engine was ordered, if it tells its lives apart.
+    #[serde(default)]
+    pub born: Option<Born>,
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -28,6 +28,7 @@
     departure::{Departure, Departures},
     endpoint::{Endpoint, EngineReport, Revision},
     endpoint_state::EndpointState,
+    life::{Born, Lives, Speaks},
     note::{Placed, Removed},
     pace::Pace,
     route::ServiceName,
@@ -56,6 +57,7 @@
     peer_pause: Duration,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
     departures: Departures,
+    lives: Lives,
     /// Departures that we saw in the store and the others have not heard of.
     untold: Vec<Departure>,
     /// How fast the engines of each service begin to answer.
@@ -82,6 +84,7 @@
             peer_pause: Duration::ZERO,
             newest: HashMap::new(),
             departures: Departures::default(),
+            lives: Lives::default(),
             untold: Vec::new(),
             paces: HashMap::new(),
             stays: HashMap::new(),
@@ -108,6 +111,12 @@
         if known.is_some_and(|known| known > endpoint.revision) {
             return;
         }
+        let (born, revision) = (endpoint.born, endpoint.revision);
+        match self.lives.hear_entry(&id, born, revision, now) {
+            Speaks::OfThis => {}
+            Speaks::OfNew => self.begin_life(&id),
+            Speaks::OfEnded => return,
+        }
         endpoint.is_draining |=
             self.departures.has_left(&id, endpoint.revision);
         let is_back = !endpoint.is_draining
@@ -163,6 +172,16 @@
         }
     }
 
+    /// Forgets all that an endpoint held and showed in the life before. What we
+    /// have under way there ends by itself, request by request.
+    fn begin_life(&mut self, id: &EndpointId) {
+        let Some(state) = self.endpoints.get(id) else { return };
+        for key in &state.warm {
+            self.warm.remove(key, id);
+        }
+        self.change_seats(id, EndpointState::begin_life);
+    }
+
     fn note_warm(&mut self, id: &EndpointId, key: &AdapterKey) {
         let Some(state) = self.endpoints.get_mut(id) else { return };
         self.warm.insert(key, id);
@@ -171,14 +190,26 @@
         }
     }
 
-    /// Takes in an engine's own report, which is newer than its entry.
+    /// Takes in an engine's own report, which is newer than its entry; returns
+    /// whether it speaks of the life that the engine has now.
     pub fn hear_report(
         &mut self,
         id: &EndpointId,
         report: &EngineReport,
         now: Instant,
-    ) {
+    ) -> bool {
+        match self.lives.hear(id, report.born, now) {
+            Speaks::OfThis => {}
+            Speaks::OfNew => self.begin_life(id),
+            Speaks::OfEnded => return false,
+        }
         self.change_seats(id, |state| state.hear_report(report, now));
+        true
+    }
+
+    /// Returns which life an endpoint has now, if it tells its lives apart.
+    pub fn life(&self, id: &EndpointId) -> Option<Born> {
+        self.lives.born(id)
     }
 
     /// Notes that nobody knows what an engine holds, until it reports again.
@@ -250,6 +281,7 @@
                     .saturating_duration_since(now)
                     .as_millis() as u64,
                 is_cold: seat.is_unproven,
+                born: self.lives.born(&state.endpoint.id),
             })
             .collect()
     }
@@ -337,9 +369,13 @@
         self.endpoints.get_mut(id)
     }
 
-    /// Takes in that an adapter is on its way.
+    /// Takes in that an adapter is on its way. To a life of its engine that is
+    /// over, it is not; of one that we have not heard of, the entry tells soon.
     pub fn hear_placed(&mut self, placed: &Placed, now: Instant) {
         let id = &placed.endpoint;
+        if !self.lives.is_of_this(id, placed.born) {
+            return;
+        }
         if placed.is_cold {
             self.load_time = Duration::from_millis(placed.ready_in_ms);
         }
@@ -385,6 +421,9 @@
 
     /// Takes in that an adapter leaves an engine.
     pub fn hear_removed(&mut self, removed: &Removed, now: Instant) {
+        if !self.lives.is_of_this(&removed.endpoint, removed.born) {
+            return;
+        }
         self.change_seats(&removed.endpoint, |state| {
             state.seats.remove(&removed.key);
             state.removed.insert(removed.key.clone(), now);
--- a/crates/fleet/src/view/departed.rs
+++ b/crates/fleet/src/view/departed.rs
@@ -57,8 +57,9 @@
         self.departures.told(now)
     }
 
-    /// Forgets departures that nobody speaks of any more.
+    /// Forgets departures and lives that nobody speaks of any more.
     pub fn forget_departures(&mut self, now: Instant) {
         self.departures.forget(now);
+        self.lives.forget(now);
     }
 }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -34,6 +34,7 @@
         is_draining: false,
         remaining: None,
         models: vec![hosted(adapters)],
+        born: None,
     }
 }
 
@@ -51,6 +52,7 @@
         coming: Vec::new(),
         is_busy: false,
         orders_taken,
+        born: None,
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/life_rules.rs
@@ -0,0 +1,214 @@
+//! Endpoints that start again under the id that they had.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{choose, endpoint, key, report, sent_to};
+use proptest::prelude::*;
+use sedgewall_fleet::{
+    endpoint::{Endpoint, EngineReport},
+    life::Born,
+    note::{Placed, Removed},
+    view::{Choice, FleetView},
+};
+
+const ID: &str = "e1";
+
+/// The starts of four lives in a row, by clocks that run ahead and behind.
+const BORN: [Born; 4] = [5_000, 9_000, 2_000, 7_000];
+
+/// The entry of a life, which holds the adapter of that number.
+fn entry(life: usize, revision: u64) -> Endpoint {
+    let adapters = [life as u32];
+    let born = Some(BORN[life]);
+    Endpoint { revision, born, ..endpoint(ID, "z1", &adapters) }
+}
+
+fn reported(life: usize) -> EngineReport {
+    let born = Some(BORN[life]);
+    EngineReport { born, ..report(&[life as u32], 0) }
+}
+
+fn placed(life: usize) -> Placed {
+    Placed {
+        epoch: 1,
+        endpoint: ID.to_owned(),
+        key: key(life as u32),
+        version: 1,
+        ready_in_ms: 0,
+        is_cold: false,
+        born: Some(BORN[life]),
+    }
+}
+
+fn holds(view: &FleetView, life: usize) -> bool {
+    let state = view.get(&ID.to_owned()).expect("it is listed");
+    state.seat(&key(life as u32)).is_some()
+}
+
+#[test]
+fn a_new_life_holds_nothing_of_the_one_before() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(0, 1), now);
+    view.hear_report(&ID.to_owned(), &reported(0), now);
+    assert_eq!(sent_to(&choose(&view, &key(0), now)), Some(ID));
+    view.list(entry(1, 2), now);
+    assert_eq!(choose(&view, &key(0), now), Choice::Absent);
+    // What it holds is asked for before it gets orders.
+    assert!(!view.get(&ID.to_owned()).expect("listed").is_ordered_by_us());
+    assert!(view.warm(&key(0)).is_empty());
+}
+
+/// A report shows a new life before its entry does; the old one's entry, which
+/// is still under way, does not bring the old life back.
+#[test]
+fn an_older_entry_after_a_report_of_the_new_life_says_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(0, 1), now);
+    assert!(view.hear_report(&ID.to_owned(), &reported(1), now));
+    view.list(entry(0, 2), now);
+    assert!(holds(&view, 1) && !holds(&view, 0));
+    assert_eq!(view.life(&ID.to_owned()), Some(BORN[1]));
+}
+
+#[test]
+fn an_older_report_after_the_new_life_began_says_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(0, 1), now);
+    view.list(entry(1, 2), now);
+    assert!(!view.hear_report(&ID.to_owned(), &reported(0), now));
+    assert!(holds(&view, 1) && !holds(&view, 0));
+}
+
+#[test]
+fn older_notes_after_the_new_life_began_say_nothing() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(0, 1), now);
+    view.list(entry(1, 2), now);
+    view.hear_placed(&placed(0), now);
+    assert!(!holds(&view, 0));
+    let removed = Removed {
+        epoch: 1,
+        endpoint: ID.to_owned(),
+        key: key(1),
+        born: Some(BORN[0]),
+    };
+    view.hear_removed(&removed, now);
+    assert!(holds(&view, 1));
+}
+
+/// A list that is seconds old shows the life before to an instance that has taken
+/// the endpoint out meanwhile.
+#[test]
+fn a_stale_list_does_not_bring_an_older_life_back() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(1, 8), now);
+    view.unlist(&ID.to_owned(), 9, true, now);
+    view.list(entry(0, 3), now);
+    assert_eq!(choose(&view, &key(0), now), Choice::Nobody);
+    view.list(entry(2, 12), now);
+    assert_eq!(sent_to(&choose(&view, &key(2), now)), Some(ID));
+}
+
+/// An endpoint that was ejected, suspected or left is as any other once it has
+/// started again.
+#[test]
+fn a_new_life_is_not_blamed_for_the_one_before() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.list(entry(0, 1), now);
+    let id = ID.to_owned();
+    for _ in 0..8 {
+        view.get_mut(&id).expect("it is listed").health.failed(now);
+    }
+    view.hear_suspect(&id, Duration::from_secs(9), now);
+    assert_eq!(choose(&view, &key(0), now), Choice::Nobody);
+    view.list(entry(1, 2), now);
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some(ID));
+    view.list(Endpoint { is_draining: true, ..entry(1, 3) }, now);
+    assert_eq!(choose(&view, &key(1), now), Choice::Nobody);
+    view.list(entry(2, 4), now);
+    assert_eq!(sent_to(&choose(&view, &key(2), now)), Some(ID));
+}
+
+/// A word about one of the lives.
+#[derive(Clone, Copy, Debug)]
+enum Word {
+    Entry,
+    Report,
+    Note,
+    Gone,
+}
+
+fn word() -> impl Strategy<Value = (usize, Word, u64)> {
+    let kind = prop_oneof![
+        3 => Just(Word::Entry),
+        2 => Just(Word::Report),
+        2 => Just(Word::Note),
+        1 => Just(Word::Gone),
+    ];
+    (0..BORN.len(), kind, 0..10_u64)
+}
+
+proptest! {
+    /// Whatever is heard late and in whatever order, what is known is of one
+    /// life; one that was left is not taken up again; and the newest entry, once
+    /// it comes, holds.
+    #[test]
+    fn a_life_that_is_over_never_comes_back(
+        words in proptest::collection::vec(word(), 1..60),
+    ) {
+        let now = Instant::now();
+        let id = ID.to_owned();
+        let mut view = FleetView::new("z1");
+        let mut heard = [false; 4];
+        let mut listed = None;
+        for (life, word, nth) in words {
+            let known = view.life(&id);
+            // A life's entries lie after those of the life before.
+            let revision = life as u64 * 20 + nth + 1;
+            match word {
+                Word::Entry => view.list(entry(life, revision), now),
+                Word::Gone => view.unlist(&id, revision + 10, true, now),
+                // An endpoint is asked once it is listed, and an answer that is
+                // late comes from a life that was heard of.
+                _ if view.get(&id).is_none() => continue,
+                _ if !heard[life] && heard[life..].contains(&true) => {
+                    continue;
+                }
+                Word::Report => {
+                    view.hear_report(&id, &reported(life), now);
+                }
+                Word::Note => view.hear_placed(&placed(life), now),
+            }
+            // A life is left for good once an entry has shown a later one.
+            if heard[life] && listed.is_some_and(|listed| life < listed) {
+                prop_assert_eq!(view.life(&id), known);
+            }
+            if matches!(word, Word::Entry)
+                && view.life(&id) == Some(BORN[life])
+            {
+                listed = listed.max(Some(life));
+            }
+            heard[life] |= view.life(&id) == Some(BORN[life]);
+            let Some(state) = view.get(&id) else { continue };
+            let held = (0..BORN.len())
+                .filter(|n| state.seat(&key(*n as u32)).is_some());
+            for held in held {
+                prop_assert_eq!(view.life(&id), Some(BORN[held]));
+            }
+        }
+        let last = BORN.len() - 1;
+        let later = now + Duration::from_secs(10);
+        view.list(entry(last, 1_000), later);
+        prop_assert_eq!(view.life(&id), Some(BORN[last]));
+        prop_assert!(holds(&view, last));
+        prop_assert!(view.hear_report(&id, &reported(last), later));
+    }
+}
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -23,6 +23,7 @@
         version: 1,
         ready_in_ms,
         is_cold: false,
+        born: None,
     }
 }
 
@@ -97,7 +98,12 @@
     let mut view = FleetView::new("z1");
     view.list(endpoint("e1", "z1", &[2]), now);
     view.hear_placed(&placed("e1", 1, 0), now);
-    let removed = Removed { epoch: 1, endpoint: "e1".to_owned(), key: key(2) };
+    let removed = Removed {
+        epoch: 1,
+        endpoint: "e1".to_owned(),
+        key: key(2),
+        born: None,
+    };
     view.hear_removed(&removed, now);
     let soon = now + Duration::from_secs(1);
     view.list(endpoint("e1", "z1", &[2]), soon);
@@ -370,6 +376,7 @@
         version: 1,
         ready_in_ms: 200,
         is_cold: false,
+        born: None,
     };
     view.hear_placed(&placed, now);
     assert_eq!(view.choose(patient, now), Choice::Busy(Some(ready_in)));
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -149,6 +149,7 @@
         let listing = self.node.store.list(F::KIND, freshness).await?;
         self.list_freshness = None;
         let revision = listing.revision;
+        log_unreadable(F::KIND, &listing.unreadable);
         tracing::info!(
             event = "listed",
             kind = F::KIND,
@@ -198,8 +199,11 @@
             watched = watch => watched?,
             () = rung => return Ok(None),
         };
+        log_unreadable(F::KIND, &changes.unreadable);
         // A watch that ended without a change has waited at the store.
-        let is_whole = changes.changes.is_empty() && sent.elapsed() >= wait;
+        let is_empty =
+            changes.changes.is_empty() && changes.unreadable.is_empty();
+        let is_whole = is_empty && sent.elapsed() >= wait;
         for change in changes.changes {
             self.follower.change(change);
         }
@@ -277,6 +281,13 @@
     }
 }
 
+/// One line for each object of which not even the name can be read.
+fn log_unreadable(kind: &str, causes: &[String]) {
+    for cause in causes {
+        tracing::error!(event = "object_unreadable", kind, cause);
+    }
+}
+
 /// A few instances hear everything at once and tell the others, who watch for
 /// a tenth of the price and repair with it what notes lost.
 fn freshness(node: &FleetNode, before: Freshness, kind: &str) -> Freshness {
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -93,8 +93,11 @@
             tell_departures(&self.node);
             return;
         }
-        let Some(endpoint) = decoded(&object) else { return };
-        self.take(endpoint);
+        match decoded(&object) {
+            Some(endpoint) => self.take(endpoint),
+            // It names no endpoint now, whatever it named before.
+            None => self.entry_gone(&object.name, object.revision),
+        }
         tell_departures(&self.node);
         self.node.wake_all();
     }
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -150,11 +150,13 @@
                     endpoint = order.endpoint,
                     orders_taken = report.orders_taken,
                     coming = report.coming.len(),
+                    born = report.born,
                 );
-                taken.count = Some(report.orders_taken);
                 let now = Instant::now();
                 let mut view = self.node.view.borrow_mut();
-                view.hear_report(&order.endpoint, &report, now);
+                let is_of_this_life =
+                    view.hear_report(&order.endpoint, &report, now);
+                taken.count = is_of_this_life.then_some(report.orders_taken);
             }
             Ok(_) => {
                 tracing::info!(
@@ -184,9 +186,10 @@
         order: &Order,
         taken: u64,
     ) -> Option<u64> {
+        let born = self.node.view.borrow().life(&order.endpoint);
         if let Task::Unload(key) = &order.task {
             let (endpoint, key) = (order.endpoint.clone(), key.clone());
-            let removed = Removed { epoch, endpoint, key };
+            let removed = Removed { epoch, endpoint, key, born };
             self.tell_all(Note::Removed(removed));
         }
         let instance = self.node.id().clone();
@@ -211,6 +214,16 @@
             took_ms = sent.elapsed().as_millis() as u64,
         );
         metrics::counter!("sedgewall_orders_total").increment(1);
+        if self.node.view.borrow().life(&order.endpoint) != born {
+            // Whatever its engine said, it has started again since and forgotten it.
+            tracing::info!(
+                event = "order_outlived",
+                endpoint = order.endpoint
+            );
+            self.forget_load(order);
+            order.take_back(&mut self.node.view.borrow_mut());
+            return None;
+        }
         let count = match (&answer, &order.task) {
             (OrderAnswer::Done, _) => Some(taken + 1),
             // The place is free only after the runs there have ended.
@@ -266,6 +279,7 @@
         let now = Instant::now();
         let mut view = self.node.view.borrow_mut();
         let ready_in = view.order_taken(&order.endpoint, key, now);
+        let born = view.life(&order.endpoint);
         drop(view);
         let ready_in = ready_in.unwrap_or_default();
         let placed = Placed {
@@ -275,6 +289,7 @@
             version: *version,
             ready_in_ms: ready_in.as_millis() as u64,
             is_cold,
+            born,
         };
         let askers = self.node.askers.borrow_mut().remove(key);
         for peer in askers.into_iter().flatten() {
