A few instances watch for changes of keys, the others ask them

Change: an answer is dated by its question. Four instances watch, for a quarter of the time at most; the others ask one of them, five times in the time, and the store itself where what they hear is older than 0.6 of it. A newer version that an answer names is read before the answer counts.

--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -50,6 +50,22 @@
         /// For how long, in milliseconds.
         for_ms: u64,
     },
+    /// Up to when does whoever gets this know all changes of the configuration?
+    AskFresh {
+        /// Who asks.
+        from: InstanceId,
+        /// The number of the question.
+        number: u64,
+    },
+    /// The answer.
+    Fresh {
+        /// The number of the question.
+        number: u64,
+        /// How long ago all changes were known, in milliseconds.
+        age_ms: u64,
+        /// The version that is in force there.
+        configuration: u64,
+    },
     /// Several notes in one datagram.
     Batch(Vec<Note>),
     /// A note to all, on its way through one instance of a group.
--- a/crates/fleet/src/revocation.rs
+++ b/crates/fleet/src/revocation.rs
@@ -3,7 +3,8 @@
 //! An instance that cannot know the newest configuration cannot know whose keys
 //! were taken away. It serves keyed requests only for so long after the moment up
 //! to which it is sure to know all changes: a lease on the configuration's
-//! freshness, on its own steady clock, which the platform's store renews.
+//! freshness, on its own steady clock, which the platform's store renews, or another
+//! instance that was asked. A few instances watch the store for all.
 
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,21 @@
 /// apart by some per cent and for the moment between a look and a send.
 const MARGIN: Duration = Duration::from_millis(300);
 
+/// The longest wait of a watch, as a part of the time: others ask those that watch,
+/// and what they hear is as old as the watch is long.
+const WATCHER_PART: f64 = 0.25;
+
+/// How often another instance is asked, as a part of the time. With a watch's part
+/// and an answer that is lost, half of the time is used.
+const ASK_PART: f64 = 0.2;
+
+/// An instance that has not answered after this is taken not to.
+const ASK_NEXT: Duration = Duration::from_millis(200);
+
+/// The age, as a part of the time, from which on the store is asked: what is left
+/// is for a call that fails and another one.
+const READ_PART: f64 = 0.6;
+
 /// The shortest wait of a watch: with nothing left, it only asks what is in force.
 /// Twenty calls a second are far below what the store allows, and last for one
 /// call.
@@ -59,10 +75,78 @@
     /// thirds took 4/3 of the time, and each change of the configuration made
     /// all instances turn keyed requests away for 0.8 s.
     pub fn watch_time(&self, now: Instant) -> Option<Duration> {
-        let within = self.within?;
-        let most = within.saturating_sub(MARGIN);
+        let most = self.most()?;
         let age = self.age(now).unwrap_or(most);
         let left = most.saturating_sub(age);
-        Some((left * 2 / 3).max(SHORTEST_WATCH))
+        let wait = (left * 2 / 3).min(most.mul_f64(WATCHER_PART));
+        Some(wait.max(SHORTEST_WATCH))
+    }
+
+    /// Returns when another instance is to be asked, none if nothing bounds what is
+    /// known; one that does not answer is followed by the next soon.
+    pub fn ask_in(&self, asking: &Asking, now: Instant) -> Option<Duration> {
+        let most = self.most()?;
+        let pause = match asking.is_answered {
+            true => most.mul_f64(ASK_PART),
+            false => ASK_NEXT,
+        };
+        let due = asking.asked.map(|(_, at)| at + pause);
+        Some(
+            due.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
+        )
+    }
+
+    /// Returns whether the others' answers are too old, so that the store is to
+    /// be asked.
+    pub fn is_read_due(&self, now: Instant) -> bool {
+        let Some(most) = self.most() else { return false };
+        self.age(now).is_none_or(|age| age > most.mul_f64(READ_PART))
+    }
+
+    fn most(&self) -> Option<Duration> {
+        self.within.map(|within| within.saturating_sub(MARGIN))
+    }
+}
+
+/// Asks other instances up to when they know all changes.
+///
+/// A word of another instance that was delayed is not told from a new one, without
+/// a clock that both share. An answer is: it was given after its question was
+/// asked. So what an answer says to be known for so long is known since the
+/// question, less that time, on our own clock.
+#[derive(Clone, Debug, Default)]
+pub struct Asking {
+    number: u64,
+    /// The last question and when it was sent.
+    asked: Option<(u64, Instant)>,
+    is_answered: bool,
+}
+
+impl Asking {
+    /// Notes that a question goes out now; returns its number.
+    pub fn ask(&mut self, now: Instant) -> u64 {
+        self.number += 1;
+        self.asked = Some((self.number, now));
+        self.is_answered = false;
+        self.number
+    }
+
+    /// Returns whom to ask of so many: another one after each that did not answer.
+    pub fn whom(&self, others: usize) -> usize {
+        match others {
+            0 => 0,
+            others => (self.number % others as u64) as usize,
+        }
+    }
+
+    /// Takes in an answer; returns up to when all changes are known by it. An
+    /// answer to an earlier question says nothing more.
+    pub fn answered(&mut self, number: u64, age: Duration) -> Option<Instant> {
+        let (asked, sent) = self.asked?;
+        if asked != number {
+            return None;
+        }
+        self.is_answered = true;
+        sent.checked_sub(age)
     }
 }
--- a/crates/fleet/tests/revocation_rules.rs
+++ b/crates/fleet/tests/revocation_rules.rs
@@ -1,10 +1,12 @@
 //! An instance stays sure of the keys in force while the store answers, whatever
-//! the operator changes: four ways of watching, in virtual time.
+//! the operator changes: ways of watching, and of asking those that watch, in
+//! virtual time.
 
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use sedgewall_fleet::revocation::KeysKnown;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_fleet::revocation::{Asking, KeysKnown};
 
 /// Within this time a key that was taken away must stop.
 const WITHIN: Duration = Duration::from_millis(5_000);
@@ -18,6 +20,13 @@
 /// The pauses after failed calls.
 const BACK_OFF_MS: (u64, u64) = (150, 1_200);
 
+/// Instances of a fleet, and those of them that watch.
+const INSTANCES: usize = 74;
+const WATCHERS: usize = 4;
+
+/// How often an instance looks whether to ask.
+const LOOK_MS: u64 = 100;
+
 /// How long a played time is.
 const PLAYED_MS: u64 = 60_000;
 
@@ -30,8 +39,11 @@
     Short,
     /// As `Fixed`, and each change is followed by a read.
     ReadAfterChange,
-    /// Each watch waits two thirds of what is left: the product's.
+    /// Each watch waits two thirds of what is left.
     WhatIsLeft,
+    /// As an instance that watches for all: the same, and no longer than a quarter
+    /// of the time.
+    Watcher,
 }
 
 /// What happens at the store.
@@ -76,6 +88,8 @@
     back_off_ms: u64,
     is_lost: bool,
     cost: Cost,
+    /// When it was known that all changes until another moment are known.
+    confirmed: Vec<(u64, u64)>,
 }
 
 impl<'a> Play<'a> {
@@ -94,17 +108,22 @@
             back_off_ms: BACK_OFF_MS.0,
             is_lost: false,
             cost: Cost::default(),
+            confirmed: vec![(0, 0)],
         }
     }
 
-    fn run(mut self) -> Cost {
+    fn run(self) -> Cost {
+        self.played().cost
+    }
+
+    fn played(mut self) -> Self {
         while self.now_ms < PLAYED_MS {
             match self.is_lost {
                 true => self.read(),
                 false => self.watch(),
             }
         }
-        self.cost
+        self
     }
 
     fn wait_ms(&self) -> u64 {
@@ -113,6 +132,10 @@
             Way::Fixed | Way::ReadAfterChange => MOST_MS * 2 / 3,
             Way::Short => MOST_MS / 3,
             Way::WhatIsLeft => {
+                let age = self.known.age(now).expect("it was confirmed");
+                (MOST_MS - MOST_MS.min(age.as_millis() as u64)) * 2 / 3 + 1
+            }
+            Way::Watcher => {
                 self.known.watch_time(now).expect("bounded").as_millis() as u64
             }
         }
@@ -162,6 +185,7 @@
         let sure_until = self.known_until_ms + MOST_MS;
         self.cost.unsure_ms += self.now_ms.saturating_sub(sure_until);
         self.known_until_ms = self.known_until_ms.max(until);
+        self.confirmed.push((self.now_ms, self.known_until_ms));
         self.known.confirm(self.start + Duration::from_millis(until));
     }
 }
@@ -190,9 +214,75 @@
     assert_eq!(cost(&store, Way::WhatIsLeft).unsure_ms, 0);
 }
 
+/// An instance that asks those that watch, and reads where that is not enough.
+fn asker(store: &Store, watchers: &[Play<'_>], lost: f64, seed: u64) -> Cost {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut known = KeysKnown::new(Some(WITHIN));
+    known.confirm(start);
+    let mut asking = Asking::default();
+    let mut cost = Cost::default();
+    let mut read_again_ms = 0;
+    // Changes until then are in force here.
+    let mut has_ms = 0;
+    let mut now_ms = seed % LOOK_MS;
+    while now_ms < PLAYED_MS {
+        let now = at(now_ms);
+        if known.is_read_due(now) && now_ms >= read_again_ms {
+            cost.calls += 1;
+            read_again_ms = now_ms + 600;
+            if !store.is_cut(now_ms, now_ms) {
+                known.confirm(now);
+                has_ms = now_ms;
+            }
+        }
+        if known.ask_in(&asking, now) == Some(Duration::ZERO) {
+            let watcher = &watchers[asking.whom(watchers.len())];
+            let number = asking.ask(now);
+            let heard = watcher.confirmed.iter().rev();
+            let until = heard.copied().find(|c| c.0 <= now_ms);
+            let age_ms = until.map(|(_, until)| now_ms - until);
+            if let Some(age_ms) = age_ms
+                && !rng.random_bool(lost)
+            {
+                let age = Duration::from_millis(age_ms);
+                let until = asking.answered(number, age);
+                let until = until.expect("the answer is to the question");
+                // Another version is in force there: it is read first.
+                let newer = store.next_change(has_ms);
+                if newer.is_some_and(|at| at + store.answer_ms <= now_ms) {
+                    cost.calls += 1;
+                    has_ms = now_ms;
+                    known.confirm(now);
+                } else {
+                    known.confirm(until);
+                }
+            }
+        }
+        cost.unsure_ms += if known.is_sure(now) { 0 } else { LOOK_MS };
+        now_ms += LOOK_MS;
+    }
+    cost
+}
+
+/// What all instances of a fleet cost where four watch and the others ask.
+fn asked_fleet(store: &Store, lost: f64) -> Cost {
+    let watchers: Vec<Play<'_>> = (0..WATCHERS)
+        .map(|_| Play::new(store, Way::Watcher).played())
+        .collect();
+    let watched = watchers.iter().map(|watcher| watcher.cost);
+    let asked =
+        (WATCHERS..INSTANCES).map(|n| asker(store, &watchers, lost, n as u64));
+    watched.chain(asked).fold(Cost::default(), |sum, cost| Cost {
+        calls: sum.calls + cost.calls,
+        unsure_ms: sum.unsure_ms + cost.unsure_ms,
+    })
+}
+
 /// The ways that stay sure, by calls to the store, which have a price.
 #[test]
-fn waiting_what_is_left_takes_the_fewest_calls_of_the_ways_that_stay_sure() {
+fn a_few_that_watch_and_others_that_ask_take_the_fewest_calls() {
     for (name, changes) in [
         ("none", Vec::new()),
         ("each 20 s", every(20_000)),
@@ -201,16 +291,47 @@
     ] {
         println!("== changes: {name}");
         let store = Store { changes, answer_ms: 4, ..Store::default() };
-        let ours = cost(&store, Way::WhatIsLeft);
+        let left = cost(&store, Way::WhatIsLeft);
         let short = cost(&store, Way::Short);
         let read = cost(&store, Way::ReadAfterChange);
         cost(&store, Way::Fixed);
-        assert_eq!((ours.unsure_ms, short.unsure_ms), (0, 0), "{name}");
-        assert!(ours.calls <= short.calls, "{name}");
-        assert!(ours.calls <= read.calls, "{name}");
+        assert_eq!((left.unsure_ms, short.unsure_ms), (0, 0), "{name}");
+        assert!(left.calls <= short.calls, "{name}");
+        assert!(left.calls <= read.calls, "{name}");
+        let ours = asked_fleet(&store, 0.01);
+        println!("{INSTANCES} instances, asked: {ours:?}");
+        assert_eq!(ours.unsure_ms, 0, "{name}");
+        assert!(ours.calls * 2 < left.calls * INSTANCES as u32, "{name}");
     }
 }
 
+/// One that the store alone does not answer goes on by what the others know.
+#[test]
+fn an_instance_cut_off_from_the_store_alone_stays_sure() {
+    let store = Store { answer_ms: 4, ..Store::default() };
+    let watchers: Vec<Play<'_>> = (0..WATCHERS)
+        .map(|_| Play::new(&store, Way::Watcher).played())
+        .collect();
+    let cuts = vec![(10_000, 50_000)];
+    let cut_off = Store { cuts, ..Store::default() };
+    assert_eq!(asker(&cut_off, &watchers, 0.05, 7).unsure_ms, 0);
+    assert!(cost(&cut_off, Way::WhatIsLeft).unsure_ms > 30_000);
+}
+
+/// An answer counts from its question, however late it comes, and once another
+/// question is out not at all.
+#[test]
+fn a_late_answer_says_nothing_newer_than_its_question() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let mut asking = Asking::default();
+    let first = asking.ask(start + ms(1_000));
+    assert_eq!(asking.answered(first, ms(300)), Some(start + ms(700)));
+    let second = asking.ask(start + ms(2_000));
+    assert_eq!(asking.answered(first, ms(0)), None);
+    assert_eq!(asking.answered(second, ms(0)), Some(start + ms(2_000)));
+}
+
 /// What a cut takes, wherever it falls between watches: less than with watches of
 /// a fixed time, since more is left when it begins after a change.
 #[test]
@@ -243,5 +364,7 @@
         changes.sort_unstable();
         let store = Store { changes, answer_ms, cuts: Vec::new() };
         prop_assert_eq!(Play::new(&store, Way::WhatIsLeft).run().unsure_ms, 0);
+        prop_assert_eq!(Play::new(&store, Way::Watcher).run().unsure_ms, 0);
+        prop_assert_eq!(asked_fleet(&store, 0.02).unsure_ms, 0);
     }
 }
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -183,7 +183,7 @@
     let Some(credential) = credential else {
         return if route.is_public { Ok(None) } else { Err(Reason::NoKey) };
     };
-    if !node.keys_are_sure() {
+    if !node.keys.are_sure() {
         return Err(Reason::KeysUnsure);
     }
     let known = customers.of_key(credential).cloned();
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -22,7 +22,7 @@
     follow_configuration::{Configuration, Versions},
     follow_endpoints::Endpoints,
     follow_instances::{Instances, announce},
-    leader, lease,
+    keys, leader, lease,
     log_buffer::LogBuffer,
     node::{FleetNode, Stage},
     note_sender, notes,
@@ -97,6 +97,8 @@
         receiver,
     ))
     .detach();
+    compio::runtime::spawn(keys::stay_sure(node.clone(), sender.clone()))
+        .detach();
     compio::runtime::spawn(notes::tell(node.clone(), sender)).detach();
     compio::runtime::spawn(lease::run(node.clone())).detach();
     compio::runtime::spawn(leader::run(node.clone(), orders)).detach();
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -17,6 +17,7 @@
 use super::{
     bell::Bell,
     follow::{Follower, QUIET_WATCH},
+    keys,
     node::{FleetNode, Stage},
 };
 
@@ -42,18 +43,16 @@
         self.0.is_configuration_behind.take()
     }
 
-    /// Where keys must stop in time, each instance asks for the newest itself: what
-    /// others say does not tell when it was true.
+    /// Where keys must stop in time, a few instances watch for the newest, and the
+    /// others ask these.
     fn own_watch(&self) -> Option<(Freshness, Duration)> {
-        let wait = self.0.keys_known.get().watch_time(Instant::now())?;
-        let has_customers =
-            self.0.deployment().is_some_and(|d| !d.customers.is_empty());
-        has_customers.then_some((Freshness::Newest, wait))
+        let wait = keys::own_watch(&self.0)?;
+        Some((Freshness::Newest, wait))
     }
 
     fn confirm(&self, until: Instant) {
         if !self.0.is_configuration_unreadable.get() {
-            self.0.confirm_keys(until);
+            self.0.keys.confirm(until);
         }
     }
 
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -0,0 +1,169 @@
+//! How sure this instance is to know which keys are in force.
+//!
+//! A few instances watch the store's configuration, each change and its absence;
+//! the others ask them, and the store itself where their answers grow old. With
+//! 74 instances that is an eighth of the calls to the store that a watch at each
+//! takes, and one that is cut off from the store alone goes on to serve. The
+//! invariant: keys count as known only up to a moment that a call to the store
+//! confirmed, here or at an instance that was asked after it.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_fleet::{
+    note::Note,
+    revocation::{Asking, KeysKnown},
+};
+use sedgewall_state::id::InstanceId;
+
+use super::{node::FleetNode, note_sender::NoteSender};
+
+/// Instances that watch for all. Three may be cut off at once and one still
+/// answers.
+const WATCHERS: usize = 4;
+
+/// How often an instance that asks nobody looks whether it has to.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// While the store is asked, it is not asked again.
+const READ_AGAIN: Duration = Duration::from_millis(600);
+
+/// What an instance knows of the keys in force.
+pub(crate) struct Keys {
+    known: Cell<KeysKnown>,
+    asking: RefCell<Asking>,
+    /// Whether this instance watches for all.
+    is_watching: Cell<bool>,
+    read_at: Cell<Option<Instant>>,
+    /// Whether it was logged that it is not sure.
+    has_told_unsure: Cell<bool>,
+}
+
+impl Keys {
+    pub(crate) fn new(within: Option<Duration>) -> Keys {
+        Keys {
+            known: Cell::new(KeysKnown::new(within)),
+            asking: RefCell::default(),
+            is_watching: Cell::new(false),
+            read_at: Cell::new(None),
+            has_told_unsure: Cell::new(false),
+        }
+    }
+
+    /// Takes in that all changes of the configuration before a moment are known.
+    pub(crate) fn confirm(&self, until: Instant) {
+        let mut known = self.known.get();
+        known.confirm(until);
+        self.known.set(known);
+        let is_sure = known.is_sure(Instant::now());
+        if is_sure && self.has_told_unsure.replace(false) {
+            tracing::info!(event = "keys_sure");
+        }
+    }
+
+    /// Returns whether it is sure which keys are in force; one line when that is
+    /// no longer so.
+    pub(crate) fn are_sure(&self) -> bool {
+        let known = self.known.get();
+        let now = Instant::now();
+        let is_sure = known.is_sure(now);
+        if !is_sure && !self.has_told_unsure.replace(true) {
+            let known_ms_ago =
+                known.age(now).map(|age| age.as_millis() as u64);
+            tracing::warn!(event = "keys_unsure", known_ms_ago);
+        }
+        is_sure
+    }
+}
+
+/// Returns how long the next watch of the configuration waits, if this instance is
+/// one of those that watch for all.
+pub(crate) fn own_watch(node: &FleetNode) -> Option<Duration> {
+    let is_watching = node.has_customers() && node.rank(0) < WATCHERS;
+    node.keys.is_watching.set(is_watching);
+    let wait = node.keys.known.get().watch_time(Instant::now());
+    wait.filter(|_| is_watching)
+}
+
+/// Asks those that watch, and the store where that is not enough, for ever.
+pub(crate) async fn stay_sure(node: Rc<FleetNode>, sender: Rc<NoteSender>) {
+    loop {
+        let pause = ask_in(&node).unwrap_or(LOOK_EVERY);
+        compio::time::sleep(pause).await;
+        if ask_in(&node) != Some(Duration::ZERO) {
+            continue;
+        }
+        let now = Instant::now();
+        if node.keys.known.get().is_read_due(now) {
+            read_anew(&node, now);
+        }
+        ask(&node, &sender, now);
+    }
+}
+
+/// Returns when to ask, if this instance does.
+fn ask_in(node: &FleetNode) -> Option<Duration> {
+    let asks = node.has_customers() && !node.keys.is_watching.get();
+    let asking = node.keys.asking.borrow();
+    let due = node.keys.known.get().ask_in(&asking, Instant::now());
+    due.filter(|_| asks)
+}
+
+/// Makes the configuration be listed with all that was acknowledged.
+fn read_anew(node: &FleetNode, now: Instant) {
+    let keys = &node.keys;
+    if keys.read_at.get().is_some_and(|at| now < at + READ_AGAIN) {
+        return;
+    }
+    keys.read_at.set(Some(now));
+    node.is_configuration_behind.set(true);
+    node.configuration_bell.ring();
+}
+
+fn ask(node: &FleetNode, sender: &NoteSender, now: Instant) {
+    let watchers = node.largest_peers(WATCHERS);
+    let mut asking = node.keys.asking.borrow_mut();
+    let number = asking.ask(now);
+    let Some(whom) = watchers.get(asking.whom(watchers.len())) else { return };
+    let from = node.id().clone();
+    sender.send_to_peer(node, whom, &Note::AskFresh { from, number });
+}
+
+/// Answers another instance.
+pub(crate) fn answer(
+    node: &FleetNode,
+    sender: &NoteSender,
+    from: &InstanceId,
+    number: u64,
+) {
+    let Some(age) = node.keys.known.get().age(Instant::now()) else { return };
+    let answer = Note::Fresh {
+        number,
+        // Rounded up: what is said to be known must be.
+        age_ms: age.as_millis() as u64 + 1,
+        configuration: node.deployment().map_or(0, |known| known.version),
+    };
+    sender.send_to_peer(node, from, &answer);
+}
+
+/// Hears an answer. Where another version is in force there, that is listed first.
+pub(crate) fn hear(
+    node: &FleetNode,
+    number: u64,
+    age_ms: u64,
+    configuration: u64,
+) {
+    let now = Instant::now();
+    let known = node.deployment().map_or(0, |known| known.version);
+    if configuration > known {
+        return read_anew(node, now);
+    }
+    let age = Duration::from_millis(age_ms);
+    let until = node.keys.asking.borrow_mut().answered(number, age);
+    if let Some(until) = until {
+        node.keys.confirm(until);
+    }
+}
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod follow_configuration;
 mod follow_endpoints;
 mod follow_instances;
+mod keys;
 mod leader;
 mod lease;
 mod lease_store;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -17,7 +17,6 @@
     load_times::LoadTimes,
     note::{Lead, Note},
     retry_budget::{RetryAllowance, RetryBudget},
-    revocation::KeysKnown,
     route::Deployment,
     store_contact::{CallFailure, StoreContact},
     suspicion::Suspicions,
@@ -32,7 +31,7 @@
 use sedgewall_transport::EndpointPool;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::bell::Bell;
+use super::{bell::Bell, keys::Keys};
 
 /// Notes of the holder that may be lost in a row before it is missed.
 const LEADER_LOSSES: u32 = 4;
@@ -148,9 +147,7 @@
     /// Our part of what customers may use.
     pub(crate) shares: RefCell<Shares>,
     /// Whether keys that were taken away are sure to be known.
-    pub(crate) keys_known: Cell<KeysKnown>,
-    /// Whether it was logged that they are not.
-    has_told_unsure: Cell<bool>,
+    pub(crate) keys: Keys,
     /// Whether the store answers us.
     pub(crate) store_contact: RefCell<StoreContact>,
     /// What the other instances say of themselves.
@@ -240,8 +237,7 @@
             asked: RefCell::default(),
             waiting: RefCell::default(),
             shares: RefCell::default(),
-            keys_known: Cell::new(KeysKnown::new(revoke_within)),
-            has_told_unsure: Cell::new(false),
+            keys: Keys::new(revoke_within),
             store_contact: RefCell::default(),
             last_words: RefCell::default(),
             unreachable: RefCell::default(),
@@ -287,40 +283,18 @@
         self.deployment.borrow().clone()
     }
 
+    /// Returns whether requests need keys.
+    pub(crate) fn has_customers(&self) -> bool {
+        self.deployment().is_some_and(|d| !d.customers.is_empty())
+    }
+
     /// Returns whether requests may come here: those that need a key could not be
     /// served where keys that were taken away are not known.
     pub(crate) fn takes_requests(&self) -> bool {
-        let has_customers =
-            self.deployment().is_some_and(|d| !d.customers.is_empty());
-        let is_sure = !has_customers || self.keys_are_sure();
+        let is_sure = !self.has_customers() || self.keys.are_sure();
         self.stage.get() == Stage::Ready && is_sure
     }
 
-    /// Takes in that all changes of the configuration before a moment are known.
-    pub(crate) fn confirm_keys(&self, until: Instant) {
-        let mut known = self.keys_known.get();
-        known.confirm(until);
-        self.keys_known.set(known);
-        let is_sure = known.is_sure(Instant::now());
-        if is_sure && self.has_told_unsure.replace(false) {
-            tracing::info!(event = "keys_sure");
-        }
-    }
-
-    /// Returns whether it is sure which keys are in force; one line when that is
-    /// no longer so.
-    pub(crate) fn keys_are_sure(&self) -> bool {
-        let known = self.keys_known.get();
-        let now = Instant::now();
-        let is_sure = known.is_sure(now);
-        if !is_sure && !self.has_told_unsure.replace(true) {
-            let known_ms_ago =
-                known.age(now).map(|age| age.as_millis() as u64);
-            tracing::warn!(event = "keys_unsure", known_ms_ago);
-        }
-        is_sure
-    }
-
     /// Returns our lease on orders, while it is sure to be ours: until it ends,
     /// or while the store is out for all who could take it.
     pub(crate) fn current_lease(&self, now: Instant) -> Option<HeldLease> {
@@ -411,22 +385,36 @@
     /// in an order that the larger ones lead and that a draw shuffles: so a
     /// duty falls to few, without a word, and to others after each draw.
     pub(crate) fn rank(&self, draw: u64) -> usize {
-        let place = |id: &InstanceId, cpu_percent: u32| {
-            let hash = xxh3_64_with_seed(id.as_bytes(), draw);
-            (std::cmp::Reverse(cpu_percent), hash)
-        };
-        let own = place(self.id(), self.cpu_percent());
+        let own = place(self.id(), self.cpu_percent(), draw);
         let now = Instant::now();
-        let view = self.view.borrow();
         let peers = self.peers.borrow();
         let before = peers.iter().filter(|(id, peer)| {
-            let is_there =
-                now - peer.known_since < NEW_PEER_FOR || view.hears(id, now);
-            is_there && place(id, peer.cpu_percent) < own
+            self.is_there(id, peer, now)
+                && place(id, peer.cpu_percent, draw) < own
         });
         before.count()
     }
 
+    /// Returns the first other instances that are there, in the order of
+    /// [`FleetNode::rank`] without a draw.
+    pub(crate) fn largest_peers(&self, count: usize) -> Vec<InstanceId> {
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        let mut there: Vec<_> = peers
+            .iter()
+            .filter(|(id, peer)| self.is_there(id, peer, now))
+            .map(|(id, peer)| (place(id, peer.cpu_percent, 0), id))
+            .collect();
+        there.sort_unstable();
+        there.truncate(count);
+        there.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    fn is_there(&self, id: &InstanceId, peer: &Peer, now: Instant) -> bool {
+        now - peer.known_since < NEW_PEER_FOR
+            || self.view.borrow().hears(id, now)
+    }
+
     /// Returns the longest time that a caller gave on a route, this one's
     /// included. First tries have the whole of it, later ones what is left.
     pub(crate) fn longest_patience(
@@ -539,6 +527,17 @@
     }
 }
 
+/// Returns an instance's place in an order that larger ones lead and that a draw
+/// shuffles.
+fn place(
+    id: &InstanceId,
+    cpu_percent: u32,
+    draw: u64,
+) -> (std::cmp::Reverse<u32>, u64) {
+    let hash = xxh3_64_with_seed(id.as_bytes(), draw);
+    (std::cmp::Reverse(cpu_percent), hash)
+}
+
 /// A request under way at an endpoint; dropping it counts it out.
 pub(crate) struct UnderWay {
     node: Rc<FleetNode>,
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -20,7 +20,7 @@
 use sedgewall_state::id::EndpointId;
 
 use super::{
-    follow, lease_store,
+    follow, keys, lease_store,
     node::{FleetNode, SeenArrival, Stage},
     note_sender::{LARGEST_NOTE, NoteSender},
 };
@@ -112,6 +112,12 @@
             node.view.borrow_mut().hear_suspect(&endpoint, time, now);
             node.wake_all();
         }
+        Note::AskFresh { from, number } => {
+            keys::answer(node, sender, &from, number);
+        }
+        Note::Fresh { number, age_ms, configuration } => {
+            keys::hear(node, number, age_ms, configuration);
+        }
         Note::Asked(asked) => hear_asked(node, sender, &asked, now),
         Note::Batch(notes) => {
             for note in notes {
