What the holder looks at and tells is bounded where there are many engines

A renewal through another instance carried all 1,010 entries, 73 kB, past the longest datagram, so that a holder cut off from the store lost its lease. A note of the sums grows with the endpoints. Tests: places among 1,010 engines, sums in parts with lost notes, entries in a note.

--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -7,7 +7,7 @@
 use sedgewall_fleet::{
     endpoint::Endpoint,
     note::Status,
-    view::{FleetView, Need},
+    view::{FleetView, Need, Totals},
 };
 use sedgewall_state::id::EndpointId;
 
@@ -313,7 +313,7 @@
 
     /// An instance tells the holder, or all others if they are few.
     fn tell_holder(&mut self, instance: usize) {
-        let work = self.views[instance].tell_work(false);
+        let work = self.views[instance].tell_work();
         let status = self.status(instance, work, TELLS_HOLDER, false);
         let now = self.instant() + TRAVEL;
         match self.is_many() {
@@ -331,7 +331,7 @@
     }
 
     fn tell_all(&mut self) {
-        let work = self.views[0].tell_work(true);
+        let Totals { work, .. } = self.views[0].tell_totals();
         let status = self.status(0, work, TELLS_ALL, true);
         let now = self.instant() + SPREAD;
         for view in &mut self.views[1..] {
@@ -361,6 +361,7 @@
             departures: Vec::new(),
             work,
             is_total,
+            is_part: false,
         }
     }
 
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -82,6 +82,8 @@
     pub(crate) told_work: Work,
     /// What the other instances have under way there, as each says itself.
     pub(crate) others_work: Work,
+    /// What the holder, if that is us, told last of all instances' work there.
+    pub(crate) told_total: Work,
     /// What all instances have under way there, as the holder of the lease
     /// says. Where many say so, it is newer than what each says itself.
     pub(crate) total_work: Option<Work>,
@@ -131,6 +133,7 @@
             endpoint,
             own_work: Work::default(),
             told_work: Work::default(),
+            told_total: Work::default(),
             others_work: Work::default(),
             total_work: None,
             health: Health::default(),
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -277,10 +277,12 @@
 
     /// Puts an adapter on one more engine; returns whether it could.
     fn place(&mut self, key: &AdapterKey, orders: &mut Vec<Order>) -> bool {
+        let may_begin = self.times.may_begin(self.group.loads_per_s, self.now);
+        if !may_begin && self.view.warm(key).is_empty() {
+            return false;
+        }
         let Some(home) = self.find_home(key) else { return false };
-        if !home.is_warm
-            && !self.times.may_begin(self.group.loads_per_s, self.now)
-        {
+        if !home.is_warm && !may_begin {
             return false;
         }
         if let Some(victim) = &home.victim {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -12,7 +12,7 @@
     adapter::{AdapterKey, WeightVersion},
     allowance,
     departure::Departure,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, Revision},
     life::Born,
     work::Work,
 };
@@ -83,6 +83,9 @@
     pub number: u64,
     /// What to send.
     pub write: LeaseWrite,
+    /// The newest revision of an endpoint's entry that the holder knows.
+    #[serde(default)]
+    pub known_revision: Revision,
 }
 
 /// The store's answer to a [`RenewalRequest`], and what the holder cannot see
@@ -93,7 +96,8 @@
     pub number: u64,
     /// The answer.
     pub answer: WriteAnswer,
-    /// The endpoints, without their adapters.
+    /// The endpoints that are newer than the holder knows, the oldest first,
+    /// without their adapters.
     pub endpoints: Vec<Endpoint>,
     /// The newest versions that were named.
     pub versions: Vec<(AdapterKey, WeightVersion)>,
@@ -151,6 +155,9 @@
     /// Whether they are those of all instances, as the holder of the lease
     /// knows them, and not the sender's own.
     pub is_total: bool,
+    /// Whether totals are of some endpoints only, and the others as told before.
+    #[serde(default)]
+    pub is_part: bool,
 }
 
 /// Requests for adapters.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -21,6 +21,7 @@
 
 pub(crate) use self::choice::{BUSY_BACKLOG, OTHER_ZONE_COST};
 pub use self::choice::{Choice, Need, Target};
+pub use self::under_way::Totals;
 use self::under_way::{HeardTotals, PeerLoad};
 use crate::{
     adapter::{AdapterKey, WeightVersion},
@@ -39,6 +40,11 @@
 /// The platform allows 5 s; the rest is for queues at the engine.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Entries in one note at most: each takes some 80 bytes, and a datagram holds
+/// 64 kB. All of 1,010 took 73 kB, so that a holder that was cut off from the store
+/// lost its lease.
+const ENTRIES_LEN: usize = 256;
+
 /// One instance's table of endpoints.
 #[derive(Clone, Debug)]
 pub struct FleetView {
@@ -53,6 +59,8 @@
     peers: HashMap<InstanceId, PeerLoad>,
     /// The holder's sums, while they count.
     totals: Option<HeardTotals>,
+    /// Whose sums are told next in turn.
+    next_told: usize,
     /// How often each other instance says what it has under way.
     peer_pause: Duration,
     newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
@@ -81,6 +89,7 @@
             warm: AdapterIndex::default(),
             peers: HashMap::new(),
             totals: None,
+            next_told: 0,
             peer_pause: Duration::ZERO,
             newest: HashMap::new(),
             departures: Departures::default(),
@@ -148,6 +157,23 @@
         }
     }
 
+    /// Returns the newest revision of an entry that is known.
+    pub fn newest_revision(&self) -> Revision {
+        let revisions = self.endpoints.values().map(|s| s.endpoint.revision);
+        revisions.max().unwrap_or_default()
+    }
+
+    /// Returns entries that are newer than a revision, without their adapters: the
+    /// oldest first, as many as fit a note.
+    pub fn entries_since(&self, revision: Revision) -> Vec<Endpoint> {
+        let newer = |s: &&EndpointState| s.endpoint.revision > revision;
+        let mut newer: Vec<&EndpointState> =
+            self.endpoints.values().filter(newer).collect();
+        newer.sort_by_key(|state| state.endpoint.revision);
+        newer.truncate(ENTRIES_LEN);
+        newer.iter().map(|s| s.endpoint.without_adapters()).collect()
+    }
+
     /// Changes what an endpoint holds, and the indexes with it.
     fn change_seats(
         &mut self,
--- a/crates/fleet/src/view/under_way.rs
+++ b/crates/fleet/src/view/under_way.rs
@@ -12,6 +12,25 @@
 /// no longer.
 const STATUS_LOSSES: u32 = 6;
 
+/// Endpoints in one note of sums at most: each takes some 20 bytes, and a relay
+/// passes a note on to nine others each 150 ms, over 10 Mbit/s at the least. All of
+/// 1,010 took a sixth of its link, all of 3,000 more than it has.
+const TOTALS_LEN: usize = 256;
+
+/// Of them, so many are told in turn: one that was missed is repaired after some
+/// seconds, since a note in a hundred may be lost.
+const IN_TURN: usize = 32;
+
+/// What the holder of the lease tells of all instances' work.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Totals {
+    /// The sums, by endpoint.
+    pub work: Vec<(EndpointId, Work)>,
+    /// Whether those of other endpoints are as they were told before; else these
+    /// have none.
+    pub is_part: bool,
+}
+
 /// The holder's sums, as they were heard last.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HeardTotals {
@@ -46,8 +65,10 @@
         if status.is_total {
             let until = now + holds;
             self.totals = Some(HeardTotals { at: now, pause, until });
-            for state in self.endpoints.values_mut() {
-                state.total_work = Some(Work::default());
+            if !status.is_part {
+                for state in self.endpoints.values_mut() {
+                    state.total_work = Some(Work::default());
+                }
             }
             for (id, total) in &status.work {
                 if let Some(state) = self.endpoints.get_mut(id) {
@@ -101,28 +122,66 @@
         }
     }
 
-    /// Returns what this instance has under way, or, at the holder of the
-    /// lease, what all have, without adapters; endpoints without work are left
+    /// Returns what this instance has under way; endpoints without work are left
     /// out. Notes what is told.
-    pub fn tell_work(&mut self, is_total: bool) -> Vec<(EndpointId, Work)> {
+    pub fn tell_work(&mut self) -> Vec<(EndpointId, Work)> {
         let mut told = Vec::new();
         for (id, state) in &mut self.endpoints {
             state.told_work = state.own_work.without_adapters();
-            let work = match is_total {
-                true => {
-                    let mut total = state.told_work.clone();
-                    total.add(&state.others_work.without_adapters());
-                    total
-                }
-                false => state.own_work.clone(),
-            };
-            if !work.is_empty() {
-                told.push((id.clone(), work));
+            if !state.own_work.is_empty() {
+                told.push((id.clone(), state.own_work.clone()));
             }
         }
         told
     }
 
+    /// Returns what all instances have under way, for the holder of the lease to
+    /// tell. Where that is more than fits a note, it is what has changed most since
+    /// it was told, and some of the others in turn, for whoever missed them.
+    pub fn tell_totals(&mut self) -> Totals {
+        let mut all = Vec::new();
+        for (id, state) in &mut self.endpoints {
+            state.told_work = state.own_work.without_adapters();
+            let mut total = state.told_work.clone();
+            total.add(&state.others_work.without_adapters());
+            let known = state.told_total.requests;
+            all.push((total.requests.abs_diff(known), id.clone(), total));
+        }
+        let busy = all.iter().filter(|(_, _, total)| !total.is_empty());
+        let is_part = busy.count() > TOTALS_LEN;
+        match is_part {
+            true => self.choose_totals(&mut all),
+            false => all.retain(|(_, _, total)| !total.is_empty()),
+        }
+        let work: Vec<(EndpointId, Work)> =
+            all.into_iter().map(|(_, id, total)| (id, total)).collect();
+        if !is_part {
+            for state in self.endpoints.values_mut() {
+                state.told_total = Work::default();
+            }
+        }
+        for (id, total) in &work {
+            if let Some(state) = self.endpoints.get_mut(id) {
+                state.told_total.clone_from(total);
+            }
+        }
+        Totals { work, is_part }
+    }
+
+    fn choose_totals(&mut self, all: &mut Vec<(u32, EndpointId, Work)>) {
+        let first = self.next_told % all.len().max(1);
+        self.next_told = first + IN_TURN;
+        let len = all.len();
+        let is_due = |idx: usize| (idx + len - first) % len < IN_TURN;
+        for (idx, (change, ..)) in all.iter_mut().enumerate() {
+            if is_due(idx) {
+                *change = u32::MAX;
+            }
+        }
+        all.sort_by(|a, b| b.0.cmp(&a.0));
+        all.truncate(TOTALS_LEN);
+    }
+
     fn count_peer(&mut self, load: &PeerLoad, count: fn(&mut Work, &Work)) {
         for (id, work) in &load.work {
             if let Some(state) = self.endpoints.get_mut(id) {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -121,6 +121,7 @@
         departures: Vec::new(),
         work,
         is_total: false,
+        is_part: false,
     }
 }
 
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -438,3 +438,27 @@
         loader.plan(&deployment(), &mut view, &mut demand, &mut times, now);
     assert_eq!(loads(&orders), [("e2", key(9))]);
 }
+
+/// Symptom: with 1,010 engines an adapter that was asked for waited 2 s. Cause: a
+/// look compared all engines for each adapter, and the next one came after eight
+/// times as long. Now each looks at some of the engines, other ones for each.
+#[test]
+fn adapters_find_places_among_a_thousand_engines() {
+    let now = Instant::now();
+    let ids: Vec<String> = (0..1_010).map(|n| format!("e{n:04}")).collect();
+    let engines: Vec<(&str, &[u32])> =
+        ids.iter().map(|id| (id.as_str(), &[][..])).collect();
+    let mut view = synced(&engines, now);
+    let mut demand = Demand::default();
+    for n in 1..=100 {
+        asked(&mut demand, n, 1, now);
+        demand.wait(&key(n), 1);
+    }
+    let orders = plan(&mut loader(1, now), &mut view, &mut demand, now);
+    let placed = loads(&orders);
+    assert_eq!(placed.len(), 100);
+    let mut used: Vec<&str> = placed.iter().map(|(id, _)| *id).collect();
+    used.sort_unstable();
+    used.dedup();
+    assert!(used.len() > 90, "{} engines", used.len());
+}
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -162,7 +162,7 @@
     if let Some(state) = view.get_mut(&"e1".to_owned()) {
         state.own_work = requests(2);
     }
-    let told = view.tell_work(false);
+    let told = view.tell_work();
     assert_eq!(told, [("e1".to_owned(), requests(2))]);
     let sums = Status { is_total: true, ..own_status("holder", 1, 9) };
     view.hear_status(sums, now);
@@ -190,7 +190,9 @@
     if let Some(state) = view.get_mut(&"e1".to_owned()) {
         state.own_work = requests(2);
     }
-    assert_eq!(view.tell_work(true), [("e1".to_owned(), requests(10))]);
+    let totals = view.tell_totals();
+    assert_eq!(totals.work, [("e1".to_owned(), requests(10))]);
+    assert!(!totals.is_part);
 }
 
 /// Many instances whose table shows the same must not all choose the same
@@ -464,3 +466,66 @@
     let choice = choose(&view, &key(1), taken + ready_in);
     assert_eq!(sent_to(&choice), Some("e1"));
 }
+
+/// Symptom: with 1,010 engines a note of the sums took a sixth of a relay's link,
+/// with 3,000 it would not fit a datagram. Cause: each note held all sums.
+#[test]
+fn sums_of_many_endpoints_are_told_in_parts_and_come_out_right() {
+    let now = Instant::now();
+    let ids: Vec<String> = (0..1_000).map(|n| format!("e{n:04}")).collect();
+    let mut holder = FleetView::new("z1");
+    let mut other = FleetView::new("z1");
+    for id in &ids {
+        holder.list(endpoint(id, "z1", &[]), now);
+        other.list(endpoint(id, "z1", &[]), now);
+    }
+    let work = |n: u32| -> Vec<(String, sedgewall_fleet::work::Work)> {
+        let loaded = ids.iter().enumerate().filter(|(at, _)| at % 3 != 0);
+        let of = |at: usize| requests((at as u32 + n) % 7);
+        loaded.map(|(at, id)| (id.clone(), of(at))).collect()
+    };
+    let mut sequence = 0;
+    let mut tell = |holder: &mut FleetView, other: &mut FleetView| {
+        let totals = holder.tell_totals();
+        assert!(totals.work.len() <= 256);
+        sequence += 1;
+        let note = Status {
+            sequence,
+            is_total: true,
+            is_part: totals.is_part,
+            ..status("holder", totals.work)
+        };
+        let is_heard = sequence % 10 != 0;
+        if is_heard {
+            other.hear_status(note, now);
+        }
+    };
+    for n in 0..5 {
+        let note = Status { sequence: n, ..status("peer", work(n as u32)) };
+        holder.hear_status(note, now);
+        tell(&mut holder, &mut other);
+    }
+    for _ in 0..40 {
+        tell(&mut holder, &mut other);
+    }
+    for id in &ids {
+        let (told, known) = (other.get(id), holder.get(id));
+        let in_flight =
+            |s: &sedgewall_fleet::endpoint_state::EndpointState| s.in_flight();
+        assert_eq!(told.map(in_flight), known.map(in_flight), "{id}");
+    }
+}
+
+#[test]
+fn entries_that_the_holder_lacks_fit_a_note() {
+    let now = Instant::now();
+    let mut view = FleetView::new("z1");
+    for n in 1..=1_000 {
+        let entry = endpoint(&format!("e{n}"), "z1", &[1, 2]);
+        view.list(Endpoint { revision: n, ..entry }, now);
+    }
+    let newer = view.entries_since(400);
+    assert_eq!(newer.first().map(|e| e.revision), Some(401));
+    assert_eq!(newer.len(), 256);
+    assert!(view.entries_since(view.newest_revision()).is_empty());
+}
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -171,6 +171,7 @@
         from: node.id().clone(),
         number,
         write: renewal.clone(),
+        known_revision: node.view.borrow().newest_revision(),
     };
     node.letters.borrow_mut().push((peer.clone(), Note::RenewForMe(request)));
     node.ring_notes();
@@ -186,7 +187,7 @@
     sender: &NoteSender,
     request: RenewalRequest,
 ) {
-    let RenewalRequest { from, number, write } = request;
+    let RenewalRequest { from, number, write, known_revision } = request;
     let answer = self::write(node, &write).await;
     tracing::info!(
         event = "lease_renewed_for",
@@ -196,12 +197,11 @@
         answer = ?answer,
     );
     let view = node.view.borrow();
-    let entries = view.endpoints().map(|s| s.endpoint.without_adapters());
     let versions = view.named_versions();
     let answer = RenewalAnswer {
         number,
         answer,
-        endpoints: entries.collect(),
+        endpoints: view.entries_since(known_revision),
         versions: versions.map(|(key, v)| (key.clone(), v)).collect(),
     };
     sender.send_to_peer(node, &from, &Note::Renewed(answer));
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -15,6 +15,7 @@
     load_times::Arrival,
     note::{Arrived, Asked, Lead, Note, Status},
     note_schedule::{NoteSchedule, Pending, Role, Surroundings},
+    view::Totals,
 };
 
 use sedgewall_state::id::EndpointId;
@@ -413,7 +414,13 @@
     });
     let is_total = around.is_many() && leads.is_some();
     node.has_untold_work.set(false);
-    let work = node.view.borrow_mut().tell_work(is_total);
+    let Totals { work, is_part } = match is_total {
+        true => node.view.borrow_mut().tell_totals(),
+        false => {
+            let work = node.view.borrow_mut().tell_work();
+            Totals { work, is_part: false }
+        }
+    };
     let versions = node.view.borrow().versions_named();
     let shares = node.shares.borrow();
     let asked_by_customers = match is_total {
@@ -433,6 +440,7 @@
         departures: node.view.borrow().departures(now),
         work,
         is_total,
+        is_part,
     }
 }
 
