--- a/crates/fleet/src/view/under_way.rs
+++ b/crates/fleet/src/view/under_way.rs
@@ -1,7 +1,10 @@
 //! What is under way at each endpoint: our own requests exactly, those of the
 //! others as they say themselves, or as the holder of the lease sums them up.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use sedgewall_state::id::{EndpointId, InstanceId};
 
@@ -178,7 +181,7 @@
                 *change = u32::MAX;
             }
         }
-        all.sort_by(|a, b| b.0.cmp(&a.0));
+        all.sort_by_key(|(change, ..)| Reverse(*change));
         all.truncate(TOTALS_LEN);
     }
 
--- a/crates/fleet/tests/load_times_rules.rs
+++ b/crates/fleet/tests/load_times_rules.rs
@@ -144,23 +144,24 @@
     }
 }
 
-/// A case that the property above found with a random seed: in spells of two and a
-/// half times the usual rate 26 in 100 requests come too early, since 250 loads are
-/// on their way where 170 come at full speed, and the number believed is next to
-/// the right one.
+/// Cases that the property above found with random seeds: 26 and 74 in 100 requests
+/// come too early. In spells of two and a half times the usual rate more loads are
+/// on their way than come at full speed.
 #[test]
-fn a_store_of_170_loads_at_once_is_found() {
-    let store = WeightStore {
-        full_speed_ms: 588.735_526_179_556_6,
-        at_once: 170.363_930_309_059_9,
-        on_way: HashMap::new(),
-    };
-    let per_s =
-        (0.5 * store.at_once / store.full_speed_ms * 1_000.0).min(150.0);
-    let settle_s = 30 + (store.full_speed_ms / 50.0) as u32;
-    let outcome = play(store, per_s, 2.5, (settle_s, settle_s + 30), 2);
-    let early = f64::from(outcome.early) / f64::from(outcome.loads);
-    assert!(early < 0.2, "early {early}");
+fn stores_that_random_seeds_showed_are_found() {
+    for (full_speed_ms, at_once, seed) in [
+        (588.735_526_179_556_6, 170.363_930_309_059_9, 2),
+        (1_298.529_359_786_046_8, 125.607_654_586_148_53, 388),
+    ] {
+        let store =
+            WeightStore { full_speed_ms, at_once, on_way: HashMap::new() };
+        let per_s = (0.5 * at_once / full_speed_ms * 1_000.0).min(150.0);
+        let settle_s = 30 + (full_speed_ms / 50.0) as u32;
+        let total = (settle_s, settle_s + 30);
+        let outcome = play(store, per_s, 2.5, total, seed);
+        let early = f64::from(outcome.early) / f64::from(outcome.loads);
+        assert!(early < 0.2, "{full_speed_ms} ms: early {early}");
+    }
 }
 
 /// Symptom: of 3,032 sends on a deployment whose store brings 8 adapters at full
