A look at demand does not count the base model's holders for each engine

Cause, by perf: the share of demand that an engine stands for was summed over all that it holds, the base model included, whose holders are all engines: engines times engines for each look, and engines for each order.

--- a/crates/fleet/src/loader/homes.rs
+++ b/crates/fleet/src/loader/homes.rs
@@ -126,7 +126,10 @@
     }
 
     fn room(&self, state: &EndpointState) -> EngineRoom {
-        let shares = state.seats().map(|(key, _)| {
+        // The base model is on all engines, and its share the same on each; to
+        // count its holders for each took 0.34 ms an order among 1,010 engines.
+        let adapters = state.seats().filter(|(key, _)| key.adapter.is_some());
+        let shares = adapters.map(|(key, _)| {
             self.rate(key) / self.holders(key).count().max(1) as f64
         });
         let models = state.endpoint.models.iter();
