A holder that takes its way to the store for cut renews through several at once

Cause: a holder among 79 instances of which 28 were cut off asked two of them, one by one, 0.4 s, and then its own way: its lease lapsed at 3.2 s and nobody gave orders until 5.6 s. Change: three are asked at once, the first clear answer counts, twice; and its own way beside it. The write is bound to a revision, so it is done once.

--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -6,9 +6,14 @@
 //! the store sends the renewal. The update is conditional, so it does not matter
 //! who sends it, nor how often.
 
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use futures_channel::oneshot;
+use futures_util::future::{self, Either};
+use rand::seq::SliceRandom;
 use sedgewall_coordination::lease::{
     LeaseRecord, LeaseWrite, StoredLease, WriteAnswer,
 };
@@ -33,9 +38,12 @@
 /// to the store, 10 ms where both work.
 const PEER_TIME: Duration = Duration::from_millis(200);
 
-/// Instances that are asked for one renewal, one after the other. Three may be
-/// cut off at once; who is cut off says so within a second.
-const PEERS_ASKED: usize = 2;
+/// Instances that are asked for one renewal at once. Of 79 of which 28 were cut off
+/// without a word, one of three answers in 95 of 100 rounds.
+const PEERS_ASKED: usize = 3;
+
+/// Rounds of asking others, which the lease leaves time for.
+const ROUNDS: usize = 2;
 
 /// Reads the record.
 pub(super) async fn read(
@@ -100,24 +108,30 @@
     Peer,
 }
 
-/// Renews or releases the lease: our own way first, unless that is known to be
-/// cut, and then through others that reach the store.
+/// Renews or releases the lease: our own way first, and through others that reach
+/// the store; both at once while our own way is taken to be cut. The write is the
+/// same and bound to a revision, so it is done once however many send it.
 pub(super) async fn renew(
     node: &FleetNode,
     renewal: &LeaseWrite,
 ) -> (WriteAnswer, Way) {
-    let is_cut = node.store_contact.borrow().is_out();
-    if !is_cut {
+    if !node.store_contact.borrow().is_out() {
         let answer = renew_own_way(node, renewal).await;
         if answer != WriteAnswer::Unclear {
             return (answer, Way::Own);
         }
+        return (renew_through_peers(node, renewal).await, Way::Peer);
     }
-    let answer = renew_through_peers(node, renewal).await;
-    if answer != WriteAnswer::Unclear || !is_cut {
-        return (answer, Way::Peer);
+    let own = pin!(renew_own_way(node, renewal));
+    let peers = pin!(renew_through_peers(node, renewal));
+    match future::select(own, peers).await {
+        Either::Left((WriteAnswer::Unclear, peers)) => {
+            (peers.await, Way::Peer)
+        }
+        Either::Right((WriteAnswer::Unclear, own)) => (own.await, Way::Own),
+        Either::Left((answer, _)) => (answer, Way::Own),
+        Either::Right((answer, _)) => (answer, Way::Peer),
     }
-    (renew_own_way(node, renewal).await, Way::Own)
 }
 
 async fn renew_own_way(node: &FleetNode, renewal: &LeaseWrite) -> WriteAnswer {
@@ -140,15 +154,12 @@
     let now = Instant::now();
     let mut peers: Vec<InstanceId> =
         node.last_words.borrow().reaching_store(now).cloned().collect();
-    for _ in 0..PEERS_ASKED {
-        if peers.is_empty() {
-            break;
-        }
-        let peer = peers.swap_remove(rand::random_range(0..peers.len()));
-        let answer = renew_through(node, &peer, renewal).await;
+    peers.shuffle(&mut rand::rng());
+    for asked in peers.chunks(PEERS_ASKED).take(ROUNDS) {
+        let answer = renew_through(node, asked, renewal).await;
         tracing::info!(
             event = "lease_renewed_through",
-            peer,
+            peers = asked.join(","),
             renewal = renewal.record.renewal,
             answer = ?answer,
         );
@@ -159,9 +170,12 @@
     WriteAnswer::Unclear
 }
 
+/// Asks several at once; the first clear answer counts. Half of the others may be
+/// cut off without our knowing: one by one, two in a row took 0.4 s of the 0.85 s
+/// that the lease leaves, and orders stood still for 3 s.
 async fn renew_through(
     node: &FleetNode,
-    peer: &InstanceId,
+    peers: &[InstanceId],
     renewal: &LeaseWrite,
 ) -> WriteAnswer {
     let number = rand::random();
@@ -173,7 +187,10 @@
         write: renewal.clone(),
         known_revision: node.view.borrow().newest_revision(),
     };
-    node.letters.borrow_mut().push((peer.clone(), Note::RenewForMe(request)));
+    for peer in peers {
+        let note = Note::RenewForMe(request.clone());
+        node.letters.borrow_mut().push((peer.clone(), note));
+    }
     node.ring_notes();
     match compio::time::timeout(PEER_TIME, rx).await {
         Ok(Ok(answer)) => answer,
@@ -221,6 +238,10 @@
     }
     drop(view);
     node.ring_loader();
+    if heard.answer == WriteAnswer::Unclear {
+        // Another one that was asked may know more.
+        return;
+    }
     let mut waiting = node.renewal.borrow_mut();
     if waiting.as_ref().is_some_and(|(number, _)| *number == heard.number)
         && let Some((_, tx)) = waiting.take()
