A refusal for an allowance says whose it is and what decided it

Cause: refused lines named neither the customer nor the inputs, and served lines no customer, so that nothing could be said of what each got of its allowance.

--- a/crates/fleet/src/allowance.rs
+++ b/crates/fleet/src/allowance.rs
@@ -49,6 +49,21 @@
     pub per_s: f64,
 }
 
+/// Why units are not given, and what that was decided by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Denied {
+    /// When some are there again.
+    pub back_in: Duration,
+    /// What may be taken; below zero, what has to come back first.
+    pub balance: f64,
+    /// This instance's part of the allowance.
+    pub part: f64,
+    /// What the customer asks of all instances, in units a second, if it is known.
+    pub total_per_s: Option<f64>,
+    /// How old the sum of the holder of the lease is, if it was heard.
+    pub total_age: Option<Duration>,
+}
+
 /// One instance's part of all allowances.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
@@ -61,6 +76,7 @@
 #[derive(Clone, Debug)]
 struct Heard {
     asked: Vec<Asked>,
+    at: Instant,
     until: Instant,
 }
 
@@ -81,14 +97,14 @@
     ///
     /// # Errors
     ///
-    /// The time until then.
+    /// The time until then, with what that was decided by.
     pub fn take(
         &mut self,
         customer: &Customer,
         units: f64,
         instances: usize,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Denied> {
         let Some(allowance) = customer.allowance else { return Ok(()) };
         let bucket = self.buckets.entry(customer.name.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(now));
@@ -116,7 +132,15 @@
             return Ok(());
         }
         let missing_s = -bucket.balance / rate(allowance, part).max(1e-9);
-        Err(Duration::from_secs_f64(missing_s.clamp(0.0, LARGEST_DEBT_S)))
+        let missing_s = missing_s.clamp(0.0, LARGEST_DEBT_S);
+        let heard = self.totals.as_ref();
+        Err(Denied {
+            back_in: Duration::from_secs_f64(missing_s),
+            balance: bucket.balance,
+            part,
+            total_per_s,
+            total_age: heard.map(|h| now.saturating_duration_since(h.at)),
+        })
     }
 
     /// Gives back what a request took that did not run.
@@ -148,20 +172,26 @@
             .collect()
     }
 
-    /// Takes in what customers ask of another instance, which counts until a
-    /// moment.
+    /// Takes in what customers ask of another instance, which was heard at a moment
+    /// and counts until another.
     pub fn hear(
         &mut self,
         from: &InstanceId,
         asked: Vec<Asked>,
+        at: Instant,
         until: Instant,
     ) {
-        self.peers.insert(from.clone(), Heard { asked, until });
+        self.peers.insert(from.clone(), Heard { asked, at, until });
     }
 
     /// Takes in what customers ask of all instances.
-    pub fn hear_totals(&mut self, asked: Vec<Asked>, until: Instant) {
-        self.totals = Some(Heard { asked, until });
+    pub fn hear_totals(
+        &mut self,
+        asked: Vec<Asked>,
+        at: Instant,
+        until: Instant,
+    ) {
+        self.totals = Some(Heard { asked, at, until });
     }
 
     /// Forgets instances that are silent, and customers that ask for nothing.
--- a/crates/fleet/tests/allowance_rules.rs
+++ b/crates/fleet/tests/allowance_rules.rs
@@ -66,7 +66,8 @@
                 shares.forget(now);
                 for (from, asked) in said.iter().enumerate() {
                     if from != n && !is_cut(n) && !is_cut(from) {
-                        shares.hear(&format!("i{from}"), asked.clone(), until);
+                        let from = format!("i{from}");
+                        shares.hear(&from, asked.clone(), now, until);
                     }
                 }
             }
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -89,15 +89,30 @@
     reason: Reason,
     request_id: String,
     path: String,
+    customer: Option<Rc<Customer>>,
 }
 
 fn refuse_unread(refused: Unread, arrived: Instant) -> Response<LocalBody> {
+    let denied = match refused.reason {
+        Reason::OverAllowance(denied) => Some(denied),
+        _ => None,
+    };
+    let customer = refused.customer.as_ref();
+    let allowance = customer.and_then(|c| c.allowance);
+    let ms = |time: Duration| time.as_millis() as u64;
     tracing::info!(
         event = "refused",
         request = refused.request_id,
         path = refused.path,
+        customer = customer.map(|c| c.name.as_str()),
         reason = refused.reason.name(),
-        held_ms = arrived.elapsed().as_millis() as u64,
+        held_ms = ms(arrived.elapsed()),
+        allowed_per_s = denied.and(allowance).map(|a| a.per_s),
+        balance = denied.map(|denied| denied.balance.round()),
+        part = denied.map(|denied| denied.part),
+        total_per_s = denied.and_then(|denied| denied.total_per_s),
+        total_age_ms = denied.and_then(|d| d.total_age).map(ms),
+        back_in_ms = denied.map(|denied| ms(denied.back_in)),
     );
     let draw = draw_of(&refused.request_id);
     let after = come_back(PATIENCE_UNSTATED, None, draw);
@@ -118,6 +133,7 @@
         reason,
         request_id: request_id.clone(),
         path: path.clone(),
+        customer: None,
     };
     let deployment =
         node.deployment().ok_or_else(|| refuse(Reason::NoConfiguration))?;
@@ -132,7 +148,10 @@
         admit_key(node, &deployment, &route, credential).map_err(&refuse)?;
     let tokens = facts.prompt_tokens + facts.answer_tokens;
     if let Some(customer) = &customer {
-        take_allowance(node, customer, tokens).map_err(&refuse)?;
+        take_allowance(node, customer, tokens).map_err(|reason| Unread {
+            customer: Some(customer.clone()),
+            ..refuse(reason)
+        })?;
     }
     let most = deployment.limits.body_bytes;
     let body = read_body(body, most, BODY_TIME).await.map_err(|err| {
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -219,8 +219,8 @@
     let asked = status.asked_by_customers.clone();
     let mut shares = node.shares.borrow_mut();
     match status.is_total {
-        true => shares.hear_totals(asked, until),
-        false => shares.hear(&status.from, asked, until),
+        true => shares.hear_totals(asked, now, until),
+        false => shares.hear(&status.from, asked, now, until),
     }
 }
 
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode, header};
+use sedgewall_fleet::allowance::Denied;
 use sedgewall_protocol::{Problem, RunState};
 use sedgewall_transport::LocalBody;
 
@@ -12,7 +13,7 @@
 const SOON: Duration = Duration::from_millis(100);
 
 /// Why a request gets an answer of our own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Reason {
     /// No configuration is known yet.
     NoConfiguration,
@@ -26,9 +27,8 @@
     UnknownKey,
     /// This instance cannot know whether the key was taken away.
     KeysUnsure,
-    /// Its customer has used what all instances may take of it; some is there
-    /// again after this time.
-    OverAllowance(Duration),
+    /// Its customer has used what all instances may take of it.
+    OverAllowance(Denied),
     /// The body is longer than the configuration allows.
     BodyTooLong,
     /// The body did not come in time, or broke off.
@@ -108,7 +108,7 @@
             | Reason::Full
             | Reason::NobodyThere
             | Reason::RetriesSpent => Some(most),
-            Reason::OverAllowance(back_in) => Some(most.min(back_in)),
+            Reason::OverAllowance(denied) => Some(most.min(denied.back_in)),
             // Another instance may know.
             Reason::TooLate | Reason::KeysUnsure => Some(most.min(SOON)),
             _ => None,
