--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -4,7 +4,6 @@
 
 use sedgewall_state::id::{AdapterName, ModelName};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// The version of weights; it only rises.
 pub type WeightVersion = u64;
@@ -31,12 +30,6 @@
         let adapter = Some(adapter.to_owned());
         AdapterKey { model: model.to_owned(), adapter }
     }
-
-    /// Returns a number that differs from one key to another.
-    pub fn draw(&self) -> u64 {
-        let adapter = self.adapter.as_deref().unwrap_or_default();
-        xxh3_64_with_seed(adapter.as_bytes(), xxh3_64(self.model.as_bytes()))
-    }
 }
 
 impl fmt::Display for AdapterKey {
--- a/crates/fleet/src/loader/homes.rs
+++ b/crates/fleet/src/loader/homes.rs
@@ -21,13 +21,6 @@
 /// may be on its way to it that nobody has told of yet.
 const IN_USE_FOR: Duration = Duration::from_millis(300);
 
-/// Engines that are looked at for one adapter, where there are more: the cheapest of
-/// so many is in the cheapest hundredth, and a look stays short. All of 1,010
-/// engines for each of 470 adapters that were waited for took 0.25 s a look on half
-/// a processor, so that the next look came 2 s later and a fifth of all requests
-/// was refused.
-const CONSIDERED: usize = 128;
-
 /// The engine that an adapter goes to.
 pub(super) struct Home {
     pub(super) endpoint: EndpointId,
@@ -71,9 +64,8 @@
         let holds: Vec<&EndpointId> =
             self.view.holders(key).map(EndpointState::id).collect();
         let warm = self.view.warm(key);
-        let considered = considered(engines, warm, key);
         let candidates = || {
-            considered.iter().copied().filter(|engine| {
+            engines.iter().filter(|engine| {
                 !engine.is_full
                     && (holds.is_empty() || engine.backlog < BUSY_BACKLOG)
                     && engine.models.contains(&key.model)
@@ -127,7 +119,8 @@
 
     fn room(&self, state: &EndpointState) -> EngineRoom {
         // The base model is on all engines, and its share the same on each; to
-        // count its holders for each took 0.34 ms an order among 1,010 engines.
+        // count its holders for each took 0.34 ms an order among 1,010 engines, and the
+        // next look came 2 s later.
         let adapters = state.seats().filter(|(key, _)| key.adapter.is_some());
         let shares = adapters.map(|(key, _)| {
             self.rate(key) / self.holders(key).count().max(1) as f64
@@ -203,26 +196,3 @@
         self.now - demand.last_asked < IN_USE_FOR
     }
 }
-
-/// Returns the engines that are looked at for an adapter: those that have it at
-/// hand, and as many of the others as one look allows, other ones for each adapter.
-fn considered<'a>(
-    engines: &'a [EngineRoom],
-    warm: &[EndpointId],
-    key: &AdapterKey,
-) -> Vec<&'a EngineRoom> {
-    if engines.len() <= CONSIDERED {
-        return engines.iter().collect();
-    }
-    let mut considered: Vec<&EngineRoom> = match warm.is_empty() {
-        true => Vec::new(),
-        false => {
-            let is_warm = |e: &&EngineRoom| warm.contains(&e.endpoint);
-            engines.iter().filter(is_warm).collect()
-        }
-    };
-    let first = key.draw() as usize % engines.len();
-    let others = engines.iter().cycle().skip(first).take(CONSIDERED);
-    considered.extend(others.filter(|e| !warm.contains(&e.endpoint)));
-    considered
-}
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -440,8 +440,8 @@
 }
 
 /// Symptom: with 1,010 engines an adapter that was asked for waited 2 s. Cause: a
-/// look compared all engines for each adapter, and the next one came after eight
-/// times as long. Now each looks at some of the engines, other ones for each.
+/// look counted the base model's holders for each engine and each order, and the
+/// next one came after eight times as long.
 #[test]
 fn adapters_find_places_among_a_thousand_engines() {
     let now = Instant::now();
