Loads that join are counted in what a load takes; a larger number is believed where answers look alike

A load was predicted from the number on its way when it began, though those that begin after it slow it down as well. And batches that are all as large as what may begin look alike by the clock of the right number of loads at full speed and by that of a smaller one with a shorter time; the smaller one was believed for good (87 where 168 come, 1,876 adapters waiting). Ruled out: the observation itself (times are found within a class), the length of what is remembered (6 s for loads of 3 s), preferring the largest number that fits (48 in 100 too early at a store of 72 in bursts of four times). Change: joins of the last half of a load's time count, never shorter than with the number as it is; where the next larger number is contradicted as little, it is believed.

--- a/crates/fleet/src/load_times.rs
+++ b/crates/fleet/src/load_times.rs
@@ -62,6 +62,17 @@
 /// shorter is seen, and at most one in so many requests is sent too early for it.
 const TRIED_SOONER: u64 = 64;
 
+/// Parts into which the time of a load is cut to predict it, each with its own number
+/// of loads on the way.
+const PARTS: u32 = 16;
+
+/// Loads that join are counted over this part of the time of one load, so that a burst
+/// shows while it lasts.
+const COUNTED_PART: f64 = 0.5;
+
+/// They are counted over this time at least: a rate over less is one of chance.
+const LEAST_COUNTED: Duration = Duration::from_millis(250);
+
 /// The weight of the first guess, in answers.
 const FIRST_WEIGHT: f64 = 3.0;
 
@@ -81,6 +92,8 @@
     candidates: Vec<Candidate>,
     believed: usize,
     loads: HashMap<(EndpointId, AdapterKey), Load>,
+    /// When loads began lately.
+    begins: VecDeque<Instant>,
     answers: u64,
     predicted: u64,
 }
@@ -135,6 +148,7 @@
             candidates,
             believed,
             loads: HashMap::new(),
+            begins: VecDeque::new(),
             answers: 0,
             predicted: 0,
         }
@@ -151,6 +165,7 @@
     ) {
         let load = Load { began: now, missing: None };
         self.loads.insert((endpoint.clone(), key.clone()), load);
+        self.begins.push_back(now);
         for candidate in &mut self.candidates {
             candidate.advance(now);
             candidate.begin();
@@ -210,21 +225,36 @@
     pub fn cold(&mut self, now: Instant) -> Duration {
         self.predicted += 1;
         let is_tried_sooner = self.predicted.is_multiple_of(TRIED_SOONER);
+        let sooner = if is_tried_sooner { CLASS_RATIO.powi(3) } else { 1.0 };
+        let joins_per_ms = self.joins_per_ms(now);
+        let most = self.most_on_way(0.0);
         let candidate = &mut self.candidates[self.believed];
         candidate.advance(now);
-        let ahead = candidate.on_way.len() as f64 + 1.0;
-        let stretch = (ahead / candidate.at_once).max(1.0);
-        let sooner = if is_tried_sooner { CLASS_RATIO.powi(3) } else { 1.0 };
-        millis(candidate.full_speed_ms * stretch / sooner)
+        millis(candidate.time_ms(joins_per_ms, most) / sooner)
+    }
+
+    /// Returns how many loads began lately, a millisecond.
+    fn joins_per_ms(&self, now: Instant) -> f64 {
+        let window = self.pace().full_speed.mul_f64(COUNTED_PART);
+        let window = window.max(LEAST_COUNTED);
+        let since = self.begins.iter().rev();
+        let joined = since.take_while(|at| now - **at < window).count();
+        joined as f64 / (window.as_secs_f64() * 1_000.0)
+    }
+
+    /// Returns how many loads may be on their way, from a weight store whose rate for
+    /// base models is this.
+    fn most_on_way(&self, rate_per_s: f64) -> f64 {
+        let idx =
+            (self.believed + STEPS_BEYOND).min(self.candidates.len() - 1);
+        self.candidates[idx].at_once.max(rate_per_s * ALWAYS_S)
     }
 
     /// Returns whether one more load may begin, from a weight store whose rate for
     /// base models is this. With many more on their way than come at full speed,
     /// another one would only make all of them later.
     pub fn may_begin(&mut self, rate_per_s: f64, now: Instant) -> bool {
-        let idx =
-            (self.believed + STEPS_BEYOND).min(self.candidates.len() - 1);
-        let most = self.candidates[idx].at_once.max(rate_per_s * ALWAYS_S);
+        let most = self.most_on_way(rate_per_s);
         (self.on_way(now) as f64) < most
     }
 
@@ -257,11 +287,19 @@
     /// Forgets old loads. Call it about once a second.
     pub fn forget(&mut self, now: Instant) {
         self.loads.retain(|_, load| now - load.began < REMEMBERED_FOR);
+        self.begins.retain(|at| now - *at < REMEMBERED_FOR);
         for candidate in &mut self.candidates {
             candidate.forget(now);
         }
     }
 
+    /// Believes the number that the answers contradict least, and the next larger one
+    /// where they tell no difference.
+    ///
+    /// Batches that are all as large as what may begin look alike by the clock of the
+    /// right number and by that of a smaller one with a shorter time. The smaller one
+    /// was believed for good then, and 26 to 86 in 100 requests came too early, at 31
+    /// of 200 simulated stores drawn at random; 20 in 100 or more come at one of them.
     fn choose(&mut self) {
         let contradicted: Vec<f64> =
             self.candidates.iter().map(Candidate::contradicted).collect();
@@ -271,8 +309,13 @@
                 best = idx;
             }
         }
-        if contradicted[best] + BETTER_BY < contradicted[self.believed] {
+        let believed = contradicted[self.believed];
+        let next = self.believed + 1;
+        let is_alike = |next: &f64| *next <= believed + EQUAL;
+        if contradicted[best] + BETTER_BY < believed {
             self.believed = best;
+        } else if contradicted.get(next).is_some_and(is_alike) {
+            self.believed = next;
         }
     }
 }
@@ -325,6 +368,33 @@
         self.on_way.push_back(clock);
     }
 
+    /// Returns what a load takes that begins now, while others join at a rate up to
+    /// a number on their way.
+    ///
+    /// Those that join while it is on its way slow it down as those before it do, and
+    /// outlast it. With those before it alone, 26 in 100 requests came too early in
+    /// bursts at a simulated store of 170 loads at full speed; 16 with them.
+    /// It is not taken for shorter than with the number on the way as it is.
+    fn time_ms(&self, joins_per_ms: f64, most: f64) -> f64 {
+        let clock = self.clock.back().map_or(0.0, |(_, clock)| *clock);
+        let part_ms = self.full_speed_ms / f64::from(PARTS);
+        let mut before = self.on_way.len();
+        let mut joined = 0.0;
+        let mut takes_ms = 0.0;
+        for part in 0..PARTS {
+            let served = clock + part_ms * f64::from(part);
+            let is_done = |began: &f64| began + self.full_speed_ms <= served;
+            let done = self.on_way.iter().take_while(|b| is_done(b)).count();
+            before = before.min(self.on_way.len() - done);
+            let on_way = (before as f64 + joined).min(most) + 1.0;
+            let takes = part_ms * (on_way / self.at_once).max(1.0);
+            joined += joins_per_ms * takes;
+            takes_ms += takes;
+        }
+        let unchanged = (self.on_way.len() as f64 + 1.0) / self.at_once;
+        takes_ms.max(self.full_speed_ms * unchanged)
+    }
+
     /// Returns where the clock stood.
     fn at(&self, at: Instant) -> f64 {
         let idx = self.clock.partition_point(|(known, _)| *known <= at);
