--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sedgewall_fleet::{
     adapter::AdapterKey,
+    configuration::DecidedBy,
     customer::Customer,
     route::{Repetition, Route},
     view::Target,
@@ -35,6 +36,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: Route,
+    /// By which configuration it was routed.
+    pub(crate) decided_by: DecidedBy,
     pub(crate) service: String,
     pub(crate) is_engine: bool,
     pub(crate) arrived: Instant,
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -14,6 +14,7 @@
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use sedgewall_fleet::{
+    configuration::DecidedBy,
     customer::{Customer, KeyDigest},
     patience::{Held, Obstacle, come_back},
     route::{Deployment, Route},
@@ -90,6 +91,7 @@
     request_id: String,
     path: String,
     customer: Option<Rc<Customer>>,
+    decided_by: DecidedBy,
 }
 
 fn refuse_unread(refused: Unread, arrived: Instant) -> Response<LocalBody> {
@@ -106,6 +108,9 @@
         path = refused.path,
         customer = customer.map(|c| c.name.as_str()),
         reason = refused.reason.name(),
+        configuration = refused.decided_by.version,
+        configuration_read_ms_ago = refused.decided_by.read_ms_ago(),
+        newest_heard = refused.decided_by.newest_heard,
         held_ms = ms(arrived.elapsed()),
         allowed_per_s = denied.and(allowance).map(|a| a.per_s),
         balance = denied.map(|denied| denied.balance.round()),
@@ -129,11 +134,13 @@
     let path = head.uri.path().to_owned();
     let request_id =
         facts.as_ref().map_or(String::new(), |f| f.request_id.clone());
+    let decided_by = node.decides();
     let refuse = |reason| Unread {
         reason,
         request_id: request_id.clone(),
         path: path.clone(),
         customer: None,
+        decided_by,
     };
     let deployment =
         node.deployment().ok_or_else(|| refuse(Reason::NoConfiguration))?;
@@ -176,6 +183,7 @@
         headers: head.headers,
         body,
         route,
+        decided_by,
         service,
         is_engine,
         arrived,
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -76,6 +76,8 @@
     fn own_watch(&self) -> Option<(Freshness, Duration)> {
         None
     }
+    /// Takes in that the store answered a call that was sent at a moment.
+    fn was_read(&self, _sent: Instant) {}
     /// Takes in that all changes before a moment are known.
     fn confirm(&self, _until: Instant) {}
     /// Takes in all objects.
@@ -157,6 +159,7 @@
             revision,
         );
         self.follower.list(listing);
+        self.follower.was_read(sent);
         if freshness == Freshness::Newest {
             self.follower.confirm(sent);
         }
@@ -207,6 +210,7 @@
         for change in changes.changes {
             self.follower.change(change);
         }
+        self.follower.was_read(if is_whole { sent + wait } else { sent });
         if freshness == Freshness::Newest {
             self.follower.confirm(if is_whole { sent + wait } else { sent });
         }
@@ -232,13 +236,6 @@
     async fn failed(&mut self, sent: Instant, err: &StoreError) {
         self.node.store_failed(sent, err);
         let cause = err.to_string();
-        tracing::info!(
-            event = "store_call_failed",
-            kind = F::KIND,
-            is_list = self.since.is_none(),
-            sent_ms_ago = sent.elapsed().as_millis() as u64,
-            cause,
-        );
         if !std::mem::replace(&mut self.is_out, true) {
             tracing::warn!(event = "store_lost", kind = F::KIND, cause);
             if !F::TRIES_FIRST {
@@ -248,7 +245,7 @@
         }
         // A watch answers only once something changes; a list tells at once
         // that the store is regained, and what was missed.
-        self.since = None;
+        let is_list = self.since.take().is_none();
         let is_fresh = rank_freshness(&self.node) == Freshness::Newest;
         let longest = match (is_fresh, F::TRIES_FIRST) {
             (true, _) => LONGEST_BACK_OFF,
@@ -260,6 +257,14 @@
             true => self.back_off,
             false => longest,
         };
+        tracing::info!(
+            event = "store_call_failed",
+            kind = F::KIND,
+            is_list,
+            sent_ms_ago = sent.elapsed().as_millis() as u64,
+            next_in_ms = pause.as_millis() as u64,
+            cause,
+        );
         self.wait_out(pause).await;
         self.back_off = (self.back_off * 2).min(longest);
     }
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -50,6 +50,12 @@
         Some((Freshness::Newest, wait))
     }
 
+    fn was_read(&self, sent: Instant) {
+        let mut seen = self.0.configuration_seen.get();
+        seen.read(sent);
+        self.0.configuration_seen.set(seen);
+    }
+
     fn confirm(&self, until: Instant) {
         if !self.0.is_configuration_unreadable.get() {
             self.0.keys.confirm(until);
@@ -86,7 +92,7 @@
             }
         };
         node.is_configuration_unreadable.set(false);
-        let known = node.deployment().map_or(0, |known| known.version);
+        let known = node.configuration_version().unwrap_or(0);
         if deployment.version <= known {
             return;
         }
--- a/crates/sedgewalld/src/fleet/keys.rs
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -144,7 +144,7 @@
         number,
         // Rounded up: what is said to be known must be.
         age_ms: age.as_millis() as u64 + 1,
-        configuration: node.deployment().map_or(0, |known| known.version),
+        configuration: node.configuration_version().unwrap_or(0),
     };
     sender.send_to_peer(node, from, &answer);
 }
@@ -157,7 +157,7 @@
     configuration: u64,
 ) {
     let now = Instant::now();
-    let known = node.deployment().map_or(0, |known| known.version);
+    let known = node.configuration_version().unwrap_or(0);
     if configuration > known {
         return read_anew(node, now);
     }
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -13,6 +13,7 @@
 use sedgewall_fleet::{
     adapter::AdapterKey,
     allowance::Shares,
+    configuration::{ConfigurationSeen, ConfigurationVersion, DecidedBy},
     demand::Demand,
     load_times::LoadTimes,
     note::{Lead, Note},
@@ -136,6 +137,8 @@
     /// When it was told to stop.
     pub(crate) leaving_since: Cell<Option<Instant>>,
     pub(crate) deployment: RefCell<Option<Rc<Deployment>>>,
+    /// How old that is, and which newer ones were heard of.
+    pub(crate) configuration_seen: Cell<ConfigurationSeen>,
     pub(crate) view: RefCell<FleetView>,
     pub(crate) demand: RefCell<Demand>,
     /// What was seen of loads from the weight store, while we had the lease.
@@ -230,6 +233,7 @@
             stage: Cell::new(Stage::Starting),
             leaving_since: Cell::new(None),
             deployment: RefCell::default(),
+            configuration_seen: Cell::default(),
             view: RefCell::new(view),
             demand: RefCell::default(),
             load_times: RefCell::default(),
@@ -283,6 +287,19 @@
         self.deployment.borrow().clone()
     }
 
+    /// Returns the version of the configuration in force.
+    pub(crate) fn configuration_version(
+        &self,
+    ) -> Option<ConfigurationVersion> {
+        self.deployment.borrow().as_ref().map(|known| known.version)
+    }
+
+    /// Returns by which configuration a request is decided that comes now.
+    pub(crate) fn decides(&self) -> DecidedBy {
+        let version = self.configuration_version();
+        self.configuration_seen.get().decides(version, Instant::now())
+    }
+
     /// Returns whether requests need keys.
     pub(crate) fn has_customers(&self) -> bool {
         self.deployment().is_some_and(|d| !d.customers.is_empty())
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -159,7 +159,10 @@
 /// Lists anew what another instance knows in a newer version for a while: a
 /// watch of ours may be on a channel that says nothing further.
 fn hear_newer(node: &FleetNode, status: &Status, now: Instant) {
-    let known = node.deployment().map_or(0, |known| known.version);
+    let mut seen = node.configuration_seen.get();
+    seen.hear(status.configuration);
+    node.configuration_seen.set(seen);
+    let known = node.configuration_version().unwrap_or(0);
     let is_configuration = status.configuration > known;
     let is_version = status.versions > node.view.borrow().versions_named();
     if !is_configuration && !is_version {
@@ -173,7 +176,14 @@
         node.behind_since.set(Some(since));
     } else {
         node.behind_since.set(Some(now));
-        tracing::info!(event = "behind", is_configuration, is_version);
+        tracing::info!(
+            event = "behind",
+            is_configuration,
+            is_version,
+            configuration = known,
+            newest_heard = status.configuration,
+            from = status.from,
+        );
         if is_configuration {
             node.is_configuration_behind.set(true);
             node.configuration_bell.ring();
@@ -435,7 +445,7 @@
         sequence,
         next_in_ms: around.status_pause().as_millis() as u64,
         leads,
-        configuration: node.deployment().map_or(0, |known| known.version),
+        configuration: node.configuration_version().unwrap_or(0),
         versions,
         store_is_out: node.store_contact.borrow().is_out(),
         is_leaving: node.stage.get() == Stage::Leaving,
