Pauses after failed calls stand apart from I/O

No change of a figure: the four pauses of the followers move from the loop that calls the store into a type without I/O, so that a test can ask how late a path is used that is whole again.

--- /dev/null
+++ b/crates/fleet/src/back_off.rs
@@ -0,0 +1,70 @@
+//! The pauses between calls to the platform's store while it does not answer.
+//!
+//! It does no I/O and reads no clock.
+
+use std::time::Duration;
+
+/// The first pause after a failed call; it doubles.
+const FIRST: Duration = Duration::from_millis(150);
+
+/// The longest pause of an instance that watches for the others.
+const LONGEST_OF_WATCHERS: Duration = Duration::from_millis(1_200);
+
+/// The longest pause of any other instance, for what it tries first.
+const LONGEST: Duration = Duration::from_millis(2_500);
+
+/// The longest pause for all else: once the first call reaches the store again, it
+/// rings for all.
+const UNTIL_RUNG: Duration = Duration::from_secs(12);
+
+/// What an instance's calls of one kind are for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Calls {
+    /// They bring what this instance tells the others.
+    Watcher,
+    /// They are the first that an instance tries.
+    First,
+    /// Others of the same instance ring for them.
+    Rung,
+}
+
+impl Calls {
+    fn longest_pause(self) -> Duration {
+        match self {
+            Calls::Watcher => LONGEST_OF_WATCHERS,
+            Calls::First => LONGEST,
+            Calls::Rung => UNTIL_RUNG,
+        }
+    }
+}
+
+/// The pauses after failed calls of one kind.
+#[derive(Clone, Copy, Debug)]
+pub struct BackOff {
+    next: Duration,
+}
+
+impl Default for BackOff {
+    fn default() -> BackOff {
+        BackOff { next: FIRST }
+    }
+}
+
+impl BackOff {
+    /// Returns how long to wait after another failed call. Where all calls fail,
+    /// those that are rung for wait for that.
+    pub fn failed(&mut self, calls: Calls, is_out: bool) -> Duration {
+        let longest = calls.longest_pause();
+        let pause = match calls {
+            Calls::Rung if is_out => longest,
+            _ => self.next,
+        };
+        self.next = (self.next * 2).min(longest);
+        pause
+    }
+
+    /// Takes in that a call was answered.
+    pub fn answered(&mut self) {
+        *self = BackOff::default();
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adapter;
 mod adapter_index;
 pub mod allowance;
+pub mod back_off;
 pub mod configuration;
 pub mod customer;
 pub mod demand;
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -10,6 +10,7 @@
 };
 
 use futures_util::{FutureExt, select};
+use sedgewall_fleet::back_off::{BackOff, Calls};
 use sedgewall_platform::{
     StoreError,
     config::{CONFIG_KIND, CONFIG_NAME},
@@ -36,20 +37,6 @@
 /// it is probed again after this long.
 const PROBE_AGAIN: Duration = Duration::from_millis(500);
 
-/// The first pause after a failed call; it doubles.
-pub(crate) const FIRST_BACK_OFF: Duration = Duration::from_millis(150);
-
-/// The longest pause after failed calls.
-pub(crate) const LONGEST_BACK_OFF: Duration = Duration::from_millis(1_200);
-
-/// The same for the kind that is tried first, at an instance that does not watch
-/// for the others.
-const OTHERS_BACK_OFF: Duration = Duration::from_millis(2_500);
-
-/// The same for all other kinds: once the first kind's calls reach the store
-/// again, all are rung for.
-const RUNG_BACK_OFF: Duration = Duration::from_secs(12);
-
 /// Takes in the objects of one kind.
 pub(crate) trait Follower {
     const KIND: &'static str;
@@ -103,7 +90,7 @@
     watch_freshness: Freshness,
     /// Whether the last call of this kind failed.
     is_out: bool,
-    back_off: Duration,
+    back_off: BackOff,
 }
 
 async fn follow<F: Follower>(node: Rc<FleetNode>, follower: F) {
@@ -114,7 +101,7 @@
         list_freshness: Some(F::FIRST_LIST),
         watch_freshness: Freshness::Newest,
         is_out: false,
-        back_off: FIRST_BACK_OFF,
+        back_off: BackOff::default(),
     };
     loop {
         following.go_on().await;
@@ -225,7 +212,7 @@
             tracing::info!(event = "store_regained", kind = F::KIND);
             self.node.list_others_anew(&bell);
         }
-        self.back_off = FIRST_BACK_OFF;
+        self.back_off.answered();
         let pause = self.follower.pause();
         let is_rung = !pause.is_zero() && bell.wait(pause).await;
         self.since = (!is_rung).then_some(revision);
@@ -246,17 +233,13 @@
         // A watch answers only once something changes; a list tells at once
         // that the store is regained, and what was missed.
         let is_list = self.since.take().is_none();
-        let is_fresh = rank_freshness(&self.node) == Freshness::Newest;
-        let longest = match (is_fresh, F::TRIES_FIRST) {
-            (true, _) => LONGEST_BACK_OFF,
-            (false, true) => OTHERS_BACK_OFF,
-            (false, false) => RUNG_BACK_OFF,
+        let calls = match rank_freshness(&self.node) {
+            Freshness::Newest => Calls::Watcher,
+            Freshness::SecondsOld if F::TRIES_FIRST => Calls::First,
+            Freshness::SecondsOld => Calls::Rung,
         };
         let is_out = self.node.store_contact.borrow().is_out();
-        let pause = match is_fresh || F::TRIES_FIRST || !is_out {
-            true => self.back_off,
-            false => longest,
-        };
+        let pause = self.back_off.failed(calls, is_out);
         tracing::info!(
             event = "store_call_failed",
             kind = F::KIND,
@@ -266,7 +249,6 @@
             cause,
         );
         self.wait_out(pause).await;
-        self.back_off = (self.back_off * 2).min(longest);
     }
 
     /// Waits for a time, or until another kind has reached the store. That
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use sedgewall_fleet::back_off::{BackOff, Calls};
 use sedgewall_platform::{
     StoreError,
     store::{Change, Listing, StoredObject},
@@ -15,7 +16,7 @@
 
 use super::{
     bell::Bell,
-    follow::{FIRST_BACK_OFF, Follower, LONGEST_BACK_OFF, QUIET_WATCH},
+    follow::{Follower, QUIET_WATCH},
     node::{FleetNode, Peer},
 };
 
@@ -123,12 +124,11 @@
     if node.own_entry.take().is_some_and(|known| known == spec) {
         return;
     }
-    let mut back_off = FIRST_BACK_OFF;
+    let mut back_off = BackOff::default();
     while let Err(err) = write_entry(&node, &spec).await {
         let cause = err.to_string();
         tracing::warn!(event = "announce_failed", cause);
-        compio::time::sleep(back_off).await;
-        back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+        compio::time::sleep(back_off.failed(Calls::Watcher, true)).await;
     }
 }
 
