--- /dev/null
+++ b/crates/fleet/tests/back_off_rules.rs
@@ -0,0 +1,56 @@
+//! How late a path to the store is used that is whole again.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use sedgewall_fleet::back_off::{BackOff, Calls};
+
+/// The longest time that a call waits for its answer.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+
+/// The shortest time within which a change must be in force, on the deployments
+/// that we know.
+const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// What a call takes that is answered.
+const CALL_TIME: Duration = Duration::from_millis(10);
+
+/// Returns how long after the path is whole again the first call is answered, if
+/// each call before it waits for an answer in vain, or is turned away at once.
+fn first_answer_after(
+    calls: Calls,
+    whole_at: Duration,
+    is_silent: bool,
+) -> Duration {
+    let mut back_off = BackOff::default();
+    let mut sent = Duration::ZERO;
+    while sent < whole_at {
+        let failed = match is_silent {
+            true => sent + ANSWER_TIME,
+            false => sent + CALL_TIME,
+        };
+        sent = failed + back_off.failed(calls, true);
+    }
+    sent + CALL_TIME - whole_at
+}
+
+proptest! {
+    /// An instance that had lost the store for 14 s read the configuration 3.6 s after its
+    /// path was whole again, and ran on one that was 15 s old until then. It had sent a
+    /// call just before the path was whole, waited 1.0 s for a connection, and then
+    /// paused for 2.5 s: longer than a change may take to be in force. The lines of that
+    /// instance, whose cut ended at 17.95 s: `store_call_failed` of `config` at 18.88 s
+    /// with `sent_ms_ago` 1000, then `configuration` at 21.40 s, which replaces version 9
+    /// by 65.
+    #[test]
+    fn a_path_that_is_whole_again_is_used_within_the_promise(
+        whole_at_ms in 1_u64..60_000,
+        is_watcher in any::<bool>(),
+        is_silent in any::<bool>(),
+    ) {
+        let calls = if is_watcher { Calls::Watcher } else { Calls::First };
+        let whole_at = Duration::from_millis(whole_at_ms);
+        let late = first_answer_after(calls, whole_at, is_silent);
+        prop_assert!(late <= IN_FORCE_WITHIN, "{late:?}");
+    }
+}
