A path to the store that is whole again is used within the promise

Cause: after a failed call an instance paused up to 2.5 s (1.2 s where it watches for the others), whatever was promised; with a call that had been sent just before the path was whole and waited 1.2 s, 3.7 s later. Ruled out: the others' rings, which an instance drops while the store is out for it, for good reason (1,100 calls); a shorter time for an answer (a slow store needs 0.3 s, and connections 1 s). Change: the longest pause is the time within which a change must be in force (a new setting, filled from what the platform tells) less what one call takes that is lost and one that is answered: 0.75 s at 2 s, 1.75 s at 3 s.

--- a/crates/fleet/src/back_off.rs
+++ b/crates/fleet/src/back_off.rs
@@ -17,6 +17,14 @@
 /// rings for all.
 const UNTIL_RUNG: Duration = Duration::from_secs(12);
 
+/// The longest time that a call waits for its answer, and one more that is answered.
+/// A call that was sent just before a path is whole again ends so much later.
+const CALL_TIME: Duration = Duration::from_millis(1_250);
+
+/// The time within which a change must be in force where none is told: the shortest
+/// of the deployments that we know.
+const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_000);
+
 /// What an instance's calls of one kind are for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Calls {
@@ -42,22 +50,39 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BackOff {
     next: Duration,
+    /// The longest pause of calls that nobody rings for.
+    most: Duration,
 }
 
 impl Default for BackOff {
     fn default() -> BackOff {
-        BackOff { next: FIRST }
+        BackOff::within(IN_FORCE_WITHIN)
     }
 }
 
 impl BackOff {
+    /// Returns the pauses of a deployment on which a change must be in force within a
+    /// time.
+    ///
+    /// A path that is whole again is used within that time. With pauses of up to 2.5 s
+    /// whatever was promised, it was used up to 3.7 s later.
+    pub fn within(in_force_within: Duration) -> BackOff {
+        let most = in_force_within.saturating_sub(CALL_TIME).max(FIRST);
+        BackOff { next: FIRST, most }
+    }
+
     /// Returns how long to wait after another failed call. Where all calls fail,
     /// those that are rung for wait for that.
     pub fn failed(&mut self, calls: Calls, is_out: bool) -> Duration {
-        let longest = calls.longest_pause();
+        let longest = match calls {
+            Calls::Rung => calls.longest_pause(),
+            Calls::Watcher | Calls::First => {
+                calls.longest_pause().min(self.most)
+            }
+        };
         let pause = match calls {
             Calls::Rung if is_out => longest,
-            _ => self.next,
+            _ => self.next.min(longest),
         };
         self.next = (self.next * 2).min(longest);
         pause
@@ -65,6 +90,6 @@
 
     /// Takes in that a call was answered.
     pub fn answered(&mut self) {
-        *self = BackOff::default();
+        self.next = FIRST;
     }
 }
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -65,6 +65,10 @@
     /// one that cannot know so, in milliseconds; without it, as soon as it is known.
     #[serde(default)]
     pub revoke_within_ms: Option<u64>,
+    /// A change that the store has acknowledged must be in force within this time,
+    /// in milliseconds.
+    #[serde(default = "two_seconds_ms")]
+    pub in_force_within_ms: u64,
     /// A planned stop is cut off after this long, in seconds.
     pub grace_s: f64,
     /// Where metrics are read, beside the operators' address.
@@ -80,6 +84,10 @@
     pub has_run_before: bool,
 }
 
+fn two_seconds_ms() -> u64 {
+    2_000
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -303,6 +311,10 @@
                 "fleet.store_window_s: must be above 0",
             );
             rule(fleet.grace_s > 0.0, "fleet.grace_s: must be above 0");
+            rule(
+                fleet.in_force_within_ms > 0,
+                "fleet.in_force_within_ms: must be above 0",
+            );
         }
         rule(
             self.log_level.parse::<LogLevel>().is_ok(),
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -94,6 +94,7 @@
 }
 
 async fn follow<F: Follower>(node: Rc<FleetNode>, follower: F) {
+    let in_force_within = node.in_force_within();
     let mut following = Following {
         node,
         follower,
@@ -101,7 +102,7 @@
         list_freshness: Some(F::FIRST_LIST),
         watch_freshness: Freshness::Newest,
         is_out: false,
-        back_off: BackOff::default(),
+        back_off: BackOff::within(in_force_within),
     };
     loop {
         following.go_on().await;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -282,6 +282,11 @@
         &self.settings.instance
     }
 
+    /// Returns the time within which an acknowledged change must be in force.
+    pub(crate) fn in_force_within(&self) -> Duration {
+        Duration::from_millis(self.fleet.in_force_within_ms)
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn deployment(&self) -> Option<Rc<Deployment>> {
         self.deployment.borrow().clone()
