An instance that is behind says no 404 for good

Cause: a path without a route, or a key that nobody holds, was refused for good by the configuration in force, also where a newer one had been heard of. Callers do not come back after 404 or 401. Change: such a request waits for the newer one, which another instance gives in some 5 ms (250 ms at the most); what is refused then by one that is still behind is for now: 503, not run, come back in 100 ms. What has a route is served by it. Ruled out: passing the request on to an instance that knows (a request that may not run twice would cross one more connection that can break).

--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -49,6 +49,10 @@
 /// Copies for such requests brought +0.021 +- 0.008 of worth (12 mixed days).
 const COPY_WAIT: Duration = Duration::from_millis(330);
 
+/// How long a request that the configuration refuses waits for a newer one that was
+/// heard of: two questions to other instances.
+const NEWER_WAIT: Duration = Duration::from_millis(250);
+
 /// How often a request looks again for a place at full endpoints.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 
@@ -134,25 +138,21 @@
     let path = head.uri.path().to_owned();
     let request_id =
         facts.as_ref().map_or(String::new(), |f| f.request_id.clone());
-    let decided_by = node.decides();
     let refuse = |reason| Unread {
         reason,
         request_id: request_id.clone(),
         path: path.clone(),
         customer: None,
-        decided_by,
+        decided_by: node.decides(),
     };
-    let deployment =
-        node.deployment().ok_or_else(|| refuse(Reason::NoConfiguration))?;
-    let host = host_of(&head);
-    let route = deployment
-        .route(&host, &path)
-        .ok_or_else(|| refuse(Reason::NoRoute))?
-        .clone();
+    let asked = Asked {
+        host: host_of(&head),
+        path: path.clone(),
+        credential: facts.as_ref().and_then(|f| f.credential),
+    };
+    let admitted = admit_by_newest(node, &asked).await.map_err(&refuse)?;
+    let Admitted { deployment, route, customer, decided_by } = admitted;
     let facts = facts.ok_or_else(|| refuse(Reason::NoRequestId))?;
-    let credential = facts.credential.as_ref();
-    let customer =
-        admit_key(node, &deployment, &route, credential).map_err(&refuse)?;
     let tokens = facts.prompt_tokens + facts.answer_tokens;
     if let Some(customer) = &customer {
         take_allowance(node, customer, tokens).map_err(|reason| Unread {
@@ -194,6 +194,52 @@
     })
 }
 
+/// What the configuration decides a request by.
+struct Asked {
+    host: String,
+    path: String,
+    credential: Option<KeyDigest>,
+}
+
+/// A request that the configuration allows.
+struct Admitted {
+    deployment: Rc<Deployment>,
+    route: Route,
+    customer: Option<Rc<Customer>>,
+    decided_by: DecidedBy,
+}
+
+/// Decides by the configuration in force; where that refuses for good and a newer one
+/// was heard of, by that one, which another instance gives in some 5 ms. A refusal
+/// that the newer one may not hold to is for now: callers do not come back after 404.
+async fn admit_by_newest(
+    node: &FleetNode,
+    asked: &Asked,
+) -> Result<Admitted, Reason> {
+    let is_doubtful = |reason: Reason| {
+        reason.is_of_configuration() && node.is_configuration_behind()
+    };
+    match admit(node, asked) {
+        Err(reason) if is_doubtful(reason) => {}
+        decided => return decided,
+    }
+    node.newer_configuration(NEWER_WAIT).await;
+    admit(node, asked).map_err(|reason| match is_doubtful(reason) {
+        true => Reason::ConfigurationBehind,
+        false => reason,
+    })
+}
+
+fn admit(node: &FleetNode, asked: &Asked) -> Result<Admitted, Reason> {
+    let deployment = node.deployment().ok_or(Reason::NoConfiguration)?;
+    let route = deployment.route(&asked.host, &asked.path);
+    let route = route.ok_or(Reason::NoRoute)?.clone();
+    let credential = asked.credential.as_ref();
+    let customer = admit_key(node, &deployment, &route, credential)?;
+    let decided_by = node.decides();
+    Ok(Admitted { deployment, route, customer, decided_by })
+}
+
 /// Returns whose a request is. Each request is looked at by itself: a key that
 /// was taken away stops on open connections too, and what was read before runs
 /// on.
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -25,6 +25,9 @@
     NoKey,
     /// No customer has the request's key.
     UnknownKey,
+    /// No route or key is known for it here, and a newer configuration that was heard
+    /// of may have it.
+    ConfigurationBehind,
     /// This instance cannot know whether the key was taken away.
     KeysUnsure,
     /// Its customer has used what all instances may take of it.
@@ -58,6 +61,7 @@
             Reason::NoRequestId => "no_request_id",
             Reason::NoKey => "no_key",
             Reason::UnknownKey => "unknown_key",
+            Reason::ConfigurationBehind => "configuration_behind",
             Reason::KeysUnsure => "keys_unsure",
             Reason::OverAllowance(_) => "over_allowance",
             Reason::BodyTooLong => "body_too_long",
@@ -72,6 +76,11 @@
         }
     }
 
+    /// Returns whether a newer configuration may decide otherwise.
+    pub(crate) fn is_of_configuration(self) -> bool {
+        matches!(self, Reason::NoRoute | Reason::NoKey | Reason::UnknownKey)
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Reason::NoRoute => StatusCode::NOT_FOUND,
@@ -110,7 +119,9 @@
             | Reason::RetriesSpent => Some(most),
             Reason::OverAllowance(denied) => Some(most.min(denied.back_in)),
             // Another instance may know.
-            Reason::TooLate | Reason::KeysUnsure => Some(most.min(SOON)),
+            Reason::TooLate
+            | Reason::KeysUnsure
+            | Reason::ConfigurationBehind => Some(most.min(SOON)),
             _ => None,
         }
     }
