--- a/crates/fleet/src/loader/homes.rs
+++ b/crates/fleet/src/loader/homes.rs
@@ -46,8 +46,9 @@
     /// is one with the least to do, in the zone that asks if possible. While no
     /// engine that has it at hand can take one more, a place that is free elsewhere
     /// is taken: after many engines were replaced 250 of 1,000 requests a second
-    /// were refused beside 160 free places. Making way for it elsewhere costs more
-    /// than it brings (-0.014 +- 0.004 of worth where places are scarce).
+    /// were refused beside 160 free places. Making way for it elsewhere
+    /// removes what is asked for there: where places are scarce that costs more than it
+    /// brings (`docs/DECISIONS.md`).
     pub(super) fn find_home(&mut self, key: &AdapterKey) -> Option<Home> {
         let engines = self.engines.take().unwrap_or_else(|| self.rooms());
         let home = self.cheapest_home(key, &engines);
@@ -168,8 +169,8 @@
     ///
     /// An engine takes no order while one that was ordered out still runs:
     /// with streams of 3 s that cost four fifths of the time in which engines
-    /// could load. Leaving adapters alone that requests run on brought worth
-    /// from 0.510 to 0.566 (12 mixed days, +0.057 +- 0.007).
+    /// could load. Adapters that requests run on are left alone
+    /// (`docs/DECISIONS.md`).
     pub(super) fn make_room(
         &self,
         state: &EndpointState,
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -266,9 +266,9 @@
     }
 
     /// Returns how much an endpoint has to do: requests as a part of its slots,
-    /// and the seconds that it needs for the prompts it has yet to read. Homes
-    /// chosen by this, and none where 0.4 s wait, brought +0.013 +- 0.006 of
-    /// worth against requests alone (12 mixed days).
+    /// and the seconds that it needs for the prompts it has yet to read. Requests
+    /// alone do not show long prompts, and choose homes where 0.4 s wait
+    /// (`docs/DECISIONS.md`).
     pub fn pressure(&self, state: &EndpointState) -> f64 {
         state.load() + self.backlog(state).as_secs_f64()
     }
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -46,7 +46,7 @@
 
 /// How long a request that would come late everywhere waits for its adapter to
 /// be loaded where it begins sooner. From the weight store that takes 0.25 s.
-/// Copies for such requests brought +0.021 +- 0.008 of worth (12 mixed days).
+/// The rest is for the order.
 const COPY_WAIT: Duration = Duration::from_millis(330);
 
 /// How long a request that the configuration refuses waits for a newer one that was
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -156,8 +156,8 @@
 
     /// Returns how new the next list has to be. Most instances list for a tenth
     /// of the price after an outage, and hear in notes if that was too old: 195
-    /// instances that listed four kinds anew, with all that was acknowledged,
-    /// took 0.005 of worth after each outage.
+    /// instances that list four kinds with all that was acknowledged are 780 calls
+    /// at once.
     fn next_list(&self) -> Freshness {
         match self.list_freshness {
             Some(freshness) => freshness,
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -74,7 +74,7 @@
 
 /// What is left of a planned stop when the holder gives the lease up: the
 /// store may take 0.3 s to answer, and the stop ends 0.7 s before its time.
-/// Ordering on until then brought +0.007 +- 0.005 of worth (17 days).
+/// Nobody orders for the turn after it, so it is given up as late as it may be.
 const HAND_OVER: Duration = Duration::from_millis(1_800);
 
 /// How long others may renew the lease for a holder that cannot reach the store.
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -46,8 +46,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
 /// A prompt that an engine reads for this long is told of at once: with fewer
-/// notes, others send to the same engine; with a note for each send, these took
-/// 0.014 of worth in bytes between zones where 390 short requests come a second.
+/// notes, others send to the same engine; a note for each
+/// send would be 390 a second, to each zone, where so many short requests come.
 const LARGE_PROMPT: Duration = Duration::from_millis(50);
 
 /// Adapters that were asked for, beyond which old ones are forgotten.
