--- a/crates/fleet/tests/in_force_model.rs
+++ b/crates/fleet/tests/in_force_model.rs
@@ -271,11 +271,10 @@
     /// Notes since when ways are whole and versions are there, and what is late.
     fn check(&mut self, tick: u32, before: &[u64]) {
         let n = self.day.instances;
-        for idx in 0..n {
+        for (idx, before) in before.iter().enumerate() {
             let version = self.instances[idx].version;
             let is_same_life = self.instances[idx].restarted < tick;
-            self.outcome.back +=
-                u32::from(is_same_life && version < before[idx]);
+            self.outcome.back += u32::from(is_same_life && version < *before);
             let had = &mut self.had_since[idx];
             while (had.len() as u64) <= version {
                 had.push(tick);
