--- /dev/null
+++ b/crates/sedgewalld/src/fleet/admit.rs
@@ -0,0 +1,111 @@
+//! What the configuration decides of a request: its route, whose it is, and whether
+//! its customer may send it.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use sedgewall_fleet::{
+    configuration::DecidedBy,
+    customer::{Customer, KeyDigest},
+    route::{Deployment, Route},
+};
+
+use super::{attempt::CallerRequest, node::FleetNode, refusal::Reason};
+
+/// How long a request that the configuration refuses waits for a newer one that was
+/// heard of: two questions to other instances.
+const NEWER_WAIT: Duration = Duration::from_millis(250);
+
+/// What the configuration decides a request by.
+pub(super) struct Asked {
+    pub(super) host: String,
+    pub(super) path: String,
+    pub(super) credential: Option<KeyDigest>,
+}
+
+/// A request that the configuration allows.
+pub(super) struct Admitted {
+    pub(super) deployment: Rc<Deployment>,
+    pub(super) route: Route,
+    pub(super) customer: Option<Rc<Customer>>,
+    pub(super) decided_by: DecidedBy,
+}
+
+/// Decides by the configuration in force; where that refuses for good and a newer one
+/// was heard of, by that one, which another instance gives in some 5 ms. A refusal
+/// that the newer one may not hold to is for now: callers do not come back after 404.
+pub(super) async fn admit_by_newest(
+    node: &FleetNode,
+    asked: &Asked,
+) -> Result<Admitted, Reason> {
+    let is_doubtful = |reason: Reason| {
+        reason.is_of_configuration() && node.is_configuration_behind()
+    };
+    match admit(node, asked) {
+        Err(reason) if is_doubtful(reason) => {}
+        decided => return decided,
+    }
+    node.newer_configuration(NEWER_WAIT).await;
+    admit(node, asked).map_err(|reason| match is_doubtful(reason) {
+        true => Reason::ConfigurationBehind,
+        false => reason,
+    })
+}
+
+fn admit(node: &FleetNode, asked: &Asked) -> Result<Admitted, Reason> {
+    let deployment = node.deployment().ok_or(Reason::NoConfiguration)?;
+    let route = deployment.route(&asked.host, &asked.path);
+    let route = route.ok_or(Reason::NoRoute)?.clone();
+    let credential = asked.credential.as_ref();
+    let customer = admit_key(node, &deployment, &route, credential)?;
+    let decided_by = node.decides();
+    Ok(Admitted { deployment, route, customer, decided_by })
+}
+
+/// Returns whose a request is. Each request is looked at by itself: a key that
+/// was taken away stops on open connections too, and what was read before runs
+/// on.
+fn admit_key(
+    node: &FleetNode,
+    deployment: &Deployment,
+    route: &Route,
+    credential: Option<&KeyDigest>,
+) -> Result<Option<Rc<Customer>>, Reason> {
+    let customers = &deployment.customers;
+    if customers.is_empty() {
+        return Ok(None);
+    }
+    let Some(credential) = credential else {
+        return if route.is_public { Ok(None) } else { Err(Reason::NoKey) };
+    };
+    if !node.keys.are_sure() {
+        return Err(Reason::KeysUnsure);
+    }
+    let known = customers.of_key(credential).cloned();
+    known.map(Some).ok_or(Reason::UnknownKey)
+}
+
+/// Takes what a request counts of its customer's allowance.
+pub(super) fn take_allowance(
+    node: &FleetNode,
+    customer: &Customer,
+    tokens: u64,
+) -> Result<(), Reason> {
+    let Some(allowance) = customer.allowance else { return Ok(()) };
+    let units = allowance.unit.count(tokens);
+    let (now, instances) = (Instant::now(), node.instances());
+    let mut shares = node.shares.borrow_mut();
+    let taken = shares.take(customer, units, instances, now);
+    taken.map_err(Reason::OverAllowance)
+}
+
+/// Gives back what a request took of its customer's allowance and did not use.
+pub(super) fn give_back_allowance(node: &FleetNode, call: &CallerRequest) {
+    let Some(customer) = &call.customer else { return };
+    let Some(allowance) = customer.allowance else { return };
+    let tokens = call.facts.prompt_tokens + call.facts.answer_tokens;
+    let units = allowance.unit.count(tokens);
+    node.shares.borrow_mut().give_back(customer, units);
+}
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -22,7 +22,10 @@
 use sedgewall_state::id::EndpointId;
 use sedgewall_transport::{PooledAnswer, SendError};
 
-use super::node::{FleetNode, SeenArrival, UnderWay};
+use super::{
+    node::{FleetNode, SeenArrival},
+    under_way::UnderWay,
+};
 
 /// The longest time for a connection to an endpoint. Within a region a
 /// connection takes milliseconds; a lost packet costs a second.
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/knowledge.rs
@@ -0,0 +1,108 @@
+//! What an instance has of what the operator changes: the configuration and named
+//! versions of weights.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use sedgewall_fleet::{
+    adapter::{AdapterKey, WeightVersion},
+    catch_up::Knowledge,
+    configuration::{ConfigurationVersion, DecidedBy},
+    route::Deployment,
+};
+
+use super::node::FleetNode;
+
+impl FleetNode {
+    /// Returns the time within which an acknowledged change must be in force.
+    pub(crate) fn in_force_within(&self) -> Duration {
+        Duration::from_millis(self.fleet.in_force_within_ms)
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn deployment(&self) -> Option<Rc<Deployment>> {
+        self.deployment.borrow().clone()
+    }
+
+    /// Returns the version of the configuration in force.
+    pub(crate) fn configuration_version(
+        &self,
+    ) -> Option<ConfigurationVersion> {
+        self.deployment.borrow().as_ref().map(|known| known.version)
+    }
+
+    /// Returns by which configuration a request is decided that comes now.
+    pub(crate) fn decides(&self) -> DecidedBy {
+        let now = Instant::now();
+        let version = self.configuration_version();
+        let read = self.configuration_read.get();
+        let heard = self.catch_up.borrow().newest_heard(now).configuration;
+        DecidedBy {
+            version,
+            read_ago: read.map(|at| now.saturating_duration_since(at)),
+            newest_heard: heard.max(version.unwrap_or(0)),
+        }
+    }
+
+    /// Returns how much we have of what the operator changes.
+    pub(crate) fn knowledge(&self) -> Knowledge {
+        Knowledge {
+            configuration: self.configuration_version().unwrap_or(0),
+            versions: self.view.borrow().versions_named(),
+        }
+    }
+
+    /// Returns whether a newer configuration was heard of lately than is in force
+    /// here.
+    pub(crate) fn is_configuration_behind(&self) -> bool {
+        let heard = self.catch_up.borrow().newest_heard(Instant::now());
+        heard.configuration > self.configuration_version().unwrap_or(0)
+    }
+
+    /// Takes in the newest version of a model or adapter; one line if that is news.
+    pub(crate) fn name_version(
+        &self,
+        key: &AdapterKey,
+        version: WeightVersion,
+    ) {
+        let mut view = self.view.borrow_mut();
+        if !view.name_version(key, version, Instant::now()) {
+            return;
+        }
+        drop(view);
+        let name = key.to_string();
+        tracing::info!(event = "version", key = name, version);
+        self.ring_loader();
+    }
+
+    /// Asks others at once for a newer configuration, and waits for it, for a time.
+    pub(crate) async fn newer_configuration(&self, within: Duration) {
+        let (tx, rx) = oneshot::channel();
+        self.configuration_waiters.borrow_mut().push(tx);
+        self.catch_up.borrow_mut().hurry(Instant::now());
+        self.catch_up_bell.ring();
+        // Either way the request is looked at again.
+        let _ = compio::time::timeout(within, rx).await;
+    }
+
+    /// Wakes the requests that wait for a newer configuration.
+    pub(crate) fn wake_for_configuration(&self) {
+        for tx in self.configuration_waiters.take() {
+            // Its request may be gone.
+            let _ = tx.send(());
+        }
+    }
+
+    /// Wakes the part that asks others for what we miss.
+    pub(crate) fn ring_catch_up(&self) {
+        self.catch_up_bell.ring();
+    }
+
+    /// Waits for [`FleetNode::ring_catch_up`], or for a time.
+    pub(crate) async fn catch_up_rung(&self, within: Duration) {
+        self.catch_up_bell.wait(within).await;
+    }
+}
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! share; [`caller`], [`leader`], [`follow`] with its three kinds of followers,
 //! and [`notes`] stand beside each other above it, and [`daemon`] starts them.
 
+mod admit;
 mod attempt;
 mod bell;
 mod caller;
@@ -15,6 +16,7 @@
 mod follow_endpoints;
 mod follow_instances;
 mod keys;
+mod knowledge;
 mod leader;
 mod lease;
 mod lease_store;
@@ -26,3 +28,4 @@
 mod refusal;
 mod relay;
 mod request_log;
+mod under_way;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -11,10 +11,9 @@
 use futures_channel::oneshot;
 use sedgewall_coordination::lease::{NotedLease, WriteAnswer};
 use sedgewall_fleet::{
-    adapter::{AdapterKey, WeightVersion},
+    adapter::AdapterKey,
     allowance::Shares,
-    catch_up::{CatchUp, Knowledge},
-    configuration::{ConfigurationVersion, DecidedBy},
+    catch_up::CatchUp,
     demand::Demand,
     load_times::LoadTimes,
     note::{Lead, Note},
@@ -45,11 +44,6 @@
 /// The holder is asked for the same adapter again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
-/// A prompt that an engine reads for this long is told of at once: with fewer
-/// notes, others send to the same engine; a note for each
-/// send would be 390 a second, to each zone, where so many short requests come.
-const LARGE_PROMPT: Duration = Duration::from_millis(50);
-
 /// Adapters that were asked for, beyond which old ones are forgotten.
 const ASKED_KEPT: usize = 512;
 
@@ -143,7 +137,7 @@
     /// What others know, and whom we ask for what we miss.
     pub(crate) catch_up: RefCell<CatchUp>,
     /// Requests that wait for a newer configuration.
-    configuration_waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    pub(super) configuration_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     pub(crate) view: RefCell<FleetView>,
     pub(crate) demand: RefCell<Demand>,
     /// What was seen of loads from the weight store, while we had the lease.
@@ -186,7 +180,7 @@
     pub(crate) open: Cell<usize>,
     waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
     loader_bell: Bell,
-    catch_up_bell: Bell,
+    pub(super) catch_up_bell: Bell,
     notes_bell: Bell,
     /// Whether a large prompt was sent that the others have not heard of.
     pub(crate) has_untold_work: Cell<bool>,
@@ -294,95 +288,6 @@
         &self.settings.instance
     }
 
-    /// Returns the time within which an acknowledged change must be in force.
-    pub(crate) fn in_force_within(&self) -> Duration {
-        Duration::from_millis(self.fleet.in_force_within_ms)
-    }
-
-    /// Returns the configuration in force.
-    pub(crate) fn deployment(&self) -> Option<Rc<Deployment>> {
-        self.deployment.borrow().clone()
-    }
-
-    /// Returns the version of the configuration in force.
-    pub(crate) fn configuration_version(
-        &self,
-    ) -> Option<ConfigurationVersion> {
-        self.deployment.borrow().as_ref().map(|known| known.version)
-    }
-
-    /// Returns by which configuration a request is decided that comes now.
-    pub(crate) fn decides(&self) -> DecidedBy {
-        let now = Instant::now();
-        let version = self.configuration_version();
-        let read = self.configuration_read.get();
-        let heard = self.catch_up.borrow().newest_heard(now).configuration;
-        DecidedBy {
-            version,
-            read_ago: read.map(|at| now.saturating_duration_since(at)),
-            newest_heard: heard.max(version.unwrap_or(0)),
-        }
-    }
-
-    /// Returns how much we have of what the operator changes.
-    pub(crate) fn knowledge(&self) -> Knowledge {
-        Knowledge {
-            configuration: self.configuration_version().unwrap_or(0),
-            versions: self.view.borrow().versions_named(),
-        }
-    }
-
-    /// Returns whether a newer configuration was heard of lately than is in force
-    /// here.
-    pub(crate) fn is_configuration_behind(&self) -> bool {
-        let heard = self.catch_up.borrow().newest_heard(Instant::now());
-        heard.configuration > self.configuration_version().unwrap_or(0)
-    }
-
-    /// Takes in the newest version of a model or adapter; one line if that is news.
-    pub(crate) fn name_version(
-        &self,
-        key: &AdapterKey,
-        version: WeightVersion,
-    ) {
-        let mut view = self.view.borrow_mut();
-        if !view.name_version(key, version, Instant::now()) {
-            return;
-        }
-        drop(view);
-        let name = key.to_string();
-        tracing::info!(event = "version", key = name, version);
-        self.ring_loader();
-    }
-
-    /// Asks others at once for a newer configuration, and waits for it, for a time.
-    pub(crate) async fn newer_configuration(&self, within: Duration) {
-        let (tx, rx) = oneshot::channel();
-        self.configuration_waiters.borrow_mut().push(tx);
-        self.catch_up.borrow_mut().hurry(Instant::now());
-        self.catch_up_bell.ring();
-        // Either way the request is looked at again.
-        let _ = compio::time::timeout(within, rx).await;
-    }
-
-    /// Wakes the requests that wait for a newer configuration.
-    pub(crate) fn wake_for_configuration(&self) {
-        for tx in self.configuration_waiters.take() {
-            // Its request may be gone.
-            let _ = tx.send(());
-        }
-    }
-
-    /// Wakes the part that asks others for what we miss.
-    pub(crate) fn ring_catch_up(&self) {
-        self.catch_up_bell.ring();
-    }
-
-    /// Waits for [`FleetNode::ring_catch_up`], or for a time.
-    pub(crate) async fn catch_up_rung(&self, within: Duration) {
-        self.catch_up_bell.wait(within).await;
-    }
-
     /// Returns whether requests need keys.
     pub(crate) fn has_customers(&self) -> bool {
         self.deployment().is_some_and(|d| !d.customers.is_empty())
@@ -637,88 +542,3 @@
     let hash = xxh3_64_with_seed(id.as_bytes(), draw);
     (std::cmp::Reverse(cpu_percent), hash)
 }
-
-/// A request under way at an endpoint; dropping it counts it out.
-pub(crate) struct UnderWay {
-    node: Rc<FleetNode>,
-    endpoint: EndpointId,
-    key: Option<AdapterKey>,
-    /// Tokens of its prompt that still count as unread.
-    unread_tokens: u64,
-    began: Instant,
-    /// Requests for each slot there before it, as far as we knew.
-    load: f64,
-}
-
-impl UnderWay {
-    pub(crate) fn begin(
-        node: &Rc<FleetNode>,
-        endpoint: &EndpointId,
-        key: Option<&AdapterKey>,
-        prompt_tokens: u64,
-    ) -> UnderWay {
-        let mut view = node.view.borrow_mut();
-        let reads_for = view.reading_time(endpoint, prompt_tokens);
-        let mut load = 0.0;
-        if let Some(state) = view.get_mut(endpoint) {
-            load = state.load();
-            state.own_work.begin(key, prompt_tokens);
-        }
-        drop(view);
-        if reads_for >= LARGE_PROMPT {
-            node.has_untold_work.set(true);
-        }
-        if key.is_some() {
-            // The holder must hear of the adapter before it removes it.
-            node.has_untold_sends.set(true);
-            node.ring_notes();
-        }
-        UnderWay {
-            node: node.clone(),
-            endpoint: endpoint.clone(),
-            key: key.cloned(),
-            unread_tokens: prompt_tokens,
-            began: Instant::now(),
-            load,
-        }
-    }
-
-    /// Notes that the answer has begun, so the prompt was read.
-    pub(crate) fn answer_begins(&mut self) {
-        let read_tokens = std::mem::take(&mut self.unread_tokens);
-        let mut view = self.node.view.borrow_mut();
-        if let Some(state) = view.get_mut(&self.endpoint) {
-            state.own_work.prompt_read(read_tokens);
-        }
-    }
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        self.answer_begins();
-        let mut view = self.node.view.borrow_mut();
-        if let Some(state) = view.get_mut(&self.endpoint) {
-            state.own_work.end(self.key.as_ref());
-        }
-        if self.key.is_none() {
-            let took = self.began.elapsed();
-            view.observe_stay(&self.endpoint, self.load, took);
-        }
-    }
-}
-
-/// A request that was read; dropping it counts it out.
-pub(crate) struct OpenRequest(Rc<FleetNode>);
-
-impl OpenRequest {
-    pub(crate) fn begin(node: &Rc<FleetNode>) -> OpenRequest {
-        node.open.set(node.open.get() + 1);
-        OpenRequest(node.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -18,8 +18,9 @@
 use super::{
     attempt::{CallerRequest, GoodAnswer},
     caller::{self, Progress},
-    node::{FleetNode, OpenRequest, UnderWay},
+    node::FleetNode,
     request_log,
+    under_way::{OpenRequest, UnderWay},
 };
 
 /// A caller gives a stream up after a pause of this long at the least.
