An instance that has not listed the others asks whom it hears

Cause: addresses of other instances came from their entries in the store alone. One that lost the store before it had listed them heard their notes, knew that it was behind and had nobody to ask ('not_caught_up', 'it has no entry').

Change: where a note of an instance without a known entry came from is kept while it is heard; questions and, while nobody is listed, notes go there.

--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -51,7 +51,7 @@
 /// Error of asking another instance.
 #[derive(Debug, displaydoc::Display)]
 enum AskError {
-    /// it has no entry
+    /// it has no entry, and was not heard directly
     Unknown,
     /// no answer in time
     Unanswered,
@@ -127,8 +127,7 @@
     whom: &InstanceId,
     own: Knowledge,
 ) -> Result<(Missed, usize), AskError> {
-    let address = node.peers.borrow().get(whom).map(|peer| peer.address);
-    let address = address.ok_or(AskError::Unknown)?;
+    let address = node.address_of(whom).ok_or(AskError::Unknown)?;
     let request = question(address, own)?;
     let sent = node.peer_pool.send(address, request, CONNECT_TIME).await;
     let answer = sent.map_err(AskError::Unreachable)?;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -41,6 +41,10 @@
 /// not there.
 const NEW_PEER_FOR: Duration = Duration::from_secs(6);
 
+/// An address from which nothing was heard for this long is forgotten: among
+/// many, an instance tells all others every 2.4 s.
+const HEARD_AT_HOLDS: Duration = Duration::from_secs(5);
+
 /// The holder is asked for the same adapter again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
@@ -70,6 +74,13 @@
     pub(crate) known_since: Instant,
 }
 
+/// Where an instance without a known entry was heard from.
+#[derive(Clone, Copy, Debug)]
+struct HeardAt {
+    address: SocketAddr,
+    at: Instant,
+}
+
 /// The instance that gives orders.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderSeen {
@@ -165,6 +176,10 @@
     pub(crate) budget: RefCell<RetryBudget>,
     /// The other instances and where their notes go.
     pub(crate) peers: RefCell<BTreeMap<InstanceId, Peer>>,
+    /// Where instances were heard from whose entries are not known here: an
+    /// instance that loses the store before it has listed them catches up from
+    /// these.
+    heard_at: RefCell<HashMap<InstanceId, HeardAt>>,
     /// Our own entry, as it was listed.
     pub(crate) own_entry: RefCell<Option<serde_json::Value>>,
     /// Whether the entries of instances were listed once.
@@ -254,6 +269,7 @@
             asked_at: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
+            heard_at: RefCell::default(),
             own_entry: RefCell::default(),
             has_listed_instances: Cell::new(false),
             leader: RefCell::default(),
@@ -334,6 +350,39 @@
         }
     }
 
+    /// Notes where an instance's own note came from.
+    pub(crate) fn heard_from(&self, id: &InstanceId, address: SocketAddr) {
+        if self.peers.borrow().contains_key(id) || id == self.id() {
+            return;
+        }
+        let heard = HeardAt { address, at: Instant::now() };
+        let known = self.heard_at.borrow_mut().insert(id.clone(), heard);
+        if known.is_none() {
+            tracing::info!(event = "unlisted_heard", from = id, %address);
+        }
+    }
+
+    /// Forgets the addresses of instances that are listed now or silent.
+    pub(crate) fn forget_heard(&self, now: Instant) {
+        let peers = self.peers.borrow();
+        self.heard_at.borrow_mut().retain(|id, heard| {
+            !peers.contains_key(id) && now - heard.at < HEARD_AT_HOLDS
+        });
+    }
+
+    /// Returns where notes to an instance go: as its entry says, or, while that
+    /// is not known, where it was heard from.
+    pub(crate) fn address_of(&self, id: &InstanceId) -> Option<SocketAddr> {
+        let listed = self.peers.borrow().get(id).map(|peer| peer.address);
+        let heard = || self.heard_at.borrow().get(id).map(|h| h.address);
+        listed.or_else(heard)
+    }
+
+    /// Returns where a note to all goes while no other instance is listed.
+    pub(crate) fn heard_addresses(&self) -> Vec<SocketAddr> {
+        self.heard_at.borrow().values().map(|heard| heard.address).collect()
+    }
+
     /// Returns the instance that gives orders, if it was heard lately.
     pub(crate) fn live_leader(&self, now: Instant) -> Option<LeaderSeen> {
         let leader = self.leader.borrow().clone()?;
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -46,8 +46,7 @@
         peer: &InstanceId,
         note: &Note,
     ) {
-        let address = node.peers.borrow().get(peer).map(|p| p.address);
-        if let Some(address) = address {
+        if let Some(address) = node.address_of(peer) {
             self.send_to(address, note);
         }
     }
@@ -57,6 +56,11 @@
         let peers = node.peers.borrow();
         if peers.len() <= FEW_PEERS {
             let Some(bytes) = encode(note) else { return };
+            if peers.is_empty() {
+                for address in node.heard_addresses() {
+                    self.send(address, &bytes);
+                }
+            }
             for peer in peers.values() {
                 self.send(peer.address, &bytes);
             }
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -60,8 +60,15 @@
         let BufResult(received, back) = socket.recv_from(buf).await;
         buf = back;
         match received {
-            Ok((len, _)) => match rmp_serde::from_slice(&buf[..len]) {
-                Ok(note) => hear(&node, &sender, note),
+            Ok((len, from)) => match rmp_serde::from_slice(&buf[..len]) {
+                Ok(note) => {
+                    // One that a relay passed on comes from the relay, which
+                    // answers as well.
+                    if let Note::Status(status) = &note {
+                        node.heard_from(&status.from, from);
+                    }
+                    hear(&node, &sender, note);
+                }
                 Err(err) => {
                     tracing::warn!(event = "note_unreadable", cause = %err);
                 }
@@ -349,6 +356,7 @@
         }
         if now >= next_forget {
             next_forget = now + FORGET_EVERY;
+            node.forget_heard(now);
             node.view.borrow_mut().forget_silent_peers(now);
             node.view.borrow_mut().forget_departures(now);
             node.suspicions.borrow_mut().forget(now);
