Lines that tell a request across its tries, and an endpoint that ended from a reset

Cause: stream_broken and send_failed name neither what two tries have in common nor whether the endpoint was still there afterwards, so that a request that ends endpoints cannot be told from resets.

Change: run_broken has a digest of customer, method, host, path and body, and endpoint_looked_at says whether the endpoint's machine still listens. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pace;
 pub mod patience;
 pub mod relays;
+pub mod request_digest;
 pub mod retry_budget;
 pub mod revocation;
 pub mod route;
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -1,7 +1,7 @@
 //! One send of a request to one endpoint, and what its end means.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -12,6 +12,7 @@
     adapter::AdapterKey,
     configuration::DecidedBy,
     customer::Customer,
+    request_digest::{RequestDigest, RequestParts},
     route::{Repetition, Route},
     view::Target,
 };
@@ -23,6 +24,7 @@
 use sedgewall_transport::{PooledAnswer, SendError};
 
 use super::{
+    broken_run,
     node::{FleetNode, SeenArrival},
     under_way::UnderWay,
 };
@@ -52,6 +54,8 @@
     pub(crate) customer: Option<Rc<Customer>>,
     /// Where it was sent last.
     pub(crate) sent_to: RefCell<Option<EndpointId>>,
+    /// Made when it is asked for: few requests need one.
+    pub(crate) digest: OnceCell<RequestDigest>,
 }
 
 /// How a send ended without an answer to pass on.
@@ -118,6 +122,20 @@
         self.facts.key.as_ref().filter(|_| self.is_engine)
     }
 
+    /// Returns what all tries of this request have in common.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let path = self.uri.path_and_query();
+            RequestDigest::of(RequestParts {
+                customer: self.customer.as_ref().map(|c| c.name.as_str()),
+                method: self.method.as_str(),
+                host: &self.route.host,
+                path: path.map_or("", |path| path.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Returns the rank: the customer's comes before the route's.
     pub(crate) fn rank(&self) -> u8 {
         let route = self.route.priority;
@@ -158,7 +176,10 @@
         Ok(Err(SendError::NotSent(cause))) => {
             Err(AttemptError::Unreachable(cause))
         }
-        Ok(Err(SendError::Broken(cause))) => Err(AttemptError::Unclear(cause)),
+        Ok(Err(SendError::Broken(cause))) => {
+            broken_run::broke_off(node, call, target, &cause);
+            Err(AttemptError::Unclear(cause))
+        }
         Err(_) => Err(AttemptError::TimedOut),
     };
     under_way.answer_begins();
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -6,7 +6,7 @@
 //! only if no endpoint can have run the request.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -32,6 +32,7 @@
         Admitted, Asked, admit_by_newest, give_back_allowance, take_allowance,
     },
     attempt::{self, AttemptError, CallerRequest, GoodAnswer, SendLimits},
+    broken_run,
     node::{FleetNode, Stage},
     refusal::{self, Reason},
     relay, request_log,
@@ -190,6 +191,7 @@
         is_later_try,
         customer,
         sent_to: RefCell::default(),
+        digest: OnceCell::new(),
     })
 }
 
@@ -496,9 +498,13 @@
             response
         }
         Ok(Err(_)) | Err(_) => {
-            let reason = match whole.is_err() {
-                true => Reason::TimedOut,
-                false => Reason::OutcomeUnknown,
+            let reason = match &whole {
+                Ok(Err(err)) => {
+                    let cause = err.to_string();
+                    broken_run::broke_off(node, &call, &target, &cause);
+                    Reason::OutcomeUnknown
+                }
+                _ => Reason::TimedOut,
             };
             request_log::refused(&call, &progress, reason);
             refusal::answer(reason, come_back_of(&call, &progress))
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod attempt;
 mod bell;
+mod broken_run;
 mod caller;
 mod catch_up;
 pub(crate) mod daemon;
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -188,6 +188,9 @@
     /// Our own lease on orders, if we have it.
     pub(crate) held: Cell<Option<HeldLease>>,
     pub(crate) pool: EndpointPool,
+    /// Endpoints at which a run broke off, while it is looked at whether they are
+    /// still there.
+    pub(crate) looked_at: RefCell<BTreeSet<EndpointId>>,
     /// Connections to other instances.
     pub(crate) peer_pool: EndpointPool,
     pub(crate) store: Store,
@@ -276,6 +279,7 @@
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
             pool,
+            looked_at: RefCell::default(),
             peer_pool: EndpointPool::new(),
             open: Cell::new(0),
             waiters: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -17,6 +17,7 @@
 
 use super::{
     attempt::{CallerRequest, GoodAnswer},
+    broken_run,
     caller::{self, Progress},
     node::FleetNode,
     request_log,
@@ -110,6 +111,15 @@
                 }
                 Ok(None) => return self.finish(),
                 Err(stopped) => {
+                    if let Stopped::Broken(err) = &stopped {
+                        let cause = err.to_string();
+                        broken_run::broke_off(
+                            &self.node,
+                            &self.call,
+                            &self.target,
+                            &cause,
+                        );
+                    }
                     if !self.resume(&stopped).await {
                         return Some(Err(self.give_up(&stopped)));
                     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -20,6 +20,6 @@
     engine_client::EngineClient,
     peer::{PeerListener, PeerSender},
     platform_client::{PlatformClient, PlatformError},
-    pool::{EndpointPool, PooledAnswer, PooledBody, SendError},
+    pool::{EndpointPool, PooledAnswer, PooledBody, Presence, SendError},
     server::{Handler, ServerLimits, Stop, serve, serve_until, stop_signal},
 };
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -64,6 +65,17 @@
 
 type Idle = Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>;
 
+/// Whether something listens at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// It takes connections.
+    Listens,
+    /// Its machine answers that nothing listens there.
+    Refuses,
+    /// There is no answer, or none that tells.
+    Unknown,
+}
+
 /// A pool of connections.
 #[derive(Clone, Default)]
 pub struct EndpointPool {
@@ -134,6 +146,30 @@
         }
     }
 
+    /// Sees whether something still listens at an address, by a connection that
+    /// is kept for the next request.
+    pub async fn presence(
+        &self,
+        address: SocketAddr,
+        within: Duration,
+    ) -> Presence {
+        let connecting = TcpStream::connect(address);
+        match compio::time::timeout(within, connecting).await {
+            Ok(Ok(stream)) => {
+                if let Ok(connection) = self.shake_hands(address, stream).await
+                {
+                    let mut idle = self.idle.borrow_mut();
+                    idle.entry(address).or_default().push(connection);
+                }
+                Presence::Listens
+            }
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+                Presence::Refuses
+            }
+            Ok(Err(_)) | Err(_) => Presence::Unknown,
+        }
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let resting = idle.get_mut(&address)?;
@@ -154,11 +190,19 @@
                 .await
                 .map_err(|_| not_sent(format!("not within {within:?}")))?
                 .map_err(|err| not_sent(err.to_string()))?;
+        let connection = self.shake_hands(address, stream).await;
+        connection.map_err(|err| not_sent(err.to_string()))
+    }
+
+    async fn shake_hands(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<Connection, hyper::Error> {
         bound_silence(&stream);
         let (sender, connection) = http1::Builder::new()
             .handshake(HyperStream::new_plain(stream))
-            .await
-            .map_err(|err| not_sent(err.to_string()))?;
+            .await?;
         let task = compio::runtime::spawn(async move {
             if let Err(err) = connection.await {
                 debug!("pool: a connection to {address} ended: {err}.");
