A request under which endpoints have ended is sent on no more

Cause: each try of a caller was a new request at each instance, and an endpoint that ended under it counted as a failure of the endpoint alone. So a request that ends each endpoint which begins to run it was sent on for as long as its caller asked, and a resumed stream or a repeat within a try ended several.

Change: a run that breaks off is looked into (does its endpoint still listen, does its entry go, has another instance seen it end), and if the endpoint ended it is held against the request's digest. Instances tell each other; a request is condemned once three endpoints ended under it, not all at one moment, and stands in the platform's store for instances that start or hear no other. It is refused at once as not run, before each send, repeat and resumption.

--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -362,6 +362,8 @@
             work,
             is_total,
             is_part: false,
+            crashes: Vec::new(),
+            condemned: 0,
         }
     }
 
--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -18,6 +18,7 @@
     adapter::{AdapterKey, WeightVersion},
     configuration::ConfigurationVersion,
     departure::Departure,
+    poison::Condemned,
     route::Deployment,
 };
 
@@ -41,7 +42,7 @@
 /// every 2.4 s. A version that nobody has, told by mistake, counts no longer.
 const HEARD_FOR: Duration = Duration::from_secs(5);
 
-/// How much an instance has of what the operator changes.
+/// How much an instance has of what all must know.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
 )]
@@ -50,6 +51,10 @@
     pub configuration: ConfigurationVersion,
     /// How many versions of weights were named, counting each rise.
     pub versions: u64,
+    /// How many requests it has condemned. An instance of the release before says
+    /// none.
+    #[serde(default)]
+    pub condemned: u64,
 }
 
 /// What one instance has and another misses.
@@ -61,6 +66,9 @@
     pub versions: Vec<(AdapterKey, WeightVersion)>,
     /// Endpoints that have left.
     pub departures: Vec<Departure>,
+    /// Requests that end the endpoints which run them.
+    #[serde(default)]
+    pub condemned: Vec<Condemned>,
 }
 
 /// What is to be done now.
@@ -95,6 +103,7 @@
     pub fn has_more_than(self, other: Knowledge) -> bool {
         self.configuration > other.configuration
             || self.versions > other.versions
+            || self.condemned > other.condemned
     }
 
     /// Returns the most that either has.
@@ -102,6 +111,7 @@
         Knowledge {
             configuration: self.configuration.max(other.configuration),
             versions: self.versions.max(other.versions),
+            condemned: self.condemned.max(other.condemned),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod order;
 pub mod pace;
 pub mod patience;
+pub mod poison;
 pub mod relays;
 pub mod request_digest;
 pub mod retry_budget;
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -13,6 +13,7 @@
 };
 
 use sedgewall_state::id::EndpointId;
+use serde::{Deserialize, Serialize};
 
 use crate::endpoint::Revision;
 
@@ -34,6 +35,17 @@
 /// note may be late.
 const KEPT_FOR: Duration = Duration::from_secs(300);
 
+/// One life of an endpoint.
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct EndpointLife {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// When this life began, if it says so; else its id names one life.
+    pub born: Option<Born>,
+}
+
 /// What a word about an endpoint speaks of.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Speaks {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -14,6 +14,8 @@
     departure::Departure,
     endpoint::{Endpoint, Revision},
     life::Born,
+    poison::Crash,
+    request_digest::RequestDigest,
     work::Work,
 };
 
@@ -35,6 +37,10 @@
     Removed(Removed),
     /// An endpoint is leaving or gone, as the platform's store says.
     Departed(Departure),
+    /// An endpoint ended, and these runs of one instance with it.
+    Crashed(Crash),
+    /// A run of a request ended well: it ends no endpoints.
+    Cleared(RequestDigest),
     /// The store did not answer the holder of the lease: all see whether it
     /// answers them, and say so.
     StoreFails,
@@ -158,6 +164,12 @@
     /// Whether totals are of some endpoints only, and the others as told before.
     #[serde(default)]
     pub is_part: bool,
+    /// Runs of the sender's that ended with their endpoints lately.
+    #[serde(default)]
+    pub crashes: Vec<Crash>,
+    /// How many requests it has condemned.
+    #[serde(default)]
+    pub condemned: u64,
 }
 
 /// Requests for adapters.
--- a/crates/fleet/tests/catch_up_rules.rs
+++ b/crates/fleet/tests/catch_up_rules.rs
@@ -7,7 +7,7 @@
 const OTHERS: usize = 6;
 
 fn knows(configuration: u64) -> Knowledge {
-    Knowledge { configuration, versions: 0 }
+    Knowledge { configuration, ..Knowledge::default() }
 }
 
 fn ms(ms: u64) -> Duration {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -122,6 +122,8 @@
         work,
         is_total: false,
         is_part: false,
+        crashes: Vec::new(),
+        condemned: 0,
     }
 }
 
--- a/crates/fleet/tests/in_force_model.rs
+++ b/crates/fleet/tests/in_force_model.rs
@@ -212,7 +212,7 @@
         }
         let knows = Knowledge {
             configuration: self.instances[idx].version,
-            versions: 0,
+            ..Knowledge::default()
         };
         let now = self.at(tick);
         for other in 0..self.day.instances {
@@ -252,7 +252,10 @@
         let draw = self.rng.random();
         let others = self.day.instances - 1;
         let instance = &mut self.instances[idx];
-        let own = Knowledge { configuration: instance.version, versions: 0 };
+        let own = Knowledge {
+            configuration: instance.version,
+            ..Knowledge::default()
+        };
         match instance.catch_up.step(own, others, draw, now) {
             Step::Rest => instance.next_step = u32::MAX,
             Step::Wait(until) => {
--- /dev/null
+++ b/crates/fleet/tests/poison_rules.rs
@@ -0,0 +1,294 @@
+//! Requests that end the endpoints which run them, and those that only ran beside.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use sedgewall_fleet::{
+    life::EndpointLife,
+    poison::{CONDEMNED_FOR, Crash, Loss, Poison, TakenIn},
+    request_digest::{RequestDigest, RequestParts},
+};
+
+/// How long a poison request runs before it ends its endpoint.
+const RUNS: Duration = Duration::from_millis(80);
+
+/// The time between two tries of its caller.
+const TRIES: Duration = Duration::from_millis(600);
+
+fn digest(n: u32) -> RequestDigest {
+    let path = format!("/p/{n}");
+    let (method, host) = ("POST", "h");
+    RequestDigest::of(RequestParts {
+        customer: None,
+        method,
+        host,
+        path: &path,
+        body: b"",
+    })
+}
+
+fn life(n: u32) -> EndpointLife {
+    EndpointLife { id: format!("e{n}"), born: None }
+}
+
+/// A run at an endpoint that ends at a moment, as its instance sees it.
+fn crash(
+    poison: &mut Poison,
+    endpoint: u32,
+    of: RequestDigest,
+    began: Instant,
+    at: Instant,
+) -> Option<Crash> {
+    let early = poison.lost(&life(endpoint), of, began, Loss::Broken, at);
+    early.or_else(|| poison.endpoint_ended(&life(endpoint), at))
+}
+
+/// Ends endpoints one after the other; returns when the last one ended.
+fn crash_in_turn(
+    poison: &mut Poison,
+    endpoints: std::ops::Range<u32>,
+    of: RequestDigest,
+    start: Instant,
+) -> Instant {
+    let mut at = start;
+    for endpoint in endpoints {
+        crash(poison, endpoint, of, at, at + RUNS);
+        at += TRIES;
+    }
+    at
+}
+
+fn is_condemned(poison: &Poison, of: RequestDigest, now: Instant) -> bool {
+    poison.verdict(of, now).is_some()
+}
+
+#[test]
+fn three_ends_one_after_the_other_condemn() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let at = crash_in_turn(&mut poison, 0..2, of, Instant::now());
+    assert!(!is_condemned(&poison, of, at));
+    let at = crash_in_turn(&mut poison, 2..3, of, at);
+    let verdict = poison.verdict(of, at).expect("a verdict");
+    assert_eq!(verdict.endpoints, [life(0), life(1), life(2)]);
+    assert_eq!(poison.take_untold(), [of]);
+    assert!(!is_condemned(&poison, digest(2), at));
+}
+
+#[test]
+fn endpoints_that_end_together_are_one_cause() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let began = Instant::now();
+    let at = began + RUNS;
+    for endpoint in 0..9 {
+        crash(&mut poison, endpoint, of, began, at);
+    }
+    assert!(!is_condemned(&poison, of, at));
+    // One more, of a run that was sent after these had ended.
+    crash(&mut poison, 9, of, at, at + RUNS);
+    assert!(is_condemned(&poison, of, at + RUNS));
+}
+
+#[test]
+fn a_connection_that_breaks_at_a_live_endpoint_counts_for_nothing() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let mut at = Instant::now();
+    for endpoint in 0..6 {
+        poison.lost(&life(endpoint), of, at, Loss::Broken, at + RUNS);
+        poison.endpoint_listens(&life(endpoint), at + RUNS);
+        at += TRIES;
+        // It ends later, for another reason.
+        assert_eq!(poison.endpoint_ended(&life(endpoint), at), None);
+    }
+    assert!(!poison.has_suspects());
+}
+
+#[test]
+fn a_run_whose_caller_left_counts_if_its_endpoint_ends_at_once() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let at = Instant::now();
+    let (soon, late) = (at + RUNS, at + 2 * TRIES);
+    poison.lost(&life(0), of, at, Loss::CallerLeft, at);
+    assert!(poison.endpoint_ended(&life(0), soon).is_some());
+    poison.lost(&life(1), of, at, Loss::CallerLeft, at);
+    assert_eq!(poison.endpoint_ended(&life(1), late), None);
+}
+
+#[test]
+fn another_instance_that_sees_the_end_settles_what_broke_here() {
+    let (mut near, mut far) = (Poison::default(), Poison::default());
+    let (one, other) = (digest(1), digest(2));
+    let at = Instant::now();
+    // Nothing answered here when it was looked whether the endpoint listens.
+    near.lost(&life(0), one, at, Loss::Broken, at + RUNS);
+    let told = crash(&mut far, 0, other, at, at + RUNS).expect("a crash");
+    let ours = near.hear(&told, at + RUNS).expect("a crash of ours too");
+    assert_eq!(ours.runs.len(), 1);
+    assert_eq!(ours.runs[0].digest, one);
+    // What breaks off a little later is settled at once.
+    let late = near.lost(&life(0), other, at, Loss::Broken, at + 2 * RUNS);
+    assert!(late.is_some());
+}
+
+#[test]
+fn a_run_that_ends_well_clears_what_was_held_against_it() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let at = crash_in_turn(&mut poison, 0..2, of, Instant::now());
+    assert!(poison.clear(of, at));
+    assert!(!poison.clear(of, at));
+    let at = crash_in_turn(&mut poison, 2..4, of, at);
+    assert!(!is_condemned(&poison, of, at));
+    let at = crash_in_turn(&mut poison, 4..5, of, at);
+    assert!(is_condemned(&poison, of, at));
+    // It was still under way elsewhere when it was condemned.
+    assert!(poison.clear(of, at));
+    assert!(!is_condemned(&poison, of, at));
+}
+
+#[test]
+fn what_was_condemned_before_a_good_run_is_refuted() {
+    let (mut poison, mut other) = (Poison::default(), Poison::default());
+    let of = digest(1);
+    let at = crash_in_turn(&mut poison, 0..3, of, Instant::now());
+    let [condemned] = &poison.condemned(at)[..] else { panic!("one") };
+    assert_eq!(other.take_in(condemned, at), TakenIn::News);
+    assert_eq!(other.take_in(condemned, at), TakenIn::Known);
+    assert!(is_condemned(&other, of, at));
+    other.clear(of, at);
+    assert_eq!(other.take_in(condemned, at), TakenIn::Refuted);
+    assert!(!is_condemned(&other, of, at));
+}
+
+#[test]
+fn it_is_tried_again_after_a_time_and_one_more_end_condemns_it_anew() {
+    let (mut poison, of) = (Poison::default(), digest(1));
+    let at = crash_in_turn(&mut poison, 0..3, of, Instant::now());
+    let back_in = poison.verdict(of, at).expect("a verdict").back_in;
+    assert!(back_in <= CONDEMNED_FOR);
+    let later = at + back_in + Duration::from_millis(1);
+    poison.forget(later);
+    assert!(!is_condemned(&poison, of, later));
+    crash(&mut poison, 9, of, later, later + RUNS);
+    assert!(is_condemned(&poison, of, later + RUNS));
+    // An operator may let it go as well.
+    poison.release(of, later + RUNS);
+    assert!(!is_condemned(&poison, of, later + RUNS));
+}
+
+#[test]
+fn what_is_known_is_bounded() {
+    let mut poison = Poison::default();
+    let mut at = Instant::now();
+    for n in 0..2_000 {
+        at = crash_in_turn(&mut poison, 3 * n..3 * n + 3, digest(n), at);
+    }
+    let condemned = poison.condemned(at);
+    assert!(condemned.len() <= 1_024);
+    assert!(is_condemned(&poison, digest(1_999), at));
+    let told: usize = poison.told(at).iter().map(|c| c.runs.len()).sum();
+    assert!(told <= 64);
+    poison.forget(at + 3 * CONDEMNED_FOR);
+    poison.forget(at + 6 * CONDEMNED_FOR);
+    assert!(!poison.has_suspects());
+}
+
+/// An end of an endpoint under requests of one instance.
+#[derive(Clone, Debug)]
+struct Event {
+    endpoint: u32,
+    digest: u32,
+    instance: usize,
+    after_ms: u64,
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = (0..9u32, 0..3u32, 0..3usize, 0..400u64);
+    let event = event.prop_map(|(endpoint, digest, instance, after_ms)| {
+        Event { endpoint, digest, instance, after_ms }
+    });
+    proptest::collection::vec(event, 1..24)
+}
+
+proptest! {
+    /// Whatever order notes come in, and however often, all instances come to the
+    /// same verdicts.
+    #[test]
+    fn all_that_hear_the_same_agree(
+        events in events(),
+        order in any::<proptest::sample::Index>(),
+    ) {
+        let mut instances = vec![Poison::default(); 3];
+        let mut notes = Vec::new();
+        let mut at = Instant::now();
+        for event in &events {
+            let (began, of) = (at, digest(event.digest));
+            at += Duration::from_millis(event.after_ms);
+            let own = &mut instances[event.instance];
+            if let Some(note) = crash(own, event.endpoint, of, began, at) {
+                notes.push((note, at));
+            }
+        }
+        for (n, instance) in instances.iter_mut().enumerate() {
+            if !notes.is_empty() {
+                let by = (order.index(notes.len()) + n) % notes.len();
+                notes.rotate_left(by);
+            }
+            for (note, told_at) in notes.iter().chain(&notes) {
+                let _ = instance.hear(note, *told_at);
+            }
+        }
+        for n in 0..3 {
+            let verdict = is_condemned(&instances[0], digest(n), at);
+            for other in &instances[1..] {
+                prop_assert_eq!(is_condemned(other, digest(n), at), verdict);
+            }
+        }
+    }
+
+    /// A request that ends each endpoint which runs it ends four at most where notes
+    /// come within a try, whoever sends it; others that ran beside it once are sent
+    /// on, and those that end well in between are never held.
+    #[test]
+    fn a_poison_request_is_stopped_and_what_ran_beside_is_not(
+        tries in proptest::collection::vec(0..6usize, 5..30),
+        beside in proptest::collection::vec(1..9u32, 5..30),
+    ) {
+        let poisoned = digest(0);
+        let popular = digest(100);
+        let mut instances = vec![Poison::default(); 6];
+        let mut at = Instant::now();
+        let mut ended = 0;
+        for (n, by) in tries.iter().enumerate() {
+            at += TRIES;
+            for instance in &mut instances {
+                let _ = instance.clear(popular, at);
+            }
+            if is_condemned(&instances[*by], poisoned, at) {
+                continue;
+            }
+            let endpoint = ended;
+            ended += 1;
+            let mut notes = Vec::new();
+            let also = beside[n % beside.len()];
+            for (who, of) in
+                [(*by, poisoned), (*by, digest(1_000 * ended + also)), ((*by + 1) % 6, popular)]
+            {
+                notes.extend(crash(&mut instances[who], endpoint, of, at, at + RUNS));
+            }
+            for note in &notes {
+                for instance in &mut instances {
+                    let _ = instance.hear(note, at + RUNS);
+                }
+            }
+        }
+        prop_assert!(ended <= 4, "{ended} ended");
+        for instance in &instances {
+            prop_assert!(!is_condemned(instance, popular, at + RUNS));
+            for n in 1..=ended {
+                for also in &beside {
+                    let innocent = digest(1_000 * n + also);
+                    prop_assert!(!is_condemned(instance, innocent, at + RUNS));
+                }
+            }
+        }
+    }
+}
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -12,6 +12,7 @@
     adapter::AdapterKey,
     configuration::DecidedBy,
     customer::Customer,
+    poison::Loss,
     request_digest::{RequestDigest, RequestParts},
     route::{Repetition, Route},
     view::Target,
@@ -24,8 +25,8 @@
 use sedgewall_transport::{PooledAnswer, SendError};
 
 use super::{
-    broken_run,
     node::{FleetNode, SeenArrival},
+    poison,
     under_way::UnderWay,
 };
 
@@ -52,12 +53,19 @@
     pub(crate) is_later_try: bool,
     /// Whose it is.
     pub(crate) customer: Option<Rc<Customer>>,
-    /// Where it was sent last.
-    pub(crate) sent_to: RefCell<Option<EndpointId>>,
+    /// Where it was sent last, and when.
+    pub(crate) sent_to: RefCell<Option<SentTo>>,
     /// Made when it is asked for: few requests need one.
     pub(crate) digest: OnceCell<RequestDigest>,
 }
 
+/// Where a request was sent.
+#[derive(Clone, Debug)]
+pub(crate) struct SentTo {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) at: Instant,
+}
+
 /// How a send ended without an answer to pass on.
 #[derive(Clone, Debug)]
 pub(crate) enum AttemptError {
@@ -177,10 +185,13 @@
             Err(AttemptError::Unreachable(cause))
         }
         Ok(Err(SendError::Broken(cause))) => {
-            broken_run::broke_off(node, call, target, &cause);
+            poison::run_broke(node, call, target, &cause);
             Err(AttemptError::Unclear(cause))
         }
-        Err(_) => Err(AttemptError::TimedOut),
+        Err(_) => {
+            poison::run_lost(node, call, Loss::Broken);
+            Err(AttemptError::TimedOut)
+        }
     };
     under_way.answer_begins();
     if ended.is_ok() && call.key().is_some() {
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -17,6 +17,7 @@
     configuration::DecidedBy,
     customer::Customer,
     patience::{Held, Obstacle, come_back},
+    poison::Loss,
     view::{Choice, Need, Target},
 };
 use sedgewall_platform::{CallFacts, call::to_caller};
@@ -31,9 +32,11 @@
     admit::{
         Admitted, Asked, admit_by_newest, give_back_allowance, take_allowance,
     },
-    attempt::{self, AttemptError, CallerRequest, GoodAnswer, SendLimits},
-    broken_run,
+    attempt::{
+        self, AttemptError, CallerRequest, GoodAnswer, SendLimits, SentTo,
+    },
     node::{FleetNode, Stage},
+    poison,
     refusal::{self, Reason},
     relay, request_log,
     under_way::OpenRequest,
@@ -241,7 +244,7 @@
         engine: Duration::ZERO,
         gone_in: None,
     };
-    let mut watch = request_log::Unanswered::begin(call.clone());
+    let mut watch = request_log::Unanswered::begin(node, call.clone());
     let last_event = call.facts.last_event.clone();
     let found = obtain(node, &call, &mut progress, last_event.as_deref());
     let response = match found.await {
@@ -268,11 +271,14 @@
     last_event: Option<&str>,
 ) -> Result<(GoodAnswer, Target), Reason> {
     loop {
+        poison::check(node, call, progress.runs)?;
         let target = match find(node, call, progress).await {
             Ok(target) => target,
             Err(_) if progress.runs > 0 => return Err(Reason::OutcomeUnknown),
             Err(reason) => return Err(reason),
         };
+        // Others may have seen its endpoints end while it waited for a place.
+        poison::check(node, call, progress.runs)?;
         let is_first = progress.sends == 0;
         if !is_first && !take_repeat(node, call) {
             return Err(match progress.runs {
@@ -281,7 +287,8 @@
             });
         }
         progress.sends += 1;
-        *call.sent_to.borrow_mut() = Some(target.id.clone());
+        let to = SentTo { endpoint: target.id.clone(), at: Instant::now() };
+        *call.sent_to.borrow_mut() = Some(to);
         let limits = send_limits(call, progress);
         let began = Instant::now();
         let sent =
@@ -492,6 +499,9 @@
                 longest_pause: Duration::ZERO,
             };
             request_log::served(&call, &progress, &target, &delivered);
+            if status.is_success() {
+                poison::ended_well(node, &call);
+            }
             let mut response = Response::new(LocalBody::whole(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
@@ -501,10 +511,13 @@
             let reason = match &whole {
                 Ok(Err(err)) => {
                     let cause = err.to_string();
-                    broken_run::broke_off(node, &call, &target, &cause);
+                    poison::run_broke(node, &call, &target, &cause);
                     Reason::OutcomeUnknown
                 }
-                _ => Reason::TimedOut,
+                _ => {
+                    poison::run_lost(node, &call, Loss::Broken);
+                    Reason::TimedOut
+                }
             };
             request_log::refused(&call, &progress, reason);
             refusal::answer(reason, come_back_of(&call, &progress))
--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -23,7 +23,7 @@
 use super::{
     follow_configuration::{Source, put_in_force},
     node::FleetNode,
-    notes,
+    notes, poison,
 };
 
 /// The path of what an instance misses.
@@ -166,6 +166,9 @@
     for departure in &missed.departures {
         notes::hear_departure(node, departure, now);
     }
+    for condemned in &missed.condemned {
+        poison::take_in(node, condemned, "instance");
+    }
     node.knowledge().has_more_than(before)
 }
 
@@ -217,6 +220,7 @@
 fn missed_by(node: &FleetNode, known: Knowledge) -> Missed {
     let newer = |version| version > known.configuration;
     let deployment = node.deployment().filter(|d| newer(d.version));
+    let condemned = node.poison.borrow().condemned(Instant::now());
     let view = node.view.borrow();
     let versions = match view.versions_named() > known.versions {
         true => view.named_versions().map(|(k, v)| (k.clone(), v)).collect(),
@@ -226,5 +230,6 @@
         deployment: deployment.map(|deployment| (*deployment).clone()),
         versions,
         departures: view.all_departures(),
+        condemned,
     }
 }
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -22,6 +22,7 @@
     follow_configuration::{Configuration, Versions},
     follow_endpoints::Endpoints,
     follow_instances::{Instances, announce},
+    follow_poison::{self, PoisonRequests},
     keys, leader, lease,
     log_buffer::LogBuffer,
     node::{FleetNode, Stage},
@@ -124,6 +125,8 @@
     follow::spawn(node, Endpoints::new(node));
     follow::spawn(node, Versions(node.clone()));
     follow::spawn(node, Instances(node.clone()));
+    follow::spawn(node, PoisonRequests(node.clone()));
+    compio::runtime::spawn(follow_poison::keep_records(node.clone())).detach();
     compio::runtime::spawn(announce(node.clone())).detach();
 }
 
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -18,7 +18,7 @@
 };
 use sedgewall_state::id::EndpointId;
 
-use super::{bell::Bell, follow::Follower, node::FleetNode};
+use super::{bell::Bell, follow::Follower, node::FleetNode, poison};
 
 /// How long a watch of endpoints waits for a change. A channel that went dead
 /// without a word is noticed after this time; then all is listed anew.
@@ -177,6 +177,9 @@
     let contact = node.store_contact.borrow();
     let is_sure = !contact.was_out_within(IN_DOUBT_FOR, now);
     tracing::info!(event = "endpoint_gone", endpoint = id, revision, is_sure);
+    if is_sure {
+        poison::endpoint_ended(node, id);
+    }
     node.view.borrow_mut().unlist(id, revision, is_sure, now);
 }
 
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -0,0 +1,276 @@
+//! Keeps condemned requests in the platform's store, and follows what stands there.
+//!
+//! What instances know ends with them, and one that hears no other learns it from
+//! the store alone. Each condemned request is an object named by its digest; an
+//! operator who deletes one lets its request go.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use sedgewall_fleet::{
+    back_off::{BackOff, Calls},
+    life::EndpointLife,
+    poison::{CONDEMNED_FOR, Condemned, TakenIn},
+    request_digest::RequestDigest,
+};
+use sedgewall_platform::{
+    StoreError,
+    store::{Change, Listing, Revision, StoredObject},
+};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    bell::Bell,
+    follow::{Follower, QUIET_WATCH},
+    node::FleetNode,
+    poison,
+};
+
+/// The kind of condemned requests.
+const POISON_KIND: &str = "sedgewall-poison-requests";
+
+/// What each instance that comes before this one adds to the time after which it
+/// writes what another one may write, so that one of them does.
+const WRITE_AFTER: Duration = Duration::from_millis(250);
+
+/// How often it is looked for records that are over.
+const LOOK_EVERY: Duration = Duration::from_secs(30);
+
+/// How long a record that is over stays beyond its time: clocks of instances differ
+/// by seconds.
+const RECORD_MARGIN: Duration = Duration::from_secs(60);
+
+/// What stands in the store of one condemned request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct PoisonRecord {
+    /// The endpoints that ended under it.
+    endpoints: Vec<EndpointLife>,
+    /// When it was condemned, in milliseconds of Unix time.
+    condemned_unix_ms: u64,
+}
+
+/// The records in the store, as far as they are known.
+#[derive(Debug, Default)]
+pub(crate) struct PoisonRecords(HashMap<RequestDigest, KnownRecord>);
+
+#[derive(Clone, Copy, Debug)]
+struct KnownRecord {
+    revision: Revision,
+    /// When it is over.
+    over_at: Instant,
+    /// Whether a run of the request has ended well since.
+    is_refuted: bool,
+}
+
+/// What is to be done in the store.
+enum Task {
+    Write(Condemned),
+    Delete(RequestDigest, Revision),
+}
+
+/// Takes in the records of condemned requests.
+pub(crate) struct PoisonRequests(pub(crate) Rc<FleetNode>);
+
+impl Follower for PoisonRequests {
+    const KIND: &'static str = POISON_KIND;
+    const WATCH: Duration = QUIET_WATCH;
+
+    fn bell(&self) -> Rc<Bell> {
+        self.0.poison_bell.clone()
+    }
+
+    fn list(&self, listing: Listing) {
+        let is_listed = |digest: &RequestDigest| {
+            let name = digest.to_string();
+            listing.objects.iter().any(|object| object.name == name)
+        };
+        // A list that is seconds old does not show what is newer.
+        let gone: Vec<RequestDigest> = self
+            .0
+            .poison_records
+            .borrow()
+            .0
+            .iter()
+            .filter(|(_, known)| known.revision <= listing.revision)
+            .map(|(digest, _)| *digest)
+            .filter(|digest| !is_listed(digest))
+            .collect();
+        for digest in gone {
+            self.record_gone(digest);
+        }
+        for object in &listing.objects {
+            self.take(object);
+        }
+    }
+
+    fn change(&self, change: Change) {
+        if !change.is_deleted {
+            return self.take(&change.object);
+        }
+        if let Some(digest) = RequestDigest::parse(&change.object.name) {
+            self.record_gone(digest);
+        }
+    }
+}
+
+impl PoisonRequests {
+    fn take(&self, object: &StoredObject) {
+        let Some(digest) = RequestDigest::parse(&object.name) else {
+            let name = &object.name;
+            tracing::error!(event = "poison_record_unreadable", name);
+            return;
+        };
+        let record = match PoisonRecord::deserialize(&object.spec) {
+            Ok(record) => record,
+            Err(err) => {
+                let cause = err.to_string();
+                tracing::error!(event = "poison_record_unreadable", cause);
+                return;
+            }
+        };
+        let ms_ago = unix_ms().saturating_sub(record.condemned_unix_ms);
+        let ago = Duration::from_millis(ms_ago);
+        let left = CONDEMNED_FOR.saturating_sub(ago);
+        let endpoints = record.endpoints;
+        let condemned = Condemned { digest, ms_ago, endpoints };
+        let taken_in = poison::take_in(&self.0, &condemned, "store");
+        let known = KnownRecord {
+            revision: object.revision,
+            over_at: Instant::now() + left + RECORD_MARGIN,
+            is_refuted: taken_in == TakenIn::Refuted,
+        };
+        self.0.poison_records.borrow_mut().0.insert(digest, known);
+        ring(&self.0);
+    }
+
+    /// Lets a request go whose record was deleted: it is over, or an operator says
+    /// so.
+    fn record_gone(&self, digest: RequestDigest) {
+        if self.0.poison_records.borrow_mut().0.remove(&digest).is_none() {
+            return;
+        }
+        tracing::info!(event = "poison_released", %digest);
+        self.0.poison.borrow_mut().release(digest, Instant::now());
+    }
+}
+
+/// Notes that a run of a request ended well: its record is to go.
+pub(crate) fn refute(node: &FleetNode, digest: RequestDigest) {
+    if let Some(known) = node.poison_records.borrow_mut().0.get_mut(&digest) {
+        known.is_refuted = true;
+    }
+    ring(node);
+}
+
+/// Wakes the part that keeps the records.
+pub(crate) fn ring(node: &FleetNode) {
+    node.poison_records_bell.ring();
+}
+
+/// Writes what is condemned and not in the store, and deletes what is over, for ever.
+pub(crate) async fn keep_records(node: Rc<FleetNode>) {
+    let mut back_off = BackOff::default();
+    loop {
+        node.poison_records_bell.wait(LOOK_EVERY).await;
+        while let Some(task) = next_task(&node) {
+            // Whoever comes first does it, and tells the others by it.
+            let rank = node.rank(0) as u32;
+            compio::time::sleep(WRITE_AFTER * rank).await;
+            if !is_still_due(&node, &task) {
+                continue;
+            }
+            match carry_out(&node, &task).await {
+                Ok(()) => back_off.answered(),
+                Err(err) => {
+                    let cause = err.to_string();
+                    tracing::info!(event = "poison_record_failed", cause);
+                    let pause = back_off.failed(Calls::Watcher, true);
+                    compio::time::sleep(pause).await;
+                }
+            }
+        }
+    }
+}
+
+fn next_task(node: &FleetNode) -> Option<Task> {
+    let now = Instant::now();
+    let records = node.poison_records.borrow();
+    let condemned = node.poison.borrow().condemned(now);
+    let unwritten =
+        condemned.into_iter().find(|c| !records.0.contains_key(&c.digest));
+    if let Some(unwritten) = unwritten {
+        return Some(Task::Write(unwritten));
+    }
+    let verdict = |digest| node.poison.borrow().verdict(digest, now);
+    let needless = records.0.iter().find(|(digest, known)| {
+        (known.is_refuted || now >= known.over_at)
+            && verdict(**digest).is_none()
+    });
+    needless.map(|(digest, known)| Task::Delete(*digest, known.revision))
+}
+
+fn is_still_due(node: &FleetNode, task: &Task) -> bool {
+    let digest = match task {
+        Task::Write(condemned) => condemned.digest,
+        Task::Delete(digest, _) => *digest,
+    };
+    let is_known = node.poison_records.borrow().0.contains_key(&digest);
+    let verdict = node.poison.borrow().verdict(digest, Instant::now());
+    match task {
+        Task::Write(_) => !is_known && verdict.is_some(),
+        Task::Delete(..) => is_known && verdict.is_none(),
+    }
+}
+
+async fn carry_out(node: &FleetNode, task: &Task) -> Result<(), StoreError> {
+    match task {
+        Task::Write(condemned) => write(node, condemned).await,
+        Task::Delete(digest, revision) => {
+            let name = digest.to_string();
+            let deleted =
+                node.store.delete(POISON_KIND, &name, *revision).await;
+            match deleted {
+                Err(StoreError::Missing | StoreError::Conflict(_)) => {}
+                deleted => deleted?,
+            }
+            node.poison_records.borrow_mut().0.remove(digest);
+            tracing::info!(event = "poison_record_deleted", %digest);
+            Ok(())
+        }
+    }
+}
+
+async fn write(
+    node: &FleetNode,
+    condemned: &Condemned,
+) -> Result<(), StoreError> {
+    let Condemned { digest, ms_ago, endpoints } = condemned;
+    let record = PoisonRecord {
+        endpoints: endpoints.clone(),
+        condemned_unix_ms: unix_ms().saturating_sub(*ms_ago),
+    };
+    let spec = serde_json::to_value(&record)
+        .map_err(|err| StoreError::Unclear(err.to_string()))?;
+    let name = digest.to_string();
+    let revision = match node.store.create(POISON_KIND, &name, &spec).await {
+        Ok(object) => object.revision,
+        // Another instance has written it.
+        Err(StoreError::Conflict(known)) => {
+            known.map_or(0, |object| object.revision)
+        }
+        Err(err) => return Err(err),
+    };
+    let over_at = Instant::now() + CONDEMNED_FOR + RECORD_MARGIN;
+    let known = KnownRecord { revision, over_at, is_refuted: false };
+    node.poison_records.borrow_mut().0.insert(*digest, known);
+    tracing::info!(event = "poison_record_written", %digest, revision);
+    Ok(())
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/sedgewalld/src/fleet/keys.rs
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -147,8 +147,7 @@
     now: Instant,
 ) {
     let Some(whom) = whom else { return read_anew(node, now) };
-    let versions = node.knowledge().versions;
-    let told = Knowledge { configuration, versions };
+    let told = Knowledge { configuration, ..node.knowledge() };
     notes::hear_knowledge(node, whom, told, now);
     node.ring_catch_up();
 }
--- a/crates/sedgewalld/src/fleet/knowledge.rs
+++ b/crates/sedgewalld/src/fleet/knowledge.rs
@@ -47,11 +47,12 @@
         }
     }
 
-    /// Returns how much we have of what the operator changes.
+    /// Returns how much we have of what all must know.
     pub(crate) fn knowledge(&self) -> Knowledge {
         Knowledge {
             configuration: self.configuration_version().unwrap_or(0),
             versions: self.view.borrow().versions_named(),
+            condemned: self.poison.borrow().condemned_len() as u64,
         }
     }
 
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -17,6 +17,7 @@
     demand::Demand,
     load_times::LoadTimes,
     note::{Lead, Note},
+    poison::Poison,
     retry_budget::{RetryAllowance, RetryBudget},
     route::Deployment,
     store_contact::{CallFailure, StoreContact},
@@ -32,7 +33,7 @@
 use sedgewall_transport::EndpointPool;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{bell::Bell, keys::Keys};
+use super::{bell::Bell, follow_poison::PoisonRecords, keys::Keys};
 
 /// Notes of the holder that may be lost in a row before it is missed.
 const LEADER_LOSSES: u32 = 4;
@@ -188,6 +189,12 @@
     /// Our own lease on orders, if we have it.
     pub(crate) held: Cell<Option<HeldLease>>,
     pub(crate) pool: EndpointPool,
+    /// What was seen of requests that end endpoints.
+    pub(crate) poison: RefCell<Poison>,
+    /// What of it stands in the store.
+    pub(crate) poison_records: RefCell<PoisonRecords>,
+    pub(crate) poison_records_bell: Bell,
+    pub(crate) poison_bell: Rc<Bell>,
     /// Endpoints at which a run broke off, while it is looked at whether they are
     /// still there.
     pub(crate) looked_at: RefCell<BTreeSet<EndpointId>>,
@@ -279,6 +286,10 @@
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
             pool,
+            poison: RefCell::default(),
+            poison_records: RefCell::default(),
+            poison_records_bell: Bell::default(),
+            poison_bell: Rc::default(),
             looked_at: RefCell::default(),
             peer_pool: EndpointPool::new(),
             open: Cell::new(0),
@@ -556,6 +567,7 @@
             &self.versions_bell,
             &self.instances_bell,
             &self.endpoints_bell,
+            &self.poison_bell,
         ];
         for bell in bells.iter().filter(|bell| !Rc::ptr_eq(bell, listed)) {
             if !is_known(bell) {
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -25,6 +25,7 @@
     follow, keys, lease_store,
     node::{FleetNode, SeenArrival, Stage},
     note_sender::{LARGEST_NOTE, NoteSender},
+    poison,
 };
 
 /// Where there are many, each so many-th note goes to all and not to the holder
@@ -97,6 +98,9 @@
             for departure in &status.departures {
                 hear_departure(node, departure, now);
             }
+            for crash in &status.crashes {
+                poison::hear(node, crash);
+            }
             node.last_words.borrow_mut().hear(
                 &status.from,
                 status.store_is_out,
@@ -107,6 +111,8 @@
             node.view.borrow_mut().hear_status(status, now);
         }
         Note::Departed(departure) => hear_departure(node, &departure, now),
+        Note::Crashed(crash) => poison::hear(node, &crash),
+        Note::Cleared(digest) => poison::hear_cleared(node, digest),
         Note::StoreFails => follow::probe_store(node),
         Note::RenewForMe(request) => {
             let (node, sender) = (node.clone(), sender.clone());
@@ -171,8 +177,8 @@
 /// Lists anew what another instance knows in a newer version for a while: a
 /// watch of ours may be on a channel that says nothing further.
 fn hear_newer(node: &FleetNode, status: &Status, now: Instant) {
-    let Status { configuration, versions, .. } = *status;
-    let told = Knowledge { configuration, versions };
+    let Status { configuration, versions, condemned, .. } = *status;
+    let told = Knowledge { configuration, versions, condemned };
     hear_knowledge(node, &status.from, told, now);
     let own = node.knowledge();
     if !told.has_more_than(own) {
@@ -182,6 +188,9 @@
     let known = own.configuration;
     let is_configuration = configuration > known;
     let is_version = versions > own.versions;
+    if !is_configuration && !is_version {
+        return;
+    }
     let since = node.behind_since.get().unwrap_or(now);
     if now - since > BEHIND_HOLDS {
         // Heard of long ago; our watch has brought that one.
@@ -362,6 +371,7 @@
             node.suspicions.borrow_mut().forget(now);
             node.shares.borrow_mut().forget(now);
             node.catch_up.borrow_mut().forget(now);
+            node.poison.borrow_mut().forget(now);
         }
     }
 }
@@ -483,6 +493,8 @@
         work,
         is_total,
         is_part,
+        crashes: node.poison.borrow().told(now),
+        condemned: node.poison.borrow().condemned_len() as u64,
     }
 }
 
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -44,6 +44,8 @@
     NobodyThere,
     /// Endpoints turned it down, and the allowance for more tries is used up.
     RetriesSpent,
+    /// Endpoints ended under it; it is tried again after a time.
+    CrashesEndpoints(Duration),
     /// Its time has passed; it has not run.
     TooLate,
     /// Its time has passed, and it may have run.
@@ -70,6 +72,7 @@
             Reason::Full => "full",
             Reason::NobodyThere => "nobody_there",
             Reason::RetriesSpent => "retries_spent",
+            Reason::CrashesEndpoints(_) => "crashes_endpoints",
             Reason::TooLate => "too_late",
             Reason::TimedOut => "timed_out",
             Reason::OutcomeUnknown => "outcome_unknown",
@@ -119,6 +122,8 @@
             | Reason::NobodyThere
             | Reason::RetriesSpent => Some(most),
             Reason::OverAllowance(denied) => Some(most.min(denied.back_in)),
+            // Whatever the caller's time: before that nobody sends it on.
+            Reason::CrashesEndpoints(back_in) => Some(back_in),
             // Another instance may know.
             Reason::TooLate
             | Reason::KeysUnsure
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -12,15 +12,14 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use sedgewall_fleet::{events::EventCutter, view::Target};
+use sedgewall_fleet::{events::EventCutter, poison::Loss, view::Target};
 use sedgewall_transport::{LocalBody, PooledBody, SendError};
 
 use super::{
     attempt::{CallerRequest, GoodAnswer},
-    broken_run,
     caller::{self, Progress},
     node::FleetNode,
-    request_log,
+    poison, request_log,
     under_way::{OpenRequest, UnderWay},
 };
 
@@ -111,15 +110,7 @@
                 }
                 Ok(None) => return self.finish(),
                 Err(stopped) => {
-                    if let Stopped::Broken(err) = &stopped {
-                        let cause = err.to_string();
-                        broken_run::broke_off(
-                            &self.node,
-                            &self.call,
-                            &self.target,
-                            &cause,
-                        );
-                    }
+                    self.note_lost(&stopped);
                     if !self.resume(&stopped).await {
                         return Some(Err(self.give_up(&stopped)));
                     }
@@ -155,6 +146,7 @@
 
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
+        poison::ended_well(&self.node, &self.call);
         request_log::served(
             &self.call,
             &self.progress,
@@ -207,6 +199,20 @@
         true
     }
 
+    /// Notes the run's end, which may be that of its engine.
+    fn note_lost(&self, stopped: &Stopped) {
+        let (node, call) = (&self.node, &self.call);
+        match stopped {
+            Stopped::Broken(err) => {
+                let cause = err.to_string();
+                poison::run_broke(node, call, &self.target, &cause);
+            }
+            Stopped::Silent | Stopped::TimeOver => {
+                poison::run_lost(node, call, Loss::Broken);
+            }
+        }
+    }
+
     fn note_failure(&self) {
         let mut view = self.node.view.borrow_mut();
         if let Some(state) = view.get_mut(&self.target.id) {
@@ -241,6 +247,7 @@
     fn drop(&mut self) {
         if !self.is_over {
             request_log::left(&self.call, self.bytes);
+            poison::run_lost(&self.node, &self.call, Loss::CallerLeft);
         }
     }
 }
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -2,24 +2,30 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sedgewall_fleet::{adapter::AdapterKey, view::Target};
+use sedgewall_fleet::{adapter::AdapterKey, poison::Loss, view::Target};
 
 use super::{
     attempt::{AttemptError, CallerRequest},
     caller::Progress,
+    node::FleetNode,
+    poison,
     refusal::Reason,
 };
 
 /// Watches over a request until it has an answer: a caller that leaves ends the
 /// work on it without another word.
 pub(crate) struct Unanswered {
+    node: Rc<FleetNode>,
     call: Rc<CallerRequest>,
     is_answered: bool,
 }
 
 impl Unanswered {
-    pub(crate) fn begin(call: Rc<CallerRequest>) -> Unanswered {
-        Unanswered { call, is_answered: false }
+    pub(crate) fn begin(
+        node: &Rc<FleetNode>,
+        call: Rc<CallerRequest>,
+    ) -> Unanswered {
+        Unanswered { node: node.clone(), call, is_answered: false }
     }
 
     pub(crate) fn answered(&mut self) {
@@ -31,6 +37,7 @@
     fn drop(&mut self) {
         if !self.is_answered {
             left(&self.call, 0);
+            poison::run_lost(&self.node, &self.call, Loss::CallerLeft);
         }
     }
 }
@@ -43,7 +50,7 @@
         request = call.facts.request_id,
         route = call.route.name,
         key = call.facts.key.as_ref().map(AdapterKey::to_string),
-        endpoint = *call.sent_to.borrow(),
+        endpoint = call.sent_to.borrow().as_ref().map(|to| &to.endpoint),
         is_later_try = call.is_later_try,
         bytes,
         held_ms = call.arrived.elapsed().as_millis() as u64,
