Condemned requests: four instances watch the records, the others hear of them in notes

Cause: a fifth kind that each instance watches takes calls to the store.

Change: the instances that watch for the others watch it; the others list it at their start and once a minute, and begin to watch when they hear none of those before them.

--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -27,7 +27,7 @@
 
 /// Instances that watch with all that was acknowledged. Three may be cut off at
 /// once and one still tells all others.
-const FRESH_WATCHERS: usize = 4;
+pub(crate) const FRESH_WATCHERS: usize = 4;
 
 /// The longest time for the answer to a probe: the lease leaves 0.85 s from the
 /// first renewal that fails.
@@ -216,7 +216,9 @@
         self.back_off.answered();
         let pause = self.follower.pause();
         let is_rung = !pause.is_zero() && bell.wait(pause).await;
-        self.since = (!is_rung).then_some(revision);
+        // After a long pause, what follows on the revision may be gone.
+        let is_old = pause > QUIET_WATCH;
+        self.since = (!is_rung && !is_old).then_some(revision);
     }
 
     /// Waits before the next call, or until another kind reaches the store: the
--- a/crates/sedgewalld/src/fleet/follow_poison.rs
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -24,7 +24,7 @@
 
 use super::{
     bell::Bell,
-    follow::{Follower, QUIET_WATCH},
+    follow::{FRESH_WATCHERS, Follower, QUIET_WATCH},
     node::FleetNode,
     poison,
 };
@@ -36,6 +36,12 @@
 /// writes what another one may write, so that one of them does.
 const WRITE_AFTER: Duration = Duration::from_millis(250);
 
+/// How long an instance that does not watch for the others waits before it lists the
+/// records again. It hears of them in notes; a list repairs what notes lost. Where
+/// all watch, as they do for the configuration, calls to the store are 11 of 100 more
+/// with 75 instances.
+const OTHERS_LIST_EVERY: Duration = Duration::from_secs(60);
+
 /// How often it is looked for records that are over.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
 
@@ -78,6 +84,13 @@
     const KIND: &'static str = POISON_KIND;
     const WATCH: Duration = QUIET_WATCH;
 
+    fn pause(&self) -> Duration {
+        match is_watcher(&self.0) {
+            true => Duration::ZERO,
+            false => OTHERS_LIST_EVERY,
+        }
+    }
+
     fn bell(&self) -> Rc<Bell> {
         self.0.poison_bell.clone()
     }
@@ -157,6 +170,20 @@
     }
 }
 
+fn is_watcher(node: &FleetNode) -> bool {
+    node.rank(0) < FRESH_WATCHERS
+}
+
+/// Begins to watch the records if that has become this instance's part: those before
+/// it have left, or it hears them no longer.
+pub(crate) fn note_rank(node: &FleetNode) {
+    let is_watcher = is_watcher(node);
+    if is_watcher && !node.watches_poison.replace(is_watcher) {
+        node.poison_bell.ring();
+    }
+    node.watches_poison.set(is_watcher);
+}
+
 /// Notes that a run of a request ended well: its record is to go.
 pub(crate) fn refute(node: &FleetNode, digest: RequestDigest) {
     if let Some(known) = node.poison_records.borrow_mut().0.get_mut(&digest) {
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -195,6 +195,8 @@
     pub(crate) poison_records: RefCell<PoisonRecords>,
     pub(crate) poison_records_bell: Bell,
     pub(crate) poison_bell: Rc<Bell>,
+    /// Whether this instance watches them for the others.
+    pub(crate) watches_poison: Cell<bool>,
     /// Endpoints at which a run broke off, while it is looked at whether they are
     /// still there.
     pub(crate) looked_at: RefCell<BTreeSet<EndpointId>>,
@@ -290,6 +292,7 @@
             poison_records: RefCell::default(),
             poison_records_bell: Bell::default(),
             poison_bell: Rc::default(),
+            watches_poison: Cell::new(true),
             looked_at: RefCell::default(),
             peer_pool: EndpointPool::new(),
             open: Cell::new(0),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -22,7 +22,7 @@
 use sedgewall_state::id::{EndpointId, InstanceId};
 
 use super::{
-    follow, keys, lease_store,
+    follow, follow_poison, keys, lease_store,
     node::{FleetNode, SeenArrival, Stage},
     note_sender::{LARGEST_NOTE, NoteSender},
     poison,
@@ -372,6 +372,7 @@
             node.shares.borrow_mut().forget(now);
             node.catch_up.borrow_mut().forget(now);
             node.poison.borrow_mut().forget(now);
+            follow_poison::note_rank(&node);
         }
     }
 }
