--- a/crates/sedgewalld/src/fleet/follow_poison.rs
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -42,6 +42,11 @@
 /// with 75 instances.
 const OTHERS_LIST_EVERY: Duration = Duration::from_secs(60);
 
+/// Until it has listed the others, each instance takes itself for the first. It waits
+/// that long for its list, which takes milliseconds: where 75 that start at once all
+/// begin with a watch of their own, that is as many calls.
+const FIRST_WATCH_AFTER: Duration = Duration::from_secs(1);
+
 /// How often it is looked for records that are over.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
 
@@ -85,6 +90,9 @@
     const WATCH: Duration = QUIET_WATCH;
 
     fn pause(&self) -> Duration {
+        if !self.0.has_listed_instances.get() {
+            return FIRST_WATCH_AFTER;
+        }
         match is_watcher(&self.0) {
             true => Duration::ZERO,
             false => OTHERS_LIST_EVERY,
