Decisions go by a clock that counts the time of a suspension

A holder that woke took its lease for current for as long as it had left before, though another may have it; keys, confirmed configurations and callers' ends were counted so too.

Change: one crate has the clock, CLOCK_BOOTTIME by boot-time; clippy turns the other one away. After a suspension all is judged as after a pause of the process, and a line says how long it was. Timers run on the other clock and come late.

No test shows a suspension itself: nothing here can suspend a machine.

--- a/crates/bench/examples/load.rs
+++ b/crates/bench/examples/load.rs
@@ -1,11 +1,8 @@
 //! The load tool as a process.
 
+use sedgewall_clock::Instant;
 use std::{
-    cell::RefCell,
-    path::PathBuf,
-    process::ExitCode,
-    rc::Rc,
-    time::{Duration, Instant},
+    cell::RefCell, path::PathBuf, process::ExitCode, rc::Rc, time::Duration,
 };
 
 use clap::Parser;
--- a/crates/bench/examples/path.rs
+++ b/crates/bench/examples/path.rs
@@ -1,12 +1,8 @@
 //! Measures what the path adds: pairs of calls, one straight to an engine and
 //! one through an instance, in turn.
 
-use std::{
-    cell::RefCell,
-    path::PathBuf,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, path::PathBuf, rc::Rc, time::Duration};
 
 use clap::Parser;
 use futures_util::StreamExt;
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -4,6 +4,7 @@
 //! dropped. Ports are taken from the system, so that tests can run side by
 //! side.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
@@ -13,7 +14,7 @@
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU16, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use http::{Method, StatusCode};
--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -6,11 +6,12 @@
 //! it sees: an adapter unloaded while it serves, a request that is not
 //! repeatable run twice.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::RefCell,
     collections::VecDeque,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
--- a/crates/bench/src/herd/way.rs
+++ b/crates/bench/src/herd/way.rs
@@ -1,6 +1,6 @@
 //! The ways to choose an endpoint that are compared.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use rand::{Rng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -1,6 +1,7 @@
 //! Plays one load through one way to choose.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/bench/src/load/completion.rs
+++ b/crates/bench/src/load/completion.rs
@@ -1,10 +1,7 @@
 //! Sends one completion and checks its answer.
 
-use std::{
-    cell::RefCell,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
 use futures_util::StreamExt;
--- a/crates/bench/src/load/measure.rs
+++ b/crates/bench/src/load/measure.rs
@@ -1,9 +1,7 @@
 //! What the load tool measures.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
 use sedgewall_protocol::{Problem, RunState, engine::EngineReport};
--- a/crates/bench/src/load/service_call.rs
+++ b/crates/bench/src/load/service_call.rs
@@ -1,10 +1,7 @@
 //! Sends one call of a plain service and checks its answer.
 
-use std::{
-    cell::RefCell,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use http::{Method, StatusCode};
 use sedgewall_protocol::caller::{
--- a/crates/bench/src/object_api.rs
+++ b/crates/bench/src/object_api.rs
@@ -4,12 +4,8 @@
 //! rates, counts every call, and can be out, slow, or lose the answer of a
 //! change that took effect.
 
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/bench/src/replay/baseline.rs
+++ b/crates/bench/src/replay/baseline.rs
@@ -6,7 +6,8 @@
 //! there it is loaded on demand, in place of the one that was used longest
 //! ago and serves nothing.
 
-use std::{collections::VecDeque, time::Instant};
+use sedgewall_clock::Instant;
+use std::collections::VecDeque;
 
 use sedgewall_coordination::rendezvous;
 
--- a/crates/bench/src/replay/ours.rs
+++ b/crates/bench/src/replay/ours.rs
@@ -1,6 +1,7 @@
 //! Our policy in a replay: one shard for each base model, as shipped.
 
-use std::{collections::HashMap, time::Instant};
+use sedgewall_clock::Instant;
+use std::collections::HashMap;
 
 use sedgewall_state::{
     AdapterIdx, RequestId, Shard, ShardAction,
--- a/crates/bench/src/replay/world.rs
+++ b/crates/bench/src/replay/world.rs
@@ -1,9 +1,10 @@
 //! The fake world of a replay: engines, weight store and time.
 
+use sedgewall_clock::Instant;
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_state::budget::StoreLimits;
--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,43 @@
+//! The clock by which everything is decided.
+//!
+//! A machine may be suspended for seconds. The clock behind [`std::time::Instant`]
+//! stands still meanwhile, so that a lease looks current that another instance has
+//! taken since, and keys look sure that were taken away. [`Instant`] counts that
+//! time. Timers of the loop run on the other clock and come late by it, as they do
+//! after a pause of the process.
+
+// This module alone compares the two clocks.
+#![allow(clippy::disallowed_types)]
+
+use std::time::Duration;
+
+pub use boot_time::Instant;
+
+/// A suspension that is shorter counts as the drift between two readings.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(20);
+
+/// Notices that the machine was suspended: one clock went on and the other stood.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspensionWatch {
+    counting: Instant,
+    standing: std::time::Instant,
+}
+
+impl SuspensionWatch {
+    /// Begins to watch.
+    pub fn begin() -> SuspensionWatch {
+        SuspensionWatch {
+            counting: Instant::now(),
+            standing: std::time::Instant::now(),
+        }
+    }
+
+    /// Returns for how long the machine was suspended since the last look, if it was.
+    pub fn look(&mut self) -> Option<Duration> {
+        let now = SuspensionWatch::begin();
+        let counted = now.counting - self.counting;
+        let stood = now.standing - self.standing;
+        *self = now;
+        counted.checked_sub(stood).filter(|by| *by >= LEAST_SUSPENSION)
+    }
+}
--- /dev/null
+++ b/crates/clock/tests/boot_clock.rs
@@ -0,0 +1,40 @@
+//! The clock of decisions counts the time of a suspension.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use sedgewall_clock::{Instant, SuspensionWatch};
+
+fn boot_ns() -> i128 {
+    let time = clock_gettime(ClockId::Boottime);
+    i128::from(time.tv_sec) * 1_000_000_000 + i128::from(time.tv_nsec)
+}
+
+/// A moment later on the system's clock that counts suspensions is as much later here.
+#[test]
+fn it_goes_as_the_boot_clock_goes() {
+    let before = boot_ns();
+    let first = Instant::now();
+    std::thread::sleep(Duration::from_millis(5));
+    let second = Instant::now();
+    let after = boot_ns();
+    let passed = (second - first).as_nanos() as i128;
+    assert!(passed <= after - before);
+    assert!(passed >= 5_000_000);
+}
+
+#[test]
+fn a_moment_that_is_later_is_no_time_ago() {
+    let first = Instant::now();
+    let second = first + Duration::from_secs(3);
+    assert_eq!(first - second, Duration::ZERO);
+    assert_eq!(first.saturating_duration_since(second), Duration::ZERO);
+    assert_eq!(second - first, Duration::from_secs(3));
+}
+
+#[test]
+fn a_machine_that_was_not_suspended_is_none_that_was() {
+    let mut watch = SuspensionWatch::begin();
+    std::thread::sleep(Duration::from_millis(30));
+    assert_eq!(watch.look(), None);
+}
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -6,9 +6,10 @@
 //! The module keeps one invariant: whoever announced that it leaves is never
 //! live again under the same incarnation.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_state::{
--- a/crates/coordination/src/turn.rs
+++ b/crates/coordination/src/turn.rs
@@ -7,7 +7,8 @@
 //! for stands in its record ([`LeaseRecord::is_turn_pending`]), because the
 //! process that took the lease may be gone before its first order.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_state::Epoch;
 
--- a/crates/coordination/tests/lease_rules.rs
+++ b/crates/coordination/tests/lease_rules.rs
@@ -1,7 +1,8 @@
 //! Leases under pauses, lost answers and races: one holder per epoch, and no
 //! holder that believes in its lease while another has it.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use sedgewall_coordination::lease::{
--- a/crates/coordination/tests/membership_rules.rs
+++ b/crates/coordination/tests/membership_rules.rs
@@ -1,6 +1,7 @@
 //! Membership under lagging lists, silence and flapping.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_coordination::{
     membership::{
--- a/crates/coordination/tests/turn_rules.rs
+++ b/crates/coordination/tests/turn_rules.rs
@@ -1,7 +1,8 @@
 //! Turns between holders under lapses, restarts, freezes, lost answers and
 //! takeovers: no two instances give orders within one turn.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use sedgewall_coordination::{
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -3,11 +3,8 @@
 
 #![allow(missing_docs, reason = "criterion's macro makes a public function")]
 
-use std::{
-    collections::BTreeMap,
-    hint::black_box,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::BTreeMap, hint::black_box, time::Duration};
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use sedgewall_fleet::{
--- a/crates/fleet/src/allowance.rs
+++ b/crates/fleet/src/allowance.rs
@@ -9,10 +9,8 @@
 //! heard, an instance takes no more than its bucket over time, and the parts of
 //! instances that hear each other add up to one.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -6,10 +6,8 @@
 //! those that said so. It does no I/O and reads no clock. The invariant: what is
 //! asked for is newer than what is there, and one instance is asked at a time.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,9 +1,7 @@
 //! How often each adapter is asked for.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use sedgewall_state::id::ZoneName;
 
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -6,11 +6,8 @@
 //! what the store held when an endpoint had left, or before, never brings it
 //! back; only an entry that was written later does.
 
-use std::{
-    cmp::Reverse,
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -4,7 +4,8 @@
 //! whose requests fail is left out for a time that doubles, and comes back
 //! with one request.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 /// Failures in a row that eject an endpoint. Some requests fail wherever they
 /// run: on the deployments that we know up to one in seven of a kind, so that
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -7,9 +7,10 @@
 //! is still heard of it, and what stood in the store before a life's first entry
 //! says nothing of it.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_state::id::EndpointId;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -9,11 +9,8 @@
 
 mod homes;
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use sedgewall_state::id::{EndpointId, Epoch};
 
--- a/crates/fleet/src/note_schedule.rs
+++ b/crates/fleet/src/note_schedule.rs
@@ -7,7 +7,8 @@
 //! a new holder speaks at once, and not when the pace of the time without a
 //! holder would have let it.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::note::FEW_PEERS;
 
--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/patience.rs
@@ -8,7 +8,8 @@
 //! new try. All others are rejected as soon as that is known. The invariant: no
 //! request is held beyond the time at which its caller must have an answer.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 /// Of the time that is left, a caller waits this part at most before it comes
 /// back.
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -8,10 +8,8 @@
 //! end together count as one cause; and a run that ends well clears its request,
 //! whatever was held against it.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -5,9 +5,10 @@
 //! another: each keeps to its own requests' share and to its part of the fixed
 //! number, divided by the instances that it believes to be there.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::route::ServiceName;
--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -4,7 +4,8 @@
 //! It does no I/O and reads no clock. The invariant: a failure speaks of the
 //! time at which the store is known to have failed, never of a later one.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 /// How long after the store was last known to be out a missing entry may still
 /// come back. Entries that lapsed are back within two seconds of the outage's
--- a/crates/fleet/src/store_rate.rs
+++ b/crates/fleet/src/store_rate.rs
@@ -1,9 +1,7 @@
 //! Loads from the weight store, kept within its rate over a sliding window.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::VecDeque, time::Duration};
 
 /// The part of what is allowed that we use; a load may begin later than its
 /// order, and then counts in another window.
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -5,10 +5,8 @@
 //! holder of the lease. The invariant: the word of one instance suspects
 //! nothing, since its own path may be what is broken.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use sedgewall_state::id::{EndpointId, InstanceId};
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -12,9 +12,10 @@
 pub mod spread;
 mod under_way;
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_state::id::{EndpointId, Epoch, InstanceId, ZoneName};
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -5,10 +5,8 @@
 //! leaving, or that is not known to hold what a request names in a version that
 //! counts, is never chosen.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{net::SocketAddr, time::Duration};
 
 use sedgewall_state::id::EndpointId;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/fleet/src/view/departed.rs
+++ b/crates/fleet/src/view/departed.rs
@@ -1,6 +1,6 @@
 //! Endpoints that left: what we saw in the store, and what others say.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use sedgewall_state::id::EndpointId;
 
--- a/crates/fleet/src/vouch.rs
+++ b/crates/fleet/src/vouch.rs
@@ -7,10 +7,8 @@
 //! Whoever reaches the store again says so at once, and must watch the record
 //! for a whole time to live before it may take the lease.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::HashMap, time::Duration};
 
 use sedgewall_state::id::InstanceId;
 
--- a/crates/fleet/tests/allowance_rules.rs
+++ b/crates/fleet/tests/allowance_rules.rs
@@ -1,7 +1,8 @@
 //! Allowances summed over all instances: few are turned away below them, and
 //! not much more is taken.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/crates/fleet/tests/budget_rules.rs
+++ b/crates/fleet/tests/budget_rules.rs
@@ -1,6 +1,7 @@
 //! Allowances that all instances share, health, and streams of events.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use sedgewall_fleet::{
--- a/crates/fleet/tests/catch_up_rules.rs
+++ b/crates/fleet/tests/catch_up_rules.rs
@@ -1,6 +1,7 @@
 //! Who is asked for what an instance misses, and when.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::catch_up::{CatchUp, Knowledge, Step};
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -85,7 +85,7 @@
 pub fn choose(
     view: &FleetView,
     key: &AdapterKey,
-    now: std::time::Instant,
+    now: sedgewall_clock::Instant,
 ) -> Choice {
     view.choose(need(key), now)
 }
--- a/crates/fleet/tests/customer_rules.rs
+++ b/crates/fleet/tests/customer_rules.rs
@@ -1,6 +1,7 @@
 //! Whose a request is, and for how long that is known.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::{
     customer::{Customer, Customers, KeyDigest, Unit},
--- a/crates/fleet/tests/departure_rules.rs
+++ b/crates/fleet/tests/departure_rules.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use common::{choose, endpoint, key, sent_to};
 use proptest::prelude::*;
--- a/crates/fleet/tests/in_force_model.rs
+++ b/crates/fleet/tests/in_force_model.rs
@@ -1,7 +1,8 @@
 //! A model without I/O of instances that read one configuration from a store and get
 //! it from each other, under cuts, lost notes, stale reads and restarts.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/crates/fleet/tests/load_times_rules.rs
+++ b/crates/fleet/tests/load_times_rules.rs
@@ -1,8 +1,9 @@
 //! Load times are found from the answers of requests, whatever they are.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use proptest::prelude::*;
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use common::{
     MODEL, PLACES, SERVICE, deployment, endpoint, key, report, requests,
--- a/crates/fleet/tests/note_schedule_rules.rs
+++ b/crates/fleet/tests/note_schedule_rules.rs
@@ -1,7 +1,8 @@
 //! When instances speak: what waits is told at once, a new holder is heard at
 //! once, and the holder of many hears no more than it can.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sedgewall_fleet::note_schedule::{
--- a/crates/fleet/tests/patience_rules.rs
+++ b/crates/fleet/tests/patience_rules.rs
@@ -1,6 +1,7 @@
 //! How long requests are held, under the loads at which that matters.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::patience::{Held, Obstacle, come_back};
 
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -1,6 +1,7 @@
 //! Requests that end the endpoints which run them, and those that only ran beside.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use sedgewall_fleet::{
--- a/crates/fleet/tests/revocation_rules.rs
+++ b/crates/fleet/tests/revocation_rules.rs
@@ -2,7 +2,8 @@
 //! the operator changes: ways of watching, and of asking those that watch, in
 //! virtual time.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/crates/fleet/tests/store_contact_rules.rs
+++ b/crates/fleet/tests/store_contact_rules.rs
@@ -1,6 +1,7 @@
 //! What calls show of the store, and how long missing entries are waited for.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::store_contact::{CallFailure, CountedOut, StoreContact};
 
--- a/crates/fleet/tests/suspicion_rules.rs
+++ b/crates/fleet/tests/suspicion_rules.rs
@@ -1,6 +1,7 @@
 //! Engines that several instances cannot reach.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::{health::Health, suspicion::Suspicions};
 
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use common::{
     SERVICE, choose, endpoint, key, need, report, requests, sent_to, status,
--- a/crates/fleet/tests/vouch_rules.rs
+++ b/crates/fleet/tests/vouch_rules.rs
@@ -1,6 +1,7 @@
 //! The lease while the store is out.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_fleet::vouch::{LastWords, WORD_HOLDS};
 
--- a/crates/sedgewall/src/apply.rs
+++ b/crates/sedgewall/src/apply.rs
@@ -5,7 +5,8 @@
 //! who loses a race has written nothing that is in force, and is shown the
 //! difference.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use sedgewall_coordination::{
     config_version::{ChunkedConfig, ConfigHead},
--- a/crates/sedgewalld/src/call.rs
+++ b/crates/sedgewalld/src/call.rs
@@ -4,10 +4,8 @@
 //! the last try certainly did not run, or if it is repeatable; and `not_run`
 //! is answered only when no try can have run.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
--- a/crates/sedgewalld/src/claims.rs
+++ b/crates/sedgewalld/src/claims.rs
@@ -4,10 +4,11 @@
 //! rendezvous. Safety does not rest on that preference but on the log's
 //! create-if-absent, see `sedgewall_coordination::claim`.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use futures_channel::oneshot;
--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -1,9 +1,7 @@
 //! Starts all parts on the one loop, and stops them as planned.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
 use futures_util::{FutureExt, StreamExt, select};
--- a/crates/sedgewalld/src/election.rs
+++ b/crates/sedgewalld/src/election.rs
@@ -3,12 +3,8 @@
 //! One task for each shard. Only the few instances that a shard prefers look
 //! at its lease; all others learn of leaders from heartbeats.
 
-use std::{
-    cell::RefCell,
-    collections::HashSet,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
 
 use log::{debug, info, warn};
 use sedgewall_coordination::{
--- a/crates/sedgewalld/src/entry.rs
+++ b/crates/sedgewalld/src/entry.rs
@@ -3,10 +3,8 @@
 //! A request is held here from its arrival to its end. Leaders may come and go
 //! meanwhile; the entry submits again to whoever leads.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
--- a/crates/sedgewalld/src/explain.rs
+++ b/crates/sedgewalld/src/explain.rs
@@ -1,7 +1,7 @@
 //! What a leader tells operators: the state of its shard, and why an adapter
 //! is where it is.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use sedgewall_protocol::{
     engine::EngineAdapter,
--- a/crates/sedgewalld/src/fleet/admit.rs
+++ b/crates/sedgewalld/src/fleet/admit.rs
@@ -1,10 +1,8 @@
 //! What the configuration decides of a request: its route, whose it is, and whether
 //! its customer may send it.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use sedgewall_fleet::{
     configuration::DecidedBy,
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -1,9 +1,10 @@
 //! One send of a request to one endpoint, and what its end means.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
--- a/crates/sedgewalld/src/fleet/bell.rs
+++ b/crates/sedgewalld/src/fleet/bell.rs
@@ -1,8 +1,9 @@
 //! Wakes one waiting part of an instance.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures_channel::oneshot;
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -5,10 +5,11 @@
 //! within the allowance that all instances share. A refusal says "not run"
 //! only if no endpoint can have run the request.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use http::{Request, Response, header};
--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -4,11 +4,8 @@
 //! the port at which notes come as datagrams. It comes whole or not at all, and is
 //! taken in like one that was read from the store: only ever forward.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::net::TcpListener;
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -1,11 +1,8 @@
 //! Starts all parts of an instance on the one loop, and stops them as
 //! planned.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
 use futures_util::{FutureExt, StreamExt, select};
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -3,11 +3,8 @@
 //! Each kind is listed once and then watched. While the store is out, what was
 //! known stays in force; what a kind means is for its [`Follower`].
 
-use std::{
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, select};
 use sedgewall_fleet::back_off::{BackOff, Calls};
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -2,10 +2,8 @@
 //!
 //! The invariant: a configuration is never replaced by an older one.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use super::{
     bell::Bell,
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -4,11 +4,12 @@
 //! to any instance that we hear, gets no new work, but for the time after an
 //! outage in which entries that lapsed come back.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_fleet::{endpoint::Endpoint, note::Note};
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -1,10 +1,7 @@
 //! Follows the entries of the other instances, and writes our own.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use sedgewall_fleet::back_off::{BackOff, Calls};
 use sedgewall_platform::{
--- a/crates/sedgewalld/src/fleet/follow_poison.rs
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -4,11 +4,12 @@
 //! the store alone. Each condemned request is an object named by its digest; an
 //! operator who deletes one lets its request go.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::Cell,
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use sedgewall_fleet::{
--- a/crates/sedgewalld/src/fleet/keys.rs
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -7,10 +7,11 @@
 //! invariant: keys count as known only up to a moment that a call to the store
 //! confirmed, here or at an instance that was asked after it.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sedgewall_fleet::{
--- a/crates/sedgewalld/src/fleet/knowledge.rs
+++ b/crates/sedgewalld/src/fleet/knowledge.rs
@@ -1,10 +1,8 @@
 //! What an instance has of what the operator changes: the configuration and named
 //! versions of weights.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use futures_channel::oneshot;
 use sedgewall_fleet::{
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -1,9 +1,7 @@
 //! Decides what engines hold, while this instance has the lease on orders.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use sedgewall_fleet::{loader::Loader, store_rate::StoreRate};
 
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -5,10 +5,8 @@
 //! so a new holder waits until the last order of the one before is a whole
 //! turn old ([`sedgewall_coordination::turn`]).
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use sedgewall_coordination::{
     lease::{
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -6,10 +6,8 @@
 //! the store sends the renewal. The update is conditional, so it does not matter
 //! who sends it, nor how often.
 
-use std::{
-    pin::pin,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{pin::pin, time::Duration};
 
 use futures_channel::oneshot;
 use futures_util::future::{self, Either};
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -1,11 +1,12 @@
 //! What all parts of an instance share, and nothing that acts on its own.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures_channel::oneshot;
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -5,12 +5,12 @@
 //! instance does not carry eighty times what it has to say, and few bytes cross
 //! between zones.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::Cell,
     io,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
-    time::Instant,
 };
 
 use sedgewall_fleet::{
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -4,10 +4,8 @@
 //! newest counts and a lost one is repaired by the next. It needs no
 //! connection to hang when a machine loses power.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::{Instant, SuspensionWatch};
+use std::{rc::Rc, time::Duration};
 
 use compio::BufResult;
 use sedgewall_fleet::{
@@ -336,7 +334,12 @@
     let mut sequence = start_sequence();
     let mut schedule = NoteSchedule::default();
     let mut next_forget = Instant::now();
+    let mut suspensions = SuspensionWatch::begin();
     loop {
+        if let Some(time) = suspensions.look() {
+            let suspended_ms = time.as_millis() as u64;
+            tracing::warn!(event = "woke", suspended_ms);
+        }
         let now = Instant::now();
         let wait =
             schedule.wait(pending(&node), surroundings(&node, now), now);
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -4,11 +4,8 @@
 //! A connection breaks when its endpoint ends, when it is reset, and when its
 //! answer is spoiled. What tells these apart is whether the endpoint still listens.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use sedgewall_fleet::{
     life::EndpointLife,
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -4,11 +4,8 @@
 //! event when its engine fails; any other ends where it broke, and never looks
 //! complete.
 
-use std::{
-    io,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
--- a/crates/sedgewalld/src/fleet/under_way.rs
+++ b/crates/sedgewalld/src/fleet/under_way.rs
@@ -1,9 +1,7 @@
 //! Requests that an instance counts: those at an endpoint, and those that were read.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{rc::Rc, time::Duration};
 
 use sedgewall_fleet::adapter::AdapterKey;
 use sedgewall_state::id::EndpointId;
--- a/crates/sedgewalld/src/heartbeat.rs
+++ b/crates/sedgewalld/src/heartbeat.rs
@@ -1,10 +1,7 @@
 //! Heartbeats to peers, and the periodic repair of what lost messages left.
 
-use std::{
-    collections::BTreeSet,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use sedgewall_protocol::{PeerMessage, message::Running};
 use sedgewall_state::ShardId;
--- a/crates/sedgewalld/src/inbox.rs
+++ b/crates/sedgewalld/src/inbox.rs
@@ -1,6 +1,7 @@
 //! Takes in messages of peers, and of this instance to itself.
 
-use std::{rc::Rc, time::Instant};
+use sedgewall_clock::Instant;
+use std::rc::Rc;
 
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select};
--- a/crates/sedgewalld/src/leader.rs
+++ b/crates/sedgewalld/src/leader.rs
@@ -6,10 +6,11 @@
 //! that orders go only to engines that either check fences or cannot have a
 //! newer leader yet.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use log::info;
--- a/crates/sedgewalld/src/led_requests.rs
+++ b/crates/sedgewalld/src/led_requests.rs
@@ -1,6 +1,7 @@
 //! What entries tell the leader of a shard about their requests.
 
-use std::{rc::Rc, time::Instant};
+use sedgewall_clock::Instant;
+use std::rc::Rc;
 
 use sedgewall_protocol::{
     Envelope, PeerMessage,
--- a/crates/sedgewalld/src/node.rs
+++ b/crates/sedgewalld/src/node.rs
@@ -3,11 +3,12 @@
 //! Everything runs on one thread, so the parts share cells. The rule that
 //! keeps this safe: no borrow lives across an `await`.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use futures_channel::mpsc;
--- a/crates/sedgewalld/src/operator.rs
+++ b/crates/sedgewalld/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' port: health, metrics, status, time line, explanations.
 
-use std::{rc::Rc, time::Instant};
+use sedgewall_clock::Instant;
+use std::rc::Rc;
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/sedgewalld/src/orders.rs
+++ b/crates/sedgewalld/src/orders.rs
@@ -1,6 +1,7 @@
 //! Load orders to engines, and what becomes of them.
 
-use std::{rc::Rc, time::Instant};
+use sedgewall_clock::Instant;
+use std::rc::Rc;
 
 use log::warn;
 use sedgewall_coordination::timeline::EventKind;
--- a/crates/sedgewalld/src/relay.rs
+++ b/crates/sedgewalld/src/relay.rs
@@ -5,10 +5,8 @@
 //! invariant: the caller gets each event once and in order, or is told that
 //! the answer is not whole.
 
-use std::{
-    pin::Pin,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{pin::Pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
--- a/crates/sedgewalld/src/requests.rs
+++ b/crates/sedgewalld/src/requests.rs
@@ -3,9 +3,10 @@
 //! The table keeps one invariant: a request is in it from its submission to
 //! its end, and only a request that is in it may use a grant.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, HashMap},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures_channel::mpsc;
--- a/crates/sedgewalld/src/store.rs
+++ b/crates/sedgewalld/src/store.rs
@@ -5,7 +5,8 @@
 //! hears nothing falls back to the part that is guaranteed to its shard. The
 //! arithmetic and its invariant are in `sedgewall_state::allocation`.
 
-use std::{cell::RefCell, rc::Rc, time::Instant};
+use sedgewall_clock::Instant;
+use std::{cell::RefCell, rc::Rc};
 
 use sedgewall_protocol::{
     Envelope, PeerMessage,
--- a/crates/state/benches/decisions.rs
+++ b/crates/state/benches/decisions.rs
@@ -2,10 +2,8 @@
 
 #![allow(missing_docs, reason = "criterion's macro makes a public function")]
 
-use std::{
-    hint::black_box,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{hint::black_box, time::Duration};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use sedgewall_state::{
--- a/crates/state/src/action.rs
+++ b/crates/state/src/action.rs
@@ -1,6 +1,7 @@
 //! What goes into a shard and what comes out: grants, orders, ends, reports.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::{
     admission::Refusal,
--- a/crates/state/src/adapter.rs
+++ b/crates/state/src/adapter.rs
@@ -4,7 +4,7 @@
 //! an engine says the same from the other side, and [`Shard`](crate::Shard)
 //! changes both together.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use crate::{id::EngineIdx, popularity::Popularity, queue::AdapterQueue};
 
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -5,7 +5,8 @@
 //! waits, and its retry time is spread so that the refused do not come back
 //! together.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/state/src/allocation.rs
+++ b/crates/state/src/allocation.rs
@@ -5,10 +5,8 @@
 //! requests wait. The module keeps one invariant: the parts never add up to
 //! more than the store allows.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use sedgewall_clock::Instant;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/state/src/budget.rs
+++ b/crates/state/src/budget.rs
@@ -4,7 +4,8 @@
 //! at once. [`allocation`](crate::allocation) divides it among shards; a
 //! budget keeps to one shard's part.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/state/src/dispatch.rs
+++ b/crates/state/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! deadline. Waiting lifts a request by one class after the aging time, so
 //! that nothing starves.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use crate::{
     engine::SlotState,
--- a/crates/state/src/engine.rs
+++ b/crates/state/src/engine.rs
@@ -4,7 +4,8 @@
 //! module keeps the rule that a slot with granted or running requests is never
 //! free to be evicted: [`Engine::idle_slots`] is the only way to a victim.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::{
     id::{AdapterIdx, EndpointId},
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -3,7 +3,7 @@
 //! Messages may be lost, so entries tell all that they run from time to time;
 //! a grant that can no longer be used and is not run is given up.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use crate::{
     action::{Grant, ShardAction},
--- a/crates/state/src/eviction.rs
+++ b/crates/state/src/eviction.rs
@@ -5,7 +5,8 @@
 //! is never a victim. Where every slot is busy, a slot may be *drained*: it
 //! gets nothing new and becomes a victim when its last request ends.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::{
     engine::{Slot, SlotState},
--- a/crates/state/src/health.rs
+++ b/crates/state/src/health.rs
@@ -4,7 +4,8 @@
 //! first token far above its peers', and comes back with a few requests at a
 //! time.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::{
     engine::{Health, PROBATION},
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything here takes events and returns actions. Nothing here does I/O,
 //! reads a clock or draws random numbers: the caller passes the time in as an
-//! [`Instant`](std::time::Instant), so that a replay in virtual time and a
+//! [`Instant`](sedgewall_clock::Instant), so that a replay in virtual time and a
 //! daemon on a real clock run the same code.
 //!
 //! The crate leaves leases, membership and configuration versions to
--- a/crates/state/src/load.rs
+++ b/crates/state/src/load.rs
@@ -3,7 +3,8 @@
 //! Slots and replica lists change together here and nowhere else. A failed load
 //! backs off with a spread, and goes to another engine first.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use crate::{
     action::ShardAction,
--- a/crates/state/src/placement.rs
+++ b/crates/state/src/placement.rs
@@ -5,7 +5,7 @@
 //! is expected to arrive before the next chance. The module keeps one
 //! invariant: two loads are never made for one need.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use crate::{
     engine::SlotState,
--- a/crates/state/src/popularity.rs
+++ b/crates/state/src/popularity.rs
@@ -5,7 +5,8 @@
 //! Both are exponentially decayed counts, so an adapter costs two numbers and a
 //! time, and an idle adapter costs no work at all.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 /// The time constant of the short horizon.
 pub const SHORT_HORIZON: Duration = Duration::from_secs(60);
--- a/crates/state/src/queue.rs
+++ b/crates/state/src/queue.rs
@@ -4,10 +4,8 @@
 //! the order that a caller can see. It leaves the choice between adapters to
 //! [`dispatch`](crate::dispatch).
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Instant,
-};
+use sedgewall_clock::Instant;
+use std::collections::{HashMap, VecDeque};
 
 use crate::{
     id::{AdapterIdx, RequestId},
--- a/crates/state/src/report.rs
+++ b/crates/state/src/report.rs
@@ -4,7 +4,7 @@
 //! requests of a previous leader. It never contradicts what we did after it
 //! was made.
 
-use std::time::Instant;
+use sedgewall_clock::Instant;
 
 use crate::{
     action::{ReportedSlot, ShardAction},
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -7,9 +7,10 @@
 //! the whole is that every submitted request gets exactly one grant or one
 //! refusal, unless it is cancelled or its engine gives it back.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 pub use crate::{
--- a/crates/state/tests/allocation_rules.rs
+++ b/crates/state/tests/allocation_rules.rs
@@ -1,6 +1,7 @@
 //! The division of the weight store.
 
-use std::time::{Duration, Instant};
+use sedgewall_clock::Instant;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use sedgewall_state::{
--- a/crates/state/tests/shard_rules.rs
+++ b/crates/state/tests/shard_rules.rs
@@ -1,8 +1,9 @@
 //! The rules of the policy, after every step of random event orders.
 
+use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use proptest::prelude::*;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -6,13 +6,14 @@
 //! answer before its end closes the connection, which tells the endpoint that
 //! nobody waits any more.
 
+use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
