--- a/crates/bench/examples/load.rs
+++ b/crates/bench/examples/load.rs
@@ -1,6 +1,5 @@
 //! The load tool as a process.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::RefCell, path::PathBuf, process::ExitCode, rc::Rc, time::Duration,
 };
@@ -14,6 +13,7 @@
     service_call::{self, ServiceCall},
     target::MetricSums,
 };
+use sedgewall_clock::Instant;
 use sedgewall_transport::CallError;
 
 /// Plays a profile against running instances, open-loop, and checks every
--- a/crates/bench/examples/path.rs
+++ b/crates/bench/examples/path.rs
@@ -1,13 +1,13 @@
 //! Measures what the path adds: pairs of calls, one straight to an engine and
 //! one through an instance, in turn.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, path::PathBuf, rc::Rc, time::Duration};
 
 use clap::Parser;
 use futures_util::StreamExt;
 use http::Method;
 use sedgewall_bench::load::measure::{Percentiles, Times};
+use sedgewall_clock::Instant;
 use sedgewall_transport::{CallError, HttpClient, client::Call};
 use serde::Serialize;
 
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -4,7 +4,6 @@
 //! dropped. Ports are taken from the system, so that tests can run side by
 //! side.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
@@ -18,6 +17,7 @@
 };
 
 use http::{Method, StatusCode};
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     membership::{ListedInstance, ListedState, OWN_GROUP},
     timeline::{Event, merge},
--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -6,7 +6,6 @@
 //! it sees: an adapter unloaded while it serves, a request that is not
 //! repeatable run twice.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::RefCell,
     collections::VecDeque,
@@ -19,6 +18,7 @@
 use futures_util::StreamExt;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     caller::{
         IDEMPOTENCY_HEADER, ModelRef, PRIORITY_HEADER, REPEATABLE_HEADER,
--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -1,10 +1,10 @@
 //! Plays one load through one way to choose.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     endpoint::Endpoint,
     note::Status,
--- a/crates/bench/src/load/completion.rs
+++ b/crates/bench/src/load/completion.rs
@@ -1,11 +1,11 @@
 //! Sends one completion and checks its answer.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use http::{Method, StatusCode};
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     caller::{
         CALLER_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER, PRIORITY_HEADER,
--- a/crates/bench/src/load/measure.rs
+++ b/crates/bench/src/load/measure.rs
@@ -1,9 +1,9 @@
 //! What the load tool measures.
 
-use sedgewall_clock::Instant;
 use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{Problem, RunState, engine::EngineReport};
 use serde::Serialize;
 
--- a/crates/bench/src/load/service_call.rs
+++ b/crates/bench/src/load/service_call.rs
@@ -1,9 +1,9 @@
 //! Sends one call of a plain service and checks its answer.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use http::{Method, StatusCode};
+use sedgewall_clock::Instant;
 use sedgewall_protocol::caller::{
     CALLER_HEADER, IDEMPOTENCY_HEADER, REQUEST_ID_HEADER,
 };
--- a/crates/bench/src/object_api.rs
+++ b/crates/bench/src/object_api.rs
@@ -4,11 +4,11 @@
 //! rates, counts every call, and can be out, slow, or lose the answer of a
 //! change that took effect.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::membership::{InstanceList, ListedInstance};
 use sedgewall_protocol::platform::{
     INSTANCES_PATH, LIST_PATH, ListedObject, OBJECTS_PATH, ObjectList,
--- a/crates/bench/src/replay/baseline.rs
+++ b/crates/bench/src/replay/baseline.rs
@@ -6,9 +6,9 @@
 //! there it is loaded on demand, in place of the one that was used longest
 //! ago and serves nothing.
 
-use sedgewall_clock::Instant;
 use std::collections::VecDeque;
 
+use sedgewall_clock::Instant;
 use sedgewall_coordination::rendezvous;
 
 use super::{
--- a/crates/bench/src/replay/clairvoyant.rs
+++ b/crates/bench/src/replay/clairvoyant.rs
@@ -4,12 +4,12 @@
 //! arrive soon, and evicts what is next needed last (Belady). It is a schedule
 //! that can be reached with knowledge of the future, not a proven optimum.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::{Priority, budget::LoadBudget};
 
 use super::{
--- a/crates/bench/src/replay/ours.rs
+++ b/crates/bench/src/replay/ours.rs
@@ -1,8 +1,8 @@
 //! Our policy in a replay: one shard for each base model, as shipped.
 
-use sedgewall_clock::Instant;
 use std::collections::HashMap;
 
+use sedgewall_clock::Instant;
 use sedgewall_state::{
     AdapterIdx, RequestId, Shard, ShardAction,
     allocation::{ASK_EVERY, Allocator, guaranteed},
--- a/crates/bench/src/replay/world.rs
+++ b/crates/bench/src/replay/world.rs
@@ -1,12 +1,12 @@
 //! The fake world of a replay: engines, weight store and time.
 
-use sedgewall_clock::Instant;
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::budget::StoreLimits;
 
 use super::{
--- a/crates/bench/src/weight_store.rs
+++ b/crates/bench/src/weight_store.rs
@@ -1,11 +1,11 @@
 //! A stand-in for the weight store: a rate of loads, and a number of them at
 //! full speed at once.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_transport::LocalBody;
 use serde::{Deserialize, Serialize};
 
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -10,9 +10,9 @@
 //! unchanged for the time to live plus a margin, on its own monotonic clock;
 //! the holder counts the time to live from *before* it sent its last renewal.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_state::{Epoch, Incarnation, InstanceId, ShardId};
 use serde::{Deserialize, Serialize};
 
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -6,12 +6,12 @@
 //! The module keeps one invariant: whoever announced that it leaves is never
 //! live again under the same incarnation.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::{
     ConfigVersion, EndpointId, Epoch, GroupName, Incarnation, InstanceId,
     ShardId, ZoneName,
--- a/crates/coordination/src/turn.rs
+++ b/crates/coordination/src/turn.rs
@@ -7,9 +7,9 @@
 //! for stands in its record ([`LeaseRecord::is_turn_pending`]), because the
 //! process that took the lease may be gone before its first order.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_state::Epoch;
 
 use crate::lease::LeaseRecord;
--- a/crates/coordination/tests/lease_rules.rs
+++ b/crates/coordination/tests/lease_rules.rs
@@ -1,10 +1,10 @@
 //! Leases under pauses, lost answers and races: one holder per epoch, and no
 //! holder that believes in its lease while another has it.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::lease::{
     Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
     LeaseWrite, NotedLease, Renewed, StoredLease, Watching, WriteAnswer,
--- a/crates/coordination/tests/membership_rules.rs
+++ b/crates/coordination/tests/membership_rules.rs
@@ -1,8 +1,8 @@
 //! Membership under lagging lists, silence and flapping.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     membership::{
         Heartbeat, InstanceList, ListedInstance, ListedState, MESH_LEN,
--- a/crates/coordination/tests/turn_rules.rs
+++ b/crates/coordination/tests/turn_rules.rs
@@ -1,10 +1,10 @@
 //! Turns between holders under lapses, restarts, freezes, lost answers and
 //! takeovers: no two instances give orders within one turn.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     lease::{
         Acquired, Candidate, Held, Lease, LeaseRecord, LeaseTimes, LeaseWrite,
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -3,10 +3,10 @@
 
 #![allow(missing_docs, reason = "criterion's macro makes a public function")]
 
-use sedgewall_clock::Instant;
 use std::{collections::BTreeMap, hint::black_box, time::Duration};
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     customer::Customers,
--- a/crates/fleet/src/allowance.rs
+++ b/crates/fleet/src/allowance.rs
@@ -9,9 +9,9 @@
 //! heard, an instance takes no more than its bucket over time, and the parts of
 //! instances that hear each other add up to one.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -6,9 +6,9 @@
 //! those that said so. It does no I/O and reads no clock. The invariant: what is
 //! asked for is newer than what is there, and one instance is asked at a time.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,8 +1,8 @@
 //! How often each adapter is asked for.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::ZoneName;
 
 use crate::adapter::AdapterKey;
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -6,9 +6,9 @@
 //! what the store held when an endpoint had left, or before, never brings it
 //! back; only an entry that was written later does.
 
-use sedgewall_clock::Instant;
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -5,12 +5,12 @@
 //! notes, which are early and lost now and then, or, at the holder of the
 //! lease, from its report and our own orders alone.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 
 use crate::{
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -4,9 +4,10 @@
 //! whose requests fail is left out for a time that doubles, and comes back
 //! with one request.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 /// Failures in a row that eject an endpoint. Some requests fail wherever they
 /// run: on the deployments that we know up to one in seven of a kind, so that
 /// five in a row are the endpoint's own.
--- a/crates/fleet/src/life.rs
+++ b/crates/fleet/src/life.rs
@@ -7,12 +7,12 @@
 //! is still heard of it, and what stood in the store before a life's first entry
 //! says nothing of it.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/src/load_times.rs
+++ b/crates/fleet/src/load_times.rs
@@ -11,12 +11,12 @@
 //! the order, once it is known to have come, and once, however many requests asked
 //! for it too early; one that never comes says nothing.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 
 use crate::adapter::AdapterKey;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -9,9 +9,9 @@
 
 mod homes;
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::{EndpointId, Epoch};
 
 use crate::{
--- a/crates/fleet/src/note_schedule.rs
+++ b/crates/fleet/src/note_schedule.rs
@@ -7,9 +7,10 @@
 //! a new holder speaks at once, and not when the pace of the time without a
 //! holder would have let it.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::note::FEW_PEERS;
 
 /// How often each instance says what it has under way, at the least.
--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/patience.rs
@@ -8,9 +8,10 @@
 //! new try. All others are rejected as soon as that is known. The invariant: no
 //! request is held beyond the time at which its caller must have an answer.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 /// Of the time that is left, a caller waits this part at most before it comes
 /// back.
 const CALLER_WAITS: f64 = 0.31;
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -8,9 +8,9 @@
 //! end together count as one cause; and a run that ends well clears its request,
 //! whatever was held against it.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
 use crate::{life::EndpointLife, request_digest::RequestDigest};
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -5,12 +5,13 @@
 //! another: each keeps to its own requests' share and to its part of the fixed
 //! number, divided by the instances that it believes to be there.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
+
 use crate::route::ServiceName;
 
 /// The part of the allowance that we use: the rest covers a wrong count of
--- a/crates/fleet/src/revocation.rs
+++ b/crates/fleet/src/revocation.rs
@@ -6,9 +6,10 @@
 //! freshness, on its own steady clock, which the platform's store renews, or another
 //! instance that was asked. A few instances watch the store for all.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 /// What is kept of the time within which a key must stop, for clocks that run
 /// apart by some per cent and for the moment between a look and a send.
 const MARGIN: Duration = Duration::from_millis(300);
--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -4,9 +4,10 @@
 //! It does no I/O and reads no clock. The invariant: a failure speaks of the
 //! time at which the store is known to have failed, never of a later one.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 /// How long after the store was last known to be out a missing entry may still
 /// come back. Entries that lapsed are back within two seconds of the outage's
 /// end (the platform's pages), which lies up to a call's pause later. An endpoint
--- a/crates/fleet/src/store_rate.rs
+++ b/crates/fleet/src/store_rate.rs
@@ -1,8 +1,9 @@
 //! Loads from the weight store, kept within its rate over a sliding window.
 
-use sedgewall_clock::Instant;
 use std::{collections::VecDeque, time::Duration};
 
+use sedgewall_clock::Instant;
+
 /// The part of what is allowed that we use; a load may begin later than its
 /// order, and then counts in another window.
 const USED_PART: f64 = 0.96;
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -5,9 +5,9 @@
 //! holder of the lease. The invariant: the word of one instance suspects
 //! nothing, since its own path may be what is broken.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::{EndpointId, InstanceId};
 
 /// Instances that must fail to reach an engine before it is left out by all.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -12,12 +12,12 @@
 pub mod spread;
 mod under_way;
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::{EndpointId, Epoch, InstanceId, ZoneName};
 
 pub(crate) use self::choice::{BUSY_BACKLOG, OTHER_ZONE_COST};
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -5,9 +5,9 @@
 //! leaving, or that is not known to hold what a request names in a version that
 //! counts, is never chosen.
 
-use sedgewall_clock::Instant;
 use std::{net::SocketAddr, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/fleet/src/view/learned.rs
+++ b/crates/fleet/src/view/learned.rs
@@ -7,9 +7,9 @@
 //! of the others' speed: 73 in 100 requests in time without it, 99 with it (74
 //! instances, seven endpoints, in our replay).
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 
 use super::FleetView;
--- a/crates/fleet/src/view/spread.rs
+++ b/crates/fleet/src/view/spread.rs
@@ -16,9 +16,9 @@
 //! The invariant: an endpoint without a lack gets nothing, and the parts add up
 //! to what is to come.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::EndpointId;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/fleet/src/view/under_way.rs
+++ b/crates/fleet/src/view/under_way.rs
@@ -1,9 +1,9 @@
 //! What is under way at each endpoint: our own requests exactly, those of the
 //! others as they say themselves, or as the holder of the lease sums them up.
 
-use sedgewall_clock::Instant;
 use std::{cmp::Reverse, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::{EndpointId, InstanceId};
 
 use super::FleetView;
--- a/crates/fleet/src/vouch.rs
+++ b/crates/fleet/src/vouch.rs
@@ -7,9 +7,9 @@
 //! Whoever reaches the store again says so at once, and must watch the record
 //! for a whole time to live before it may take the lease.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_state::id::InstanceId;
 
 /// How long the word of an instance counts. It speaks every 300 ms; and a turn
--- a/crates/fleet/tests/allowance_rules.rs
+++ b/crates/fleet/tests/allowance_rules.rs
@@ -1,11 +1,11 @@
 //! Allowances summed over all instances: few are turned away below them, and
 //! not much more is taken.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     allowance::Shares,
     customer::{Allowance, Customer, Unit},
--- a/crates/fleet/tests/budget_rules.rs
+++ b/crates/fleet/tests/budget_rules.rs
@@ -1,9 +1,9 @@
 //! Allowances that all instances share, health, and streams of events.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     events::EventCutter,
     health::Health,
--- a/crates/fleet/tests/catch_up_rules.rs
+++ b/crates/fleet/tests/catch_up_rules.rs
@@ -1,8 +1,8 @@
 //! Who is asked for what an instance misses, and when.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::catch_up::{CatchUp, Knowledge, Step};
 
 const OTHERS: usize = 6;
--- a/crates/fleet/tests/customer_rules.rs
+++ b/crates/fleet/tests/customer_rules.rs
@@ -1,8 +1,8 @@
 //! Whose a request is, and for how long that is known.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     customer::{Customer, Customers, KeyDigest, Unit},
     revocation::KeysKnown,
--- a/crates/fleet/tests/departure_rules.rs
+++ b/crates/fleet/tests/departure_rules.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use common::{choose, endpoint, key, sent_to};
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     departure::Departure,
     endpoint::{Endpoint, Revision},
--- a/crates/fleet/tests/in_force_model.rs
+++ b/crates/fleet/tests/in_force_model.rs
@@ -1,11 +1,11 @@
 //! A model without I/O of instances that read one configuration from a store and get
 //! it from each other, under cuts, lost notes, stale reads and restarts.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, Calls},
     catch_up::{CatchUp, Knowledge, Step},
--- a/crates/fleet/tests/life_rules.rs
+++ b/crates/fleet/tests/life_rules.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use common::{choose, endpoint, key, report, sent_to};
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     endpoint::{Endpoint, EngineReport},
     life::Born,
--- a/crates/fleet/tests/load_times_rules.rs
+++ b/crates/fleet/tests/load_times_rules.rs
@@ -1,6 +1,5 @@
 //! Load times are found from the answers of requests, whatever they are.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     time::Duration,
@@ -8,6 +7,7 @@
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     load_times::{Arrival, LoadTimes},
--- a/crates/fleet/tests/loader_rules.rs
+++ b/crates/fleet/tests/loader_rules.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use common::{
@@ -10,6 +9,7 @@
     status,
 };
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     demand::Demand,
--- a/crates/fleet/tests/note_schedule_rules.rs
+++ b/crates/fleet/tests/note_schedule_rules.rs
@@ -1,10 +1,10 @@
 //! When instances speak: what waits is told at once, a new holder is heard at
 //! once, and the holder of many hears no more than it can.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::note_schedule::{
     NoteSchedule, Pending, Role, Surroundings,
 };
--- a/crates/fleet/tests/patience_rules.rs
+++ b/crates/fleet/tests/patience_rules.rs
@@ -1,8 +1,8 @@
 //! How long requests are held, under the loads at which that matters.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::patience::{Held, Obstacle, come_back};
 
 const fn ms(ms: u64) -> Duration {
--- a/crates/fleet/tests/poison_model.rs
+++ b/crates/fleet/tests/poison_model.rs
@@ -5,11 +5,11 @@
 //! I/O: it tells of a crash at once and again with its regular notes, asks whoever has
 //! condemned more, writes what is condemned to the store, and reads what stands there.
 
-use sedgewall_clock::Instant;
 use std::{collections::HashMap, time::Duration};
 
 use proptest::{prelude::*, strategy::ValueTree};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     life::EndpointLife,
     poison::{Condemned, Crash, Loss, Poison},
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -1,9 +1,9 @@
 //! Requests that end the endpoints which run them, and those that only ran beside.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     life::EndpointLife,
     poison::{CONDEMNED_FOR, Crash, Loss, Poison, TakenIn},
--- a/crates/fleet/tests/revocation_rules.rs
+++ b/crates/fleet/tests/revocation_rules.rs
@@ -2,11 +2,11 @@
 //! the operator changes: ways of watching, and of asking those that watch, in
 //! virtual time.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::revocation::{Asking, KeysKnown};
 
 /// Within this time a key that was taken away must stop.
--- a/crates/fleet/tests/store_contact_rules.rs
+++ b/crates/fleet/tests/store_contact_rules.rs
@@ -1,8 +1,8 @@
 //! What calls show of the store, and how long missing entries are waited for.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::store_contact::{CallFailure, CountedOut, StoreContact};
 
 /// An instance that reaches the store again is held to what it lists after
--- a/crates/fleet/tests/suspicion_rules.rs
+++ b/crates/fleet/tests/suspicion_rules.rs
@@ -1,8 +1,8 @@
 //! Engines that several instances cannot reach.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{health::Health, suspicion::Suspicions};
 
 fn id(text: &str) -> String {
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use common::{
     SERVICE, choose, endpoint, key, need, report, requests, sent_to, status,
 };
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     departure::Departure,
--- a/crates/fleet/tests/vouch_rules.rs
+++ b/crates/fleet/tests/vouch_rules.rs
@@ -1,8 +1,8 @@
 //! The lease while the store is out.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::vouch::{LastWords, WORD_HOLDS};
 
 fn ids() -> [String; 3] {
--- a/crates/sedgewall/src/apply.rs
+++ b/crates/sedgewall/src/apply.rs
@@ -5,9 +5,9 @@
 //! who loses a race has written nothing that is in force, and is shown the
 //! difference.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     config_version::{ChunkedConfig, ConfigHead},
     lease::WriteAnswer,
--- a/crates/sedgewalld/src/call.rs
+++ b/crates/sedgewalld/src/call.rs
@@ -4,13 +4,13 @@
 //! the last try certainly did not run, or if it is repeatable; and `not_run`
 //! is answered only when no try can have run.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use http::{Method, Response, StatusCode};
+use sedgewall_clock::Instant;
 use sedgewall_coordination::timeline::EventKind;
 use sedgewall_protocol::{
     PeerMessage, Problem, RunState,
--- a/crates/sedgewalld/src/claims.rs
+++ b/crates/sedgewalld/src/claims.rs
@@ -4,7 +4,6 @@
 //! rendezvous. Safety does not rest on that preference but on the log's
 //! create-if-absent, see `sedgewall_coordination::claim`.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::HashMap,
     rc::Rc,
@@ -14,6 +13,7 @@
 use futures_channel::oneshot;
 use http::StatusCode;
 use log::{info, warn};
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     claim::{
         Answered, Claim, ClaimAnswer, ClaimLog, PartitionIdx, Segment,
--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -1,12 +1,12 @@
 //! Starts all parts on the one loop, and stops them as planned.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
 use futures_util::{FutureExt, StreamExt, select};
 use log::{info, warn};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use sedgewall_clock::Instant;
 use sedgewall_coordination::timeline::EventKind;
 use sedgewall_protocol::settings::Settings;
 use sedgewall_transport::{
--- a/crates/sedgewalld/src/election.rs
+++ b/crates/sedgewalld/src/election.rs
@@ -3,10 +3,10 @@
 //! One task for each shard. Only the few instances that a shard prefers look
 //! at its lease; all others learn of leaders from heartbeats.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
 
 use log::{debug, info, warn};
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     lease::{
         Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseWrite,
--- a/crates/sedgewalld/src/entry.rs
+++ b/crates/sedgewalld/src/entry.rs
@@ -3,12 +3,12 @@
 //! A request is held here from its arrival to its end. Leaders may come and go
 //! meanwhile; the entry submits again to whoever leads.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::timeline::EventKind;
 use sedgewall_protocol::{
     PeerMessage, Problem, RunState,
--- a/crates/sedgewalld/src/fleet/admit.rs
+++ b/crates/sedgewalld/src/fleet/admit.rs
@@ -1,9 +1,9 @@
 //! What the configuration decides of a request: its route, whose it is, and whether
 //! its customer may send it.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     configuration::DecidedBy,
     customer::{Customer, KeyDigest},
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request to one endpoint, and what its end means.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
@@ -9,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::AdapterKey,
     configuration::DecidedBy,
--- a/crates/sedgewalld/src/fleet/bell.rs
+++ b/crates/sedgewalld/src/fleet/bell.rs
@@ -1,12 +1,12 @@
 //! Wakes one waiting part of an instance.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     time::Duration,
 };
 
 use futures_channel::oneshot;
+use sedgewall_clock::Instant;
 
 /// Wakes one waiting part of the instance.
 #[derive(Default)]
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -5,7 +5,6 @@
 //! within the allowance that all instances share. A refusal says "not run"
 //! only if no endpoint can have run the request.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
@@ -14,6 +13,7 @@
 
 use http::{Request, Response, header};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     configuration::DecidedBy,
     customer::Customer,
--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -4,13 +4,13 @@
 //! the port at which notes come as datagrams. It comes whole or not at all, and is
 //! taken in like one that was read from the store: only ever forward.
 
-use sedgewall_clock::Instant;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::net::TcpListener;
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::catch_up::{Knowledge, Missed, Step};
 use sedgewall_state::id::InstanceId;
 use sedgewall_transport::{
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -1,7 +1,6 @@
 //! Starts all parts of an instance on the one loop, and stops them as
 //! planned.
 
-use sedgewall_clock::Instant;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
@@ -9,6 +8,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use sedgewall_clock::Instant;
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_transport::{
     Handler, LocalBody, ServerLimits, Stop, serve, serve_until, stop_signal,
--- a/crates/sedgewalld/src/fleet/follow.rs
+++ b/crates/sedgewalld/src/fleet/follow.rs
@@ -3,10 +3,10 @@
 //! Each kind is listed once and then watched. While the store is out, what was
 //! known stays in force; what a kind means is for its [`Follower`].
 
-use sedgewall_clock::Instant;
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, select};
+use sedgewall_clock::Instant;
 use sedgewall_fleet::back_off::{BackOff, Calls};
 use sedgewall_platform::{
     StoreError,
--- a/crates/sedgewalld/src/fleet/follow_configuration.rs
+++ b/crates/sedgewalld/src/fleet/follow_configuration.rs
@@ -2,9 +2,10 @@
 //!
 //! The invariant: a configuration is never replaced by an older one.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
+
 use super::{
     bell::Bell,
     follow::{Follower, QUIET_WATCH},
--- a/crates/sedgewalld/src/fleet/follow_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/follow_endpoints.rs
@@ -4,7 +4,6 @@
 //! to any instance that we hear, gets no new work, but for the time after an
 //! outage in which entries that lapsed come back.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
@@ -12,6 +11,7 @@
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{endpoint::Endpoint, note::Note};
 use sedgewall_platform::{
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
--- a/crates/sedgewalld/src/fleet/follow_instances.rs
+++ b/crates/sedgewalld/src/fleet/follow_instances.rs
@@ -1,8 +1,8 @@
 //! Follows the entries of the other instances, and writes our own.
 
-use sedgewall_clock::Instant;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::back_off::{BackOff, Calls};
 use sedgewall_platform::{
     StoreError,
--- a/crates/sedgewalld/src/fleet/follow_poison.rs
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -4,7 +4,6 @@
 //! the store alone. Each condemned request is an object named by its digest; an
 //! operator who deletes one lets its request go.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::Cell,
     collections::HashMap,
@@ -12,6 +11,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, Calls},
     life::EndpointLife,
@@ -302,9 +302,10 @@
     let name = digest.to_string();
     let revision = match node.store.create(POISON_KIND, &name, &spec).await {
         Ok(object) => object.revision,
-        // Another instance has written it.
+        // Another instance has written it; until it is read, no list shows that it
+        // is gone.
         Err(StoreError::Conflict(known)) => {
-            known.map_or(0, |object| object.revision)
+            known.map_or(Revision::MAX, |object| object.revision)
         }
         Err(err) => return Err(err),
     };
--- a/crates/sedgewalld/src/fleet/keys.rs
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -7,13 +7,13 @@
 //! invariant: keys count as known only up to a moment that a call to the store
 //! confirmed, here or at an instance that was asked after it.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     catch_up::Knowledge,
     configuration::ConfigurationVersion,
--- a/crates/sedgewalld/src/fleet/knowledge.rs
+++ b/crates/sedgewalld/src/fleet/knowledge.rs
@@ -1,10 +1,10 @@
 //! What an instance has of what the operator changes: the configuration and named
 //! versions of weights.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
 use futures_channel::oneshot;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     adapter::{AdapterKey, WeightVersion},
     catch_up::Knowledge,
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -1,8 +1,8 @@
 //! Decides what engines hold, while this instance has the lease on orders.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{loader::Loader, store_rate::StoreRate};
 
 use super::{node::FleetNode, orders::Orders};
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -5,9 +5,9 @@
 //! so a new holder waits until the last order of the one before is a whole
 //! turn old ([`sedgewall_coordination::turn`]).
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     lease::{
         Acquired, Acquiring, Candidate, Held, Lease, LeaseRecord, LeaseTimes,
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -6,12 +6,12 @@
 //! the store sends the renewal. The update is conditional, so it does not matter
 //! who sends it, nor how often.
 
-use sedgewall_clock::Instant;
 use std::{pin::pin, time::Duration};
 
 use futures_channel::oneshot;
 use futures_util::future::{self, Either};
 use rand::seq::SliceRandom;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::lease::{
     LeaseRecord, LeaseWrite, StoredLease, WriteAnswer,
 };
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -1,6 +1,5 @@
 //! What all parts of an instance share, and nothing that acts on its own.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -10,6 +9,7 @@
 };
 
 use futures_channel::oneshot;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::lease::{NotedLease, WriteAnswer};
 use sedgewall_fleet::{
     adapter::AdapterKey,
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -5,7 +5,6 @@
 //! instance does not carry eighty times what it has to say, and few bytes cross
 //! between zones.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::Cell,
     io,
@@ -13,6 +12,7 @@
     rc::Rc,
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     note::{FEW_PEERS, Note, Relayed},
     relays::{Group, heads, relays},
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -4,10 +4,10 @@
 //! newest counts and a lost one is repaired by the next. It needs no
 //! connection to hang when a machine loses power.
 
-use sedgewall_clock::{Instant, SuspensionWatch};
 use std::{rc::Rc, time::Duration};
 
 use compio::BufResult;
+use sedgewall_clock::{Instant, SuspensionWatch};
 use sedgewall_fleet::{
     catch_up::Knowledge,
     departure::Departure,
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -5,11 +5,11 @@
 //! whose answer was lost is never carried out after a newer one. When the
 //! count is not known, the engine's report gives it.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     loader::Loader,
     note::{Note, Placed, Removed},
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -4,9 +4,9 @@
 //! A connection breaks when its endpoint ends, when it is reset, and when its
 //! answer is spoiled. What tells these apart is whether the endpoint still listens.
 
-use sedgewall_clock::Instant;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     life::EndpointLife,
     note::Note,
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -4,11 +4,11 @@
 //! event when its engine fails; any other ends where it broke, and never looks
 //! complete.
 
-use sedgewall_clock::Instant;
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{events::EventCutter, poison::Loss, view::Target};
 use sedgewall_transport::{LocalBody, PooledBody, SendError};
 
--- a/crates/sedgewalld/src/fleet/under_way.rs
+++ b/crates/sedgewalld/src/fleet/under_way.rs
@@ -1,8 +1,8 @@
 //! Requests that an instance counts: those at an endpoint, and those that were read.
 
-use sedgewall_clock::Instant;
 use std::{rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::adapter::AdapterKey;
 use sedgewall_state::id::EndpointId;
 
--- a/crates/sedgewalld/src/heartbeat.rs
+++ b/crates/sedgewalld/src/heartbeat.rs
@@ -1,8 +1,8 @@
 //! Heartbeats to peers, and the periodic repair of what lost messages left.
 
-use sedgewall_clock::Instant;
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{PeerMessage, message::Running};
 use sedgewall_state::ShardId;
 
--- a/crates/sedgewalld/src/inbox.rs
+++ b/crates/sedgewalld/src/inbox.rs
@@ -1,11 +1,11 @@
 //! Takes in messages of peers, and of this instance to itself.
 
-use sedgewall_clock::Instant;
 use std::rc::Rc;
 
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt, select};
 use log::info;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{membership::Heartbeat, timeline::EventKind};
 use sedgewall_protocol::{Envelope, PeerMessage};
 use sedgewall_transport::PeerListener;
--- a/crates/sedgewalld/src/leader.rs
+++ b/crates/sedgewalld/src/leader.rs
@@ -6,7 +6,6 @@
 //! that orders go only to engines that either check fences or cannot have a
 //! newer leader yet.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
@@ -14,6 +13,7 @@
 };
 
 use log::info;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     lease::{Held, Lease},
     membership::{InstanceList, ListedState},
--- a/crates/sedgewalld/src/led_requests.rs
+++ b/crates/sedgewalld/src/led_requests.rs
@@ -1,8 +1,8 @@
 //! What entries tell the leader of a shard about their requests.
 
-use sedgewall_clock::Instant;
 use std::rc::Rc;
 
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     Envelope, PeerMessage,
     engine::EngineAdapter,
--- a/crates/sedgewalld/src/node.rs
+++ b/crates/sedgewalld/src/node.rs
@@ -3,7 +3,6 @@
 //! Everything runs on one thread, so the parts share cells. The rule that
 //! keeps this safe: no borrow lives across an `await`.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -13,6 +12,7 @@
 
 use futures_channel::mpsc;
 use log::debug;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::{
     config_version::ConfigTracker,
     membership::{
--- a/crates/sedgewalld/src/operator.rs
+++ b/crates/sedgewalld/src/operator.rs
@@ -1,12 +1,12 @@
 //! The operators' port: health, metrics, status, time line, explanations.
 
-use sedgewall_clock::Instant;
 use std::rc::Rc;
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::info;
 use metrics_exporter_prometheus::PrometheusHandle;
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     Problem, RunState,
     caller::ModelRef,
--- a/crates/sedgewalld/src/orders.rs
+++ b/crates/sedgewalld/src/orders.rs
@@ -1,9 +1,9 @@
 //! Load orders to engines, and what becomes of them.
 
-use sedgewall_clock::Instant;
 use std::rc::Rc;
 
 use log::warn;
+use sedgewall_clock::Instant;
 use sedgewall_coordination::timeline::EventKind;
 use sedgewall_protocol::engine::{Order, OrderFailure};
 use sedgewall_state::{AdapterIdx, Epoch, shard::LoadOrder};
--- a/crates/sedgewalld/src/relay.rs
+++ b/crates/sedgewalld/src/relay.rs
@@ -5,12 +5,12 @@
 //! invariant: the caller gets each event once and in order, or is told that
 //! the answer is not whole.
 
-use sedgewall_clock::Instant;
 use std::{pin::Pin, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use http::{Response, StatusCode};
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     Problem, RunState, engine::STREAM_END, message::EndKind,
 };
--- a/crates/sedgewalld/src/requests.rs
+++ b/crates/sedgewalld/src/requests.rs
@@ -3,13 +3,13 @@
 //! The table keeps one invariant: a request is in it from its submission to
 //! its end, and only a request that is in it may use a grant.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
 use futures_channel::mpsc;
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     message::{FirstToken, Granted, RunningRequest},
     settings::Limits,
--- a/crates/sedgewalld/src/store.rs
+++ b/crates/sedgewalld/src/store.rs
@@ -5,9 +5,9 @@
 //! hears nothing falls back to the part that is guaranteed to its shard. The
 //! arithmetic and its invariant are in `sedgewall_state::allocation`.
 
-use sedgewall_clock::Instant;
 use std::{cell::RefCell, rc::Rc};
 
+use sedgewall_clock::Instant;
 use sedgewall_protocol::{
     Envelope, PeerMessage,
     message::{Allotment, Demand},
--- a/crates/sedgewalld/src/upkeep.rs
+++ b/crates/sedgewalld/src/upkeep.rs
@@ -1,12 +1,12 @@
 //! What a leader does from time to time: passes time to the policy, reads
 //! reports, looks after lost entries, asks for the weight store.
 
-use sedgewall_clock::Instant;
 use std::{
     rc::Rc,
     time::{Duration, SystemTime},
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_protocol::engine::{EngineAdapter, EngineReport};
 use sedgewall_state::{
     EngineIdx, Epoch, Incarnation, ShardAction, ShardId,
--- a/crates/state/benches/decisions.rs
+++ b/crates/state/benches/decisions.rs
@@ -2,10 +2,10 @@
 
 #![allow(missing_docs, reason = "criterion's macro makes a public function")]
 
-use sedgewall_clock::Instant;
 use std::{hint::black_box, time::Duration};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sedgewall_clock::Instant;
 use sedgewall_state::{
     AdapterIdx, Priority, Shard, ShardAction,
     budget::StoreLimits,
--- a/crates/state/src/action.rs
+++ b/crates/state/src/action.rs
@@ -1,8 +1,9 @@
 //! What goes into a shard and what comes out: grants, orders, ends, reports.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::{
     admission::Refusal,
     id::{AdapterIdx, EngineIdx, RequestId},
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -5,9 +5,9 @@
 //! waits, and its retry time is spread so that the refused do not come back
 //! together.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/crates/state/src/allocation.rs
+++ b/crates/state/src/allocation.rs
@@ -5,9 +5,9 @@
 //! requests wait. The module keeps one invariant: the parts never add up to
 //! more than the store allows.
 
-use sedgewall_clock::Instant;
 use std::{collections::BTreeMap, time::Duration};
 
+use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
 use crate::{budget::StoreLimits, id::ShardId};
--- a/crates/state/src/budget.rs
+++ b/crates/state/src/budget.rs
@@ -4,9 +4,9 @@
 //! at once. [`allocation`](crate::allocation) divides it among shards; a
 //! budget keeps to one shard's part.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
 /// How many seconds' worth of rate may be saved up.
--- a/crates/state/src/engine.rs
+++ b/crates/state/src/engine.rs
@@ -4,9 +4,10 @@
 //! module keeps the rule that a slot with granted or running requests is never
 //! free to be evicted: [`Engine::idle_slots`] is the only way to a victim.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::{
     id::{AdapterIdx, EndpointId},
     priority::{CLASSES, Priority},
--- a/crates/state/src/eviction.rs
+++ b/crates/state/src/eviction.rs
@@ -5,9 +5,10 @@
 //! is never a victim. Where every slot is busy, a slot may be *drained*: it
 //! gets nothing new and becomes a victim when its last request ends.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::{
     engine::{Slot, SlotState},
     id::{AdapterIdx, EngineIdx},
--- a/crates/state/src/health.rs
+++ b/crates/state/src/health.rs
@@ -4,9 +4,10 @@
 //! first token far above its peers', and comes back with a few requests at a
 //! time.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::{
     engine::{Health, PROBATION},
     id::{AdapterIdx, EngineIdx},
--- a/crates/state/src/load.rs
+++ b/crates/state/src/load.rs
@@ -3,9 +3,10 @@
 //! Slots and replica lists change together here and nowhere else. A failed load
 //! backs off with a spread, and goes to another engine first.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 use crate::{
     action::ShardAction,
     engine::{Slot, SlotState},
--- a/crates/state/src/popularity.rs
+++ b/crates/state/src/popularity.rs
@@ -5,9 +5,10 @@
 //! Both are exponentially decayed counts, so an adapter costs two numbers and a
 //! time, and an idle adapter costs no work at all.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
+use sedgewall_clock::Instant;
+
 /// The time constant of the short horizon.
 pub const SHORT_HORIZON: Duration = Duration::from_secs(60);
 
--- a/crates/state/src/queue.rs
+++ b/crates/state/src/queue.rs
@@ -4,9 +4,10 @@
 //! the order that a caller can see. It leaves the choice between adapters to
 //! [`dispatch`](crate::dispatch).
 
-use sedgewall_clock::Instant;
 use std::collections::{HashMap, VecDeque};
 
+use sedgewall_clock::Instant;
+
 use crate::{
     id::{AdapterIdx, RequestId},
     priority::{CLASSES, Priority},
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -7,12 +7,13 @@
 //! the whole is that every submitted request gets exactly one grant or one
 //! refusal, unless it is cancelled or its engine gives it back.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
+use sedgewall_clock::Instant;
+
 pub use crate::{
     action::{Grant, LoadOrder, ReportedSlot, RequestEnd, ShardAction},
     settings::PolicySettings,
--- a/crates/state/tests/allocation_rules.rs
+++ b/crates/state/tests/allocation_rules.rs
@@ -1,9 +1,9 @@
 //! The division of the weight store.
 
-use sedgewall_clock::Instant;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_state::{
     allocation::{
         ALLOTMENT_VALIDITY, Allocator, StoreDemand, divide, guaranteed,
--- a/crates/state/tests/shard_rules.rs
+++ b/crates/state/tests/shard_rules.rs
@@ -1,12 +1,12 @@
 //! The rules of the policy, after every step of random event orders.
 
-use sedgewall_clock::Instant;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use proptest::prelude::*;
+use sedgewall_clock::Instant;
 use sedgewall_state::{
     AdapterIdx, EngineIdx, Priority, RequestId, Shard, ShardAction,
     budget::StoreLimits,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -6,7 +6,6 @@
 //! answer before its end closes the connection, which tells the endpoint that
 //! nobody waits any more.
 
-use sedgewall_clock::Instant;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -26,6 +25,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use log::debug;
+use sedgewall_clock::Instant;
 use socket2::SockRef;
 
 /// A connection without a stated time to rest is kept this long.
