--- a/crates/bench/src/herd/way.rs
+++ b/crates/bench/src/herd/way.rs
@@ -1,9 +1,8 @@
 //! The ways to choose an endpoint that are compared.
 
-use sedgewall_clock::Instant;
-
 use rand::{Rng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     endpoint_state::EndpointState,
     view::{Choice, FleetView, Need},
--- a/crates/fleet/src/view/departed.rs
+++ b/crates/fleet/src/view/departed.rs
@@ -1,7 +1,6 @@
 //! Endpoints that left: what we saw in the store, and what others say.
 
 use sedgewall_clock::Instant;
-
 use sedgewall_state::id::EndpointId;
 
 use super::FleetView;
--- a/crates/sedgewalld/src/explain.rs
+++ b/crates/sedgewalld/src/explain.rs
@@ -2,7 +2,6 @@
 //! is where it is.
 
 use sedgewall_clock::Instant;
-
 use sedgewall_protocol::{
     engine::EngineAdapter,
     operator::{AdapterExplanation, EngineStatus, ShardStatus},
