What ended well lately is not held for the end of its endpoint

Cause: a stream that many callers send alike was at each of the three engines of a service when a request ended them one after the other, went on at the next, and was condemned with it. Nobody could send it again, so that nothing cleared it: refused for ten minutes.

Change: each instance remembers by a keyed hash what ended well there in the last two to four minutes; a run of that is not held against its request.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod endpoint_state;
 mod engine_room;
 pub mod events;
+pub mod good_runs;
 pub mod health;
 pub mod life;
 pub mod load_times;
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{OnceCell, RefCell},
+    hash::{BuildHasher, RandomState},
     rc::Rc,
     time::Duration,
 };
@@ -13,6 +14,7 @@
     adapter::AdapterKey,
     configuration::DecidedBy,
     customer::Customer,
+    good_runs::RequestHash,
     poison::Loss,
     request_digest::{RequestDigest, RequestParts},
     route::{Repetition, Route},
@@ -133,16 +135,24 @@
 
     /// Returns what all tries of this request have in common.
     pub(crate) fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| {
-            let path = self.uri.path_and_query();
-            RequestDigest::of(RequestParts {
-                customer: self.customer.as_ref().map(|c| c.name.as_str()),
-                method: self.method.as_str(),
-                host: &self.route.host,
-                path: path.map_or("", |path| path.as_str()),
-                body: &self.body,
-            })
-        })
+        *self.digest.get_or_init(|| RequestDigest::of(self.parts()))
+    }
+
+    /// Returns a hash of the same, which is cheap enough for each request.
+    pub(crate) fn hash(&self, key: &RandomState) -> RequestHash {
+        let RequestParts { customer, method, host, path, body } = self.parts();
+        key.hash_one((customer, method, host, path, body))
+    }
+
+    fn parts(&self) -> RequestParts<'_> {
+        let path = self.uri.path_and_query();
+        RequestParts {
+            customer: self.customer.as_ref().map(|c| c.name.as_str()),
+            method: self.method.as_str(),
+            host: &self.route.host,
+            path: path.map_or("", |path| path.as_str()),
+            body: &self.body,
+        }
     }
 
     /// Returns the rank: the customer's comes before the route's.
--- a/crates/sedgewalld/src/fleet/node.rs
+++ b/crates/sedgewalld/src/fleet/node.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
+    hash::RandomState,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -16,6 +17,7 @@
     allowance::Shares,
     catch_up::CatchUp,
     demand::Demand,
+    good_runs::GoodRuns,
     load_times::LoadTimes,
     note::{Lead, Note},
     poison::Poison,
@@ -192,6 +194,9 @@
     pub(crate) pool: EndpointPool,
     /// What was seen of requests that end endpoints.
     pub(crate) poison: RefCell<Poison>,
+    /// What ended well here lately, by hashes that this process keys.
+    pub(crate) good_runs: RefCell<GoodRuns>,
+    pub(crate) hash_key: RandomState,
     /// What of it stands in the store.
     pub(crate) poison_records: RefCell<PoisonRecords>,
     pub(crate) poison_records_bell: Bell,
@@ -290,6 +295,8 @@
             store: Store::new(EndpointPool::new(), store_address),
             pool,
             poison: RefCell::default(),
+            good_runs: RefCell::new(GoodRuns::new(Instant::now())),
+            hash_key: RandomState::new(),
             poison_records: RefCell::default(),
             poison_records_bell: Bell::default(),
             poison_bell: Rc::default(),
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -86,8 +86,13 @@
 }
 
 /// Notes that the last run of a request will bring no answer. It counts if its
-/// endpoint turns out to have ended.
+/// endpoint turns out to have ended, and no run of it ended well here lately: what
+/// many callers send alike is at each endpoint that ends. Without that, such a read
+/// was condemned beside a request that ended all three endpoints of a service.
 pub(crate) fn run_lost(node: &FleetNode, call: &CallerRequest, loss: Loss) {
+    if node.good_runs.borrow().has(call.hash(&node.hash_key)) {
+        return;
+    }
     let Some(sent) = call.sent_to.borrow().clone() else { return };
     let life = life_of(node, &sent.endpoint);
     let now = Instant::now();
@@ -99,6 +104,8 @@
 
 /// Notes that a run of a request ended well: it is none that ends endpoints.
 pub(crate) fn ended_well(node: &FleetNode, call: &CallerRequest) {
+    let hash = call.hash(&node.hash_key);
+    node.good_runs.borrow_mut().note(hash, Instant::now());
     if !node.poison.borrow().has_suspects() {
         return;
     }
