--- a/crates/sedgewalld/src/fleet/follow_poison.rs
+++ b/crates/sedgewalld/src/fleet/follow_poison.rs
@@ -41,12 +41,12 @@
 /// How long an instance that does not watch for the others waits before it lists the
 /// records again. It hears of them in notes; a list repairs what notes lost. Where
 /// all watch, as they do for the configuration, calls to the store are 11 of 100 more
-/// with 75 instances.
+/// with 79 instances.
 const OTHERS_LIST_EVERY: Duration = Duration::from_secs(60);
 
 /// Until it has listed the others, each instance takes itself for the first. Those
-/// that start together find each other's entries 1.5 s later; 75 that all began with a
-/// watch of their own made 80 calls more.
+/// that start together find each other's entries 1.5 s later; 79 that all began with a
+/// watch of their own made 74 calls more.
 const FIRST_WATCH_AFTER: Duration = Duration::from_secs(2);
 
 /// How often it is looked for records that are over.
