Log entries and departures of endpoints that have no effect

An entry that was dropped because a newer one is known left the same lines as one that was applied, so that the logs of the incident could not tell a dropped entry from one that was undone later. A dropped entry that differs in whether the endpoint drains has a line now (entry_ignored, with both revisions), and departure_heard says which revision is known and whether the endpoint drains afterwards. No change of logic.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -126,21 +126,25 @@
     /// Applies one endpoint's entry. An entry from before the endpoint's
     /// departure, which a list that is seconds old may show, does not bring
     /// the endpoint back. An entry that is older than the known one changes
-    /// nothing.
-    pub fn apply_entry(&mut self, mut endpoint: Endpoint, now: Instant) {
+    /// nothing. Returns whether the entry was applied.
+    pub fn apply_entry(
+        &mut self,
+        mut endpoint: Endpoint,
+        now: Instant,
+    ) -> bool {
         let id = endpoint.id.clone();
         if endpoint.is_draining {
             self.see_departure(&id, endpoint.revision, true, now);
         }
         let known = self.get(&id).map(|state| state.endpoint.revision);
         if known.is_some_and(|known| known > endpoint.revision) {
-            return;
+            return false;
         }
         let (born, revision) = (endpoint.born, endpoint.revision);
         match self.incarnations.apply_entry(&id, born, revision, now) {
             IncarnationStatus::Current => {}
             IncarnationStatus::New => self.begin_incarnation(&id),
-            IncarnationStatus::Ended => return,
+            IncarnationStatus::Ended => return false,
         }
         let born = endpoint.born.or(self.incarnations.born(&id));
         endpoint.is_draining |=
@@ -160,6 +164,7 @@
             of_service.or_default().insert(id.clone());
         }
         self.change_placements(&id, |state| state.apply_entry(endpoint, now));
+        true
     }
 
     /// Applies entries that another instance knows, without their adapters,
--- a/crates/fleet/tests/incarnation_rules.rs
+++ b/crates/fleet/tests/incarnation_rules.rs
@@ -178,7 +178,9 @@
             // previous incarnation.
             let revision = incarnation as u64 * 20 + nth + 1;
             match message {
-                Message::Entry => view.apply_entry(entry(incarnation, revision), now),
+                Message::Entry => {
+                    view.apply_entry(entry(incarnation, revision), now);
+                }
                 Message::Removal => view.remove_entry(&id, revision + 10, true, now),
                 // An endpoint is asked for a report only once it is listed,
                 // and a late answer comes from an incarnation that was known
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -179,16 +179,21 @@
     departure: &Departure,
     now: Instant,
 ) {
-    if !instance.view.borrow_mut().apply_departure(departure, now) {
+    let mut view = instance.view.borrow_mut();
+    if !view.apply_departure(departure, now) {
         return;
     }
     let Departure { endpoint, revision, is_announced, .. } = departure;
+    let known = view.get(endpoint).map(|state| &state.endpoint);
     tracing::info!(
         event = "departure_heard",
         endpoint,
         revision,
         is_announced,
+        known_revision = known.map(|known| known.revision),
+        is_draining = known.map(|known| known.is_draining),
     );
+    drop(view);
     instance.wake_all();
 }
 
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -134,7 +134,21 @@
                 revision = endpoint.revision,
             );
         }
-        view.apply_entry(endpoint, Instant::now());
+        let known_revision = known.map(|state| state.endpoint.revision);
+        let (id, revision) = (endpoint.id.clone(), endpoint.revision);
+        let is_draining = endpoint.is_draining;
+        let is_applied = view.apply_entry(endpoint, Instant::now());
+        // A list that may be seconds old shows many entries that are older
+        // than the known ones.
+        if !is_applied && was_draining != Some(is_draining) {
+            tracing::warn!(
+                event = "entry_ignored",
+                endpoint = id,
+                is_draining,
+                revision,
+                known_revision,
+            );
+        }
     }
 
     /// Removes an endpoint whose entry was missing at a revision of the store.
