Order what the store shows by its era, not by revisions alone

Cause: the store had been restored from a copy some seconds old, and its revisions went back and were given out again. An entry was applied, and a departure counted, if its revision was no lower than the known one's. The entry known since before the restore had a higher revision than the draining entry, which was dropped as late, in the watch as well as in the notes of the other instances, until the store's revisions had passed it.

An entry of a later era replaces one of an earlier era. A departure holds until an entry was certainly written later: of no earlier era and with a higher number, since all lost numbers are above those that the copy holds. A watch or a conditional write at a revision of an earlier era fails, because the store may have given the number to another change, and all kinds are listed when an answer states a new era. On the wire the era is in the upper bits of the revision's number, so that instances of the previous release read it; theirs count as of the current era.

--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -390,7 +390,7 @@
         let gone: Vec<EndpointId> = gone.map(|p| p.id.clone()).collect();
         for view in &mut self.views {
             for id in &gone {
-                view.remove_entry(id, 2, true, now);
+                view.remove_entry(id, 2.into(), true, now);
             }
         }
     }
@@ -399,7 +399,7 @@
 fn listed(id: &str, slots: u32) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
-        revision: 1,
+        revision: 1.into(),
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z".to_owned(),
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -52,7 +52,7 @@
             address: ([127, 0, 0, 1], 8_000).into(),
             zone: format!("z{}", engine % 3),
             slots: 12,
-            revision: 1,
+            revision: 1.into(),
             is_draining: false,
             remaining: None,
             models: vec![hosted(engine)],
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -4,9 +4,9 @@
 //! What an instance reads from the store may be seconds old, and an instance
 //! that is cut off reads nothing. An instance that sees an endpoint leave
 //! therefore tells all others, and repeats this for a while, since notes may
-//! be lost. The invariant: an entry that was written no later than the
-//! departure never brings an endpoint back; only a later one does. A departure
-//! that the endpoint itself announced is not undone by any entry of the same
+//! be lost. The invariant: an entry that may have been written no later than
+//! the departure never brings an endpoint back; only one that was certainly
+//! written later does. A departure that the endpoint itself announced is not undone by any entry of the same
 //! incarnation, since the store may not have the announced state yet.
 
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
@@ -15,7 +15,7 @@
 use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
 
-use crate::{endpoint::Revision, incarnation::Incarnation};
+use crate::{incarnation::Incarnation, revision::Revision};
 
 /// How long each instance repeats the departures that it knows of. Notes are
 /// sent to all others every 150 ms in a small fleet and every 2.4 s in a large
@@ -117,10 +117,11 @@
     ) -> bool {
         let Departure { endpoint, revision, is_announced, born } = departure;
         let known = self.0.get(endpoint);
-        let is_new = !self.has_left(endpoint, *revision, *born)
-            || (*is_announced
-                && !known.is_some_and(|k| k.is_announced_in(*born)));
-        if !is_new {
+        let is_covered = known.is_some_and(|known| {
+            known.is_announced_in(*born)
+                || (!is_announced && known.revision.covers(*revision))
+        });
+        if is_covered {
             return false;
         }
         let mut new = Known {
@@ -131,7 +132,7 @@
             born: *born,
         };
         if let Some(known) = known {
-            new.revision = new.revision.max(known.revision);
+            new.revision = new.revision.join(known.revision);
             if !is_announced {
                 (new.is_announced, new.born) =
                     (known.is_announced, known.born);
@@ -150,7 +151,8 @@
         born: Option<Incarnation>,
     ) -> bool {
         self.0.get(id).is_some_and(|known| {
-            revision <= known.revision || known.is_announced_in(born)
+            !revision.is_certainly_after(known.revision)
+                || known.is_announced_in(born)
         })
     }
 
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -8,13 +8,10 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     incarnation::Incarnation,
+    revision::Revision,
     route::ServiceName,
 };
 
-/// A revision of the platform's store, which increases by one with each
-/// change.
-pub type Revision = u64;
-
 /// An endpoint, in one incarnation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Endpoint {
--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -17,7 +17,7 @@
 use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint::Revision;
+use crate::revision::Revision;
 
 /// The start time of an endpoint in Unix milliseconds by its own clock, which
 /// identifies the incarnation.
@@ -129,7 +129,10 @@
     ) -> IncarnationStatus {
         let Some(born) = born else { return IncarnationStatus::Current };
         let Some(known) = self.0.get_mut(id) else {
-            let known = Known { is_listed: false, ..Known::new(born, 0, now) };
+            let known = Known {
+                is_listed: false,
+                ..Known::new(born, Revision::default(), now)
+            };
             self.0.insert(id.clone(), known);
             return IncarnationStatus::Current;
         };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod request_digest;
 pub mod residence_time;
 pub mod retry_budget;
+pub mod revision;
 pub mod revocation;
 pub mod route;
 pub mod store_reachability;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -13,12 +13,13 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     departure::Departure,
-    endpoint::{Endpoint, Revision},
+    endpoint::Endpoint,
     incarnation::Incarnation,
     limit_share::LimitReport,
     poison::Crash,
     rate_limiter,
     request_digest::RequestDigest,
+    revision::Revision,
     work::Work,
 };
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -33,13 +33,14 @@
     adapter_index::AdapterIndex,
     cooldown::Cooldown,
     departure::{Departure, Departures},
-    endpoint::{Endpoint, EngineReport, Revision},
+    endpoint::{Endpoint, EngineReport},
     endpoint_state::EndpointState,
     incarnation::{Incarnation, IncarnationStatus, Incarnations},
     latency_regression::LatencyRegression,
     limit_share::LimitShares,
     note::{Placed, Removed},
     residence_time::ResidenceTime,
+    revision::Revision,
     route::ServiceName,
 };
 
@@ -138,6 +139,8 @@
         }
         let known = self.get(&id).map(|state| state.endpoint.revision);
         if known.is_some_and(|known| known > endpoint.revision) {
+            // The known entry may be one that the store restored.
+            self.mark_departed(&id);
             return false;
         }
         let (born, revision) = (endpoint.born, endpoint.revision);
--- a/crates/fleet/src/view/departures.rs
+++ b/crates/fleet/src/view/departures.rs
@@ -5,7 +5,7 @@
 use sedgewall_state::id::EndpointId;
 
 use super::{AnsweredRequest, FleetView};
-use crate::{departure::Departure, endpoint::Revision};
+use crate::{departure::Departure, revision::Revision};
 
 impl FleetView {
     /// Records that this instance saw an endpoint leave. The removal of an
@@ -39,14 +39,19 @@
         if !self.departures.record(departure, true, now) {
             return false;
         }
-        let Departure { endpoint: id, .. } = departure;
+        self.mark_departed(&departure.endpoint);
+        true
+    }
+
+    /// Stops sending requests to an endpoint if the known entry is not
+    /// certainly later than its departure.
+    pub(super) fn mark_departed(&mut self, id: &EndpointId) {
         let born = self.incarnations.born(id);
         if let Some(state) = self.endpoints.get_mut(id) {
             let revision = state.endpoint.revision;
             let has_left = self.departures.has_left(id, revision, born);
             state.endpoint.is_draining |= has_left;
         }
-        true
     }
 
     /// Applies a departure that an endpoint announced in a response. Returns
@@ -61,7 +66,8 @@
             return false;
         }
         let state = self.endpoints.get(endpoint);
-        let revision = state.map_or(0, |state| state.endpoint.revision);
+        let revision = state.map(|state| state.endpoint.revision);
+        let revision = revision.unwrap_or_default();
         let departure = Departure::announced(endpoint, *born, revision);
         let is_new = self.apply_departure(&departure, now);
         if is_new {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -32,7 +32,7 @@
         address: ([127, 0, 0, 1], port).into(),
         zone: zone.to_owned(),
         slots: SLOTS,
-        revision: 1,
+        revision: 1.into(),
         is_draining: false,
         remaining: None,
         models: vec![hosted(adapters)],
--- a/crates/fleet/tests/cooldown_rules.rs
+++ b/crates/fleet/tests/cooldown_rules.rs
@@ -76,10 +76,10 @@
     let mut view = FleetView::new("z1");
     view.apply_entry(endpoint("e1", "z1", &[1]), now);
     view.apply_announced_cooldown(&answered(now), COOLDOWN, now);
-    view.remove_entry(&"e1".to_owned(), 0, false, now);
+    view.remove_entry(&"e1".to_owned(), 0.into(), false, now);
     view.forget_cooldowns(now);
     let mut entry = endpoint("e1", "z1", &[1]);
-    entry.revision = 9;
+    entry.revision = 9.into();
     view.apply_entry(entry, now);
     assert!(!is_chosen(&view, now));
     assert!(is_chosen(&view, now + COOLDOWN));
@@ -95,7 +95,7 @@
     let now = Instant::now();
     let of_incarnation = |born, revision| {
         let mut entry = endpoint("e1", "z1", &[1]);
-        (entry.born, entry.revision) = (Some(born), revision);
+        (entry.born, entry.revision) = (Some(born), u64::into(revision));
         entry
     };
     let mut view = FleetView::new("z1");
--- a/crates/fleet/tests/departure_rules.rs
+++ b/crates/fleet/tests/departure_rules.rs
@@ -10,19 +10,19 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     departure::Departure,
-    endpoint::{Endpoint, Revision},
+    endpoint::Endpoint,
     view::{AnsweredRequest, Choice, FleetView},
 };
 
-fn entry(revision: Revision, is_draining: bool) -> Endpoint {
+fn entry(revision: u64, is_draining: bool) -> Endpoint {
     let mut entry = endpoint("e1", "z1", &[1]);
-    entry.revision = revision;
+    entry.revision = revision.into();
     entry.is_draining = is_draining;
     entry
 }
 
-fn departure(revision: Revision) -> Departure {
-    Departure::of_entry(&"e1".to_owned(), revision)
+fn departure(revision: u64) -> Departure {
+    Departure::of_entry(&"e1".to_owned(), revision.into())
 }
 
 fn is_chosen(view: &FleetView, now: Instant) -> bool {
@@ -64,7 +64,7 @@
     assert!(view.take_unsent_departures().is_empty());
     view.apply_entry(entry(4, true), now);
     assert_eq!(view.take_unsent_departures(), [departure(4)]);
-    view.remove_entry(&"e1".to_owned(), 5, true, now);
+    view.remove_entry(&"e1".to_owned(), 5.into(), true, now);
     assert!(view.take_unsent_departures().is_empty());
     assert_eq!(view.departures(now), [departure(5)]);
     let later = now + Duration::from_secs(10);
@@ -90,7 +90,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.apply_entry(entry(3, false), now);
-    view.remove_entry(&"e1".to_owned(), 5, false, now);
+    view.remove_entry(&"e1".to_owned(), 5.into(), false, now);
     assert!(view.take_unsent_departures().is_empty());
     assert!(view.departures(now).is_empty());
     view.apply_entry(entry(4, false), now);
@@ -101,11 +101,11 @@
 #[derive(Clone, Debug)]
 enum Step {
     /// The instance reads an entry of this revision, which may be old.
-    Read { revision: Revision, is_draining: bool },
+    Read { revision: u64, is_draining: bool },
     /// The instance hears of a departure as of this revision.
-    Heard(Revision),
+    Heard(u64),
     /// The instance finds the entry missing at this revision.
-    Missing(Revision),
+    Missing(u64),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -143,7 +143,7 @@
                     left = left.max(revision);
                 }
                 Step::Missing(revision) => {
-                    view.remove_entry(&"e1".to_owned(), revision, true, now);
+                    view.remove_entry(&"e1".to_owned(), revision.into(), true, now);
                     if let Some(known) = listed.take() {
                         left = left.max(revision).max(known);
                     }
@@ -191,7 +191,7 @@
         !is_chosen(&view, later),
         "it is kept while the endpoint is listed"
     );
-    view.remove_entry(&endpoint, 10, true, later);
+    view.remove_entry(&endpoint, 10.into(), true, later);
     view.apply_entry(of_incarnation(1, 11), later);
     assert!(
         !is_chosen(&view, later),
@@ -212,7 +212,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.apply_entry(entry(7, false), now);
-    let departure = Departure::announced(&"e1".to_owned(), None, 3);
+    let departure = Departure::announced(&"e1".to_owned(), None, 3.into());
     assert!(view.apply_departure(&departure, now));
     assert!(!is_chosen(&view, now));
 }
--- a/crates/fleet/tests/incarnation_rules.rs
+++ b/crates/fleet/tests/incarnation_rules.rs
@@ -25,6 +25,7 @@
 fn entry(incarnation: usize, revision: u64) -> Endpoint {
     let adapters = [incarnation as u32];
     let born = Some(BORN[incarnation]);
+    let revision = revision.into();
     Endpoint { revision, born, ..endpoint(ID, "z1", &adapters) }
 }
 
@@ -112,7 +113,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.apply_entry(entry(1, 8), now);
-    view.remove_entry(&ID.to_owned(), 9, true, now);
+    view.remove_entry(&ID.to_owned(), 9.into(), true, now);
     view.apply_entry(entry(0, 3), now);
     assert_eq!(choose(&view, &key(0), now), Choice::NoEndpoint);
     view.apply_entry(entry(2, 12), now);
@@ -181,7 +182,7 @@
                 Message::Entry => {
                     view.apply_entry(entry(incarnation, revision), now);
                 }
-                Message::Removal => view.remove_entry(&id, revision + 10, true, now),
+                Message::Removal => view.remove_entry(&id, (revision + 10).into(), true, now),
                 // An endpoint is asked for a report only once it is listed,
                 // and a late answer comes from an incarnation that was known
                 // before.
--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -16,6 +16,7 @@
     load_times::LoadTimes,
     order::{Order, Task},
     placement::PlacementPlanner,
+    revision::Revision,
     view::FleetView,
     work::Work,
 };
@@ -338,7 +339,8 @@
         }
         let mut demand = Demand::default();
         let mut planner = planner(1, now);
-        for (revision, step) in (2..).zip(steps) {
+        for (number, step) in (2_u64..).zip(steps) {
+            let revision = Revision::from(number);
             match step {
                 Step::Requested(n, times) => add_waiting_requests(&mut demand, n, times, now),
                 Step::Elapsed(ms) => now += Duration::from_millis(ms),
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -30,7 +30,7 @@
 }
 
 fn departure(endpoint: &str, revision: u64) -> Departure {
-    Departure::of_entry(&endpoint.to_owned(), revision)
+    Departure::of_entry(&endpoint.to_owned(), revision.into())
 }
 
 #[test]
@@ -79,7 +79,7 @@
     let now = Instant::now();
     let mut view = FleetView::new("z1");
     view.apply_entry(endpoint("e1", "z1", &[1]), now);
-    view.remove_entry(&"e1".to_owned(), 2, true, now);
+    view.remove_entry(&"e1".to_owned(), 2.into(), true, now);
     assert_eq!(choose(&view, &key(1), now), Choice::NoEndpoint);
 }
 
@@ -326,9 +326,9 @@
     view.apply_entry(endpoint("e1", "z1", &[]), now);
     view.apply_report(&id, &report(&[1], 1), now);
     assert!(view.get(&id).is_some_and(|s| s.is_ordered_by_us()));
-    view.remove_entry(&id, 2, true, now);
+    view.remove_entry(&id, 2.into(), true, now);
     let mut back = endpoint("e1", "z1", &[1]);
-    back.revision = 3;
+    back.revision = 3.into();
     view.apply_entry(back, now);
     assert!(view.get(&id).is_some_and(|s| !s.is_ordered_by_us()));
 }
@@ -407,9 +407,9 @@
 fn an_older_entry_changes_nothing() {
     let now = Instant::now();
     let mut view = FleetView::new("z1");
-    let newer = Endpoint { revision: 9, ..endpoint("e1", "z1", &[2]) };
+    let newer = Endpoint { revision: 9.into(), ..endpoint("e1", "z1", &[2]) };
     view.apply_entry(newer, now);
-    let older = Endpoint { revision: 4, ..endpoint("e1", "z1", &[1]) };
+    let older = Endpoint { revision: 4.into(), ..endpoint("e1", "z1", &[1]) };
     view.apply_entry(older, now);
     let held = view.get(&"e1".to_owned()).expect("an endpoint");
     assert!(
@@ -437,7 +437,7 @@
     assert!(second.has_model("m") && !second.is_ordered_by_us());
     // An engine that has left since is not brought back.
     let id = "e2".to_owned();
-    view.apply_departure(&Departure::of_entry(&id, 5), now);
+    view.apply_departure(&Departure::of_entry(&id, 5.into()), now);
     let older = endpoint("e2", "z1", &[2]).without_adapters();
     view.apply_entries(vec![older], now);
     let second = view.get(&"e2".to_owned()).expect("the engine");
@@ -529,10 +529,10 @@
     let mut view = FleetView::new("z1");
     for n in 1..=1_000 {
         let entry = endpoint(&format!("e{n}"), "z1", &[1, 2]);
-        view.apply_entry(Endpoint { revision: n, ..entry }, now);
+        view.apply_entry(Endpoint { revision: n.into(), ..entry }, now);
     }
-    let newer = view.entries_since(400);
-    assert_eq!(newer.first().map(|e| e.revision), Some(401));
+    let newer = view.entries_since(400.into());
+    assert_eq!(newer.first().map(|e| e.revision), Some(401.into()));
     assert_eq!(newer.len(), 256);
     assert!(view.entries_since(view.newest_revision()).is_empty());
 }
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -29,7 +29,7 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{Store, StoreError};
+use sedgewall_platform::{Store, StoreError, store::StoreEra};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -250,6 +250,8 @@
     pub(crate) is_versions_behind: Cell<bool>,
     /// Whether the newest configuration in the store could not be read.
     pub(crate) is_configuration_unreadable: Cell<bool>,
+    /// The era of the store as of the last answer, or 0 before the first.
+    pub(crate) store_era: Cell<StoreEra>,
     pub(crate) instances_relist_notify: Rc<Notify>,
     pub(crate) endpoints_relist_notify: Rc<Notify>,
     /// Since when other instances have reported newer state than this one has.
@@ -344,6 +346,7 @@
             is_configuration_behind: Cell::new(false),
             is_versions_behind: Cell::new(false),
             is_configuration_unreadable: Cell::new(false),
+            store_era: Cell::new(0),
             instances_relist_notify: Rc::default(),
             endpoints_relist_notify: Rc::default(),
             behind_since: Cell::new(None),
@@ -400,6 +403,20 @@
         }
     }
 
+    /// Checks whether the store was restored from a copy since its last
+    /// answer. If so, all kinds that wait for changes are listed again.
+    pub(crate) fn check_store_era(&self) {
+        let era = self.store.era();
+        let known = self.store_era.replace(era);
+        if known == 0 || era <= known {
+            return;
+        }
+        tracing::warn!(event = "store_restored", era, known_era = known);
+        for notify in self.relist_notifies() {
+            notify.notify_waiting();
+        }
+    }
+
     /// Records that a call to the store failed. A change of reachability is
     /// reported to the other instances at once.
     pub(crate) fn record_store_failure(
@@ -559,13 +576,7 @@
         let is_known = |notify: &Notify| {
             failed.is_some_and(|call| notify.was_cleared_since(call.noticed))
         };
-        let all = [
-            &self.configuration_relist_notify,
-            &self.versions_relist_notify,
-            &self.instances_relist_notify,
-            &self.endpoints_relist_notify,
-            &self.poison_relist_notify,
-        ];
+        let all = self.relist_notifies();
         for notify in all.iter().filter(|n| !Rc::ptr_eq(n, listed)) {
             if !is_known(notify) {
                 notify.notify();
@@ -573,6 +584,16 @@
         }
     }
 
+    fn relist_notifies(&self) -> [&Rc<Notify>; 5] {
+        [
+            &self.configuration_relist_notify,
+            &self.versions_relist_notify,
+            &self.instances_relist_notify,
+            &self.endpoints_relist_notify,
+            &self.poison_relist_notify,
+        ]
+    }
+
     /// Wakes the task that gives orders.
     pub(crate) fn notify_planner(&self) {
         self.planner_notify.notify();
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -16,7 +16,10 @@
     LeaseRecord, LeaseWrite, StoredLease, WriteAnswer,
 };
 use sedgewall_fleet::note::{Note, RenewalAnswer, RenewalRequest};
-use sedgewall_platform::{StoreError, store::StoredObject};
+use sedgewall_platform::{
+    StoreError,
+    store::{Revision, StoredObject},
+};
 use sedgewall_state::id::InstanceId;
 use serde::Deserialize;
 
@@ -63,7 +66,9 @@
 
 fn decode(object: &StoredObject) -> Option<StoredLease> {
     match LeaseRecord::deserialize(&object.spec) {
-        Ok(record) => Some(StoredLease { record, version: object.revision }),
+        Ok(record) => {
+            Some(StoredLease { record, version: object.revision.number() })
+        }
         Err(err) => {
             tracing::error!(event = "lease_unreadable", cause = %err);
             None
@@ -85,17 +90,18 @@
     };
     let (kind, name) = (LEASES_KIND, ORDERS_LEASE);
     let written = match write.expected {
-        Some(revision) => {
+        Some(number) => {
+            let revision = Revision::new(instance.store.era(), number);
             instance.store.replace(kind, name, revision, &spec).await
         }
         None => instance.store.create(kind, name, &spec).await,
     };
     match written {
-        Ok(object) => WriteAnswer::Done(object.revision),
+        Ok(object) => WriteAnswer::Done(object.revision.number()),
         // The conflict is with an earlier send of the same write, whose answer
         // was lost.
         Err(StoreError::Conflict(Some(known))) if known.spec == spec => {
-            WriteAnswer::Done(known.revision)
+            WriteAnswer::Done(known.revision.number())
         }
         Err(StoreError::Conflict(_) | StoreError::NotFound) => {
             WriteAnswer::Conflict
@@ -236,10 +242,18 @@
     );
     let view = instance.view.borrow();
     let versions = view.newest_versions();
+    let era = instance.store.era();
+    let mut endpoints = view.entries_since(known_revision.or_in_era(era));
+    if known_revision.era() == 0 {
+        // An instance of the previous release compares bare numbers.
+        for endpoint in &mut endpoints {
+            endpoint.revision = endpoint.revision.without_era();
+        }
+    }
     let answer = RenewalAnswer {
         number,
         answer,
-        endpoints: view.entries_since(known_revision),
+        endpoints,
         versions: versions.map(|(key, v)| (key.clone(), v)).collect(),
     };
     sender.send_to_peer(instance, &from, &Note::RenewalAnswer(answer));
@@ -256,8 +270,13 @@
     received: RenewalAnswer,
 ) {
     let now = Instant::now();
+    let era = instance.store.era();
+    let mut endpoints = received.endpoints;
+    for endpoint in &mut endpoints {
+        endpoint.revision = endpoint.revision.or_in_era(era);
+    }
     let mut view = instance.view.borrow_mut();
-    view.apply_entries(received.endpoints, now);
+    view.apply_entries(endpoints, now);
     drop(view);
     for (key, version) in &received.versions {
         instance.name_version(key, *version);
--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -122,6 +122,10 @@
     /// Lists or watches once, and then pauses as the outcome requires.
     async fn step(&mut self) {
         let sent = Instant::now();
+        let era = self.instance.store.era();
+        if self.since.is_some_and(|since| since.era() < era) {
+            self.since = None;
+        }
         let done = match self.since {
             None => self.list().await.map(Some),
             Some(revision) => self.watch(revision).await,
@@ -137,6 +141,9 @@
                 // that the store still has.
                 self.list_freshness_override = Some(Freshness::Newest);
             }
+            Err(StoreError::Restored(_)) if self.since.take().is_some() => {
+                self.list_freshness_override = Some(Freshness::Newest);
+            }
             Err(err) => self.on_failure(sent, &err).await,
         }
     }
@@ -146,7 +153,7 @@
         self.handler.relist_notify().clear();
         let freshness = self.next_list_freshness();
         let sent = Instant::now();
-        let listing = self.instance.store.list(F::KIND, freshness).await?;
+        let listing = self.list_in_latest_era(freshness).await?;
         self.list_freshness_override = None;
         let revision = listing.revision;
         log_unreadable(F::KIND, &listing.unreadable);
@@ -154,7 +161,7 @@
             event = "listed",
             kind = F::KIND,
             objects = listing.objects.len(),
-            revision,
+            %revision,
         );
         self.handler.handle_list(listing);
         self.handler.record_read(sent);
@@ -164,6 +171,25 @@
         Ok(revision)
     }
 
+    /// Lists all objects. A list that may be seconds old may show what the
+    /// store held before it was restored; the newest is then listed instead.
+    async fn list_in_latest_era(
+        &self,
+        freshness: Freshness,
+    ) -> Result<Listing, StoreError> {
+        let store = &self.instance.store;
+        let is_old = |listed: &Listing| listed.revision.era() < store.era();
+        let mut listing = store.list(F::KIND, freshness).await?;
+        if is_old(&listing) && freshness == Freshness::SecondsOld {
+            listing = store.list(F::KIND, Freshness::Newest).await?;
+        }
+        self.instance.check_store_era();
+        match is_old(&listing) {
+            true => Err(StoreError::Restored(store.era())),
+            false => Ok(listing),
+        }
+    }
+
     /// Returns how fresh the next list must be.
     ///
     /// After an outage, most instances list with [`Freshness::SecondsOld`],
@@ -205,7 +231,10 @@
         let mut watch = pin!(watch.fuse());
         let mut notified = pin!(notified(&notify).fuse());
         let changes = select! {
-            watched = watch => watched?,
+            watched = watch => {
+                self.instance.check_store_era();
+                watched?
+            }
             () = notified => return Ok(None),
         };
         log_unreadable(F::KIND, &changes.unreadable);
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -179,18 +179,20 @@
     departure: &Departure,
     now: Instant,
 ) {
+    let mut departure = departure.clone();
+    departure.revision = departure.revision.or_in_era(instance.store.era());
     let mut view = instance.view.borrow_mut();
-    if !view.apply_departure(departure, now) {
+    if !view.apply_departure(&departure, now) {
         return;
     }
     let Departure { endpoint, revision, is_announced, .. } = departure;
-    let known = view.get(endpoint).map(|state| &state.endpoint);
+    let known = view.get(&endpoint).map(|state| &state.endpoint);
     tracing::info!(
         event = "departure_heard",
         endpoint,
-        revision,
+        %revision,
         is_announced,
-        known_revision = known.map(|known| known.revision),
+        known_revision = known.map(|known| tracing::field::display(known.revision)),
         is_draining = known.map(|known| known.is_draining),
     );
     drop(view);
--- a/crates/sedgewalld/src/fleet/notify.rs
+++ b/crates/sedgewalld/src/fleet/notify.rs
@@ -31,6 +31,15 @@
         }
     }
 
+    /// Wakes the task if it is waiting now.
+    pub(crate) fn notify_waiting(&self) {
+        let is_waiting =
+            self.waiting.borrow().as_ref().is_some_and(|tx| !tx.is_canceled());
+        if is_waiting {
+            self.notify();
+        }
+    }
+
     /// Withdraws a pending notification, because the work that the
     /// notification asks for begins now.
     pub(crate) fn clear(&self) {
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -131,7 +131,7 @@
                 zone = endpoint.zone,
                 is_draining = endpoint.is_draining,
                 adapters = adapter_count(&endpoint),
-                revision = endpoint.revision,
+                revision = %endpoint.revision,
             );
         }
         let known_revision = known.map(|state| state.endpoint.revision);
@@ -145,8 +145,9 @@
                 event = "entry_ignored",
                 endpoint = id,
                 is_draining,
-                revision,
-                known_revision,
+                %revision,
+                known_revision =
+                    known_revision.map(tracing::field::display),
             );
         }
     }
@@ -171,7 +172,7 @@
         tracing::info!(
             event = "endpoint_lapsed",
             endpoint = id,
-            revision,
+            %revision,
             left_ms = left.as_millis() as u64,
             known_out_ms_ago = last.map(|last| ms_ago(last.unreachable_at())),
         );
@@ -201,7 +202,7 @@
     let reachability = instance.store_reachability.borrow();
     let is_sure =
         !reachability.was_unreachable_within(LAPSE_DOUBT_WINDOW, now);
-    tracing::info!(event = "endpoint_gone", endpoint = id, revision, is_sure);
+    tracing::info!(event = "endpoint_gone", endpoint = id, %revision, is_sure);
     if is_sure {
         poison::endpoint_ended(instance, id);
     }
--- a/crates/sedgewalld/src/fleet/watch_poison.rs
+++ b/crates/sedgewalld/src/fleet/watch_poison.rs
@@ -338,7 +338,7 @@
     let expires_at = Instant::now() + CONDEMNED_FOR + EXPIRY_MARGIN;
     let known = KnownRecord { revision, expires_at, is_refuted: false };
     instance.poison_records.borrow_mut().0.insert(*digest, known);
-    tracing::info!(event = "poison_record_written", %digest, revision);
+    tracing::info!(event = "poison_record_written", %digest, %revision);
     Ok(())
 }
 
