Keep endpoints whose entries a restored store has lost

What callers would see: requests refused or crowded elsewhere, because a live endpoint is taken for gone. Entries that were written after the copy are missing in the first list after a restore, until their endpoints write them again. They had a grace only if a call of the instance had failed.

Change: a restore that an answer shows counts as a failure of the store for the grace of missing entries and for whether a removal is certain.

--- a/crates/fleet/src/store_reachability.rs
+++ b/crates/fleet/src/store_reachability.rs
@@ -8,8 +8,8 @@
 
 use sedgewall_clock::Instant;
 
-/// How long after the last known failure of the store a missing entry may
-/// still reappear. Entries that lapsed reappear within 2 s of the end of an
+/// How long after the last known failure or restore of the store a missing
+/// entry may still reappear. Entries that lapsed reappear within 2 s of the end of an
 /// outage, according to the platform's documentation, and the outage ends up
 /// to one pause between calls after the last failure. The value must not be
 /// longer: 3 s after the outage, no more requests may go to an endpoint that
@@ -60,6 +60,7 @@
     last_failed: Option<CallFailure>,
     last_answered: Option<Instant>,
     recovered_at: Option<Instant>,
+    restored_at: Option<Instant>,
     is_probing: bool,
     has_unreported_change: bool,
 }
@@ -105,14 +106,25 @@
         self.is_unreachable
     }
 
-    /// Returns whether the store is unreachable, or was so within this time.
-    pub fn was_unreachable_within(
-        &self,
-        time: Duration,
-        now: Instant,
-    ) -> bool {
+    /// Records that the store was found to be restored from a copy that lacks
+    /// its latest writes.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.restored_at = Some(now);
+    }
+
+    /// Returns whether the store may lack writes that it has acknowledged,
+    /// because it was restored and the writers have not repeated them yet.
+    pub fn may_lack_writes(&self, now: Instant) -> bool {
+        self.restored_at.is_some_and(|at| now - at < MISSING_ENTRY_GRACE)
+    }
+
+    /// Returns whether the store is unreachable, or was so or was restored
+    /// within this time.
+    pub fn was_disturbed_within(&self, time: Duration, now: Instant) -> bool {
         let is_recent = |at: Instant| now - at < time;
-        self.is_unreachable || self.recovered_at.is_some_and(is_recent)
+        self.is_unreachable
+            || self.recovered_at.is_some_and(is_recent)
+            || self.restored_at.is_some_and(is_recent)
     }
 
     /// Returns until when another instance may rely on a report of an outage
@@ -130,10 +142,13 @@
     }
 
     /// Returns how much longer entries of endpoints that lapsed during an
-    /// outage of the store may reappear.
+    /// outage of the store, or that it lost in a restore, may reappear.
     pub fn missing_entry_grace(&self, now: Instant) -> Duration {
-        let Some(failed) = self.last_failed else { return Duration::ZERO };
-        MISSING_ENTRY_GRACE.saturating_sub(now - failed.unreachable_at())
+        let failed_at = self.last_failed.map(|last| last.unreachable_at());
+        let Some(since) = failed_at.max(self.restored_at) else {
+            return Duration::ZERO;
+        };
+        MISSING_ENTRY_GRACE.saturating_sub(now - since)
     }
 
     /// Returns the last failed call.
--- a/crates/fleet/tests/store_reachability_rules.rs
+++ b/crates/fleet/tests/store_reachability_rules.rs
@@ -81,3 +81,17 @@
         ReportedOutage::Until(back + word)
     );
 }
+
+#[test]
+fn a_restore_delays_the_removal_of_missing_entries() {
+    let now = Instant::now();
+    let mut reachability = StoreReachability::default();
+    reachability.record_restore(now);
+    let soon = now + Duration::from_secs(1);
+    assert!(!reachability.missing_entry_grace(soon).is_zero());
+    assert!(reachability.may_lack_writes(soon));
+    assert!(reachability.was_disturbed_within(Duration::from_secs(2), soon));
+    let late = now + Duration::from_secs(3);
+    assert!(reachability.missing_entry_grace(late).is_zero());
+    assert!(!reachability.may_lack_writes(late));
+}
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -412,6 +412,8 @@
             return;
         }
         tracing::warn!(event = "store_restored", era, known_era = known);
+        let now = Instant::now();
+        self.store_reachability.borrow_mut().record_restore(now);
         for notify in self.relist_notifies() {
             notify.notify_waiting();
         }
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -200,8 +200,7 @@
 ) {
     let now = Instant::now();
     let reachability = instance.store_reachability.borrow();
-    let is_sure =
-        !reachability.was_unreachable_within(LAPSE_DOUBT_WINDOW, now);
+    let is_sure = !reachability.was_disturbed_within(LAPSE_DOUBT_WINDOW, now);
     tracing::info!(event = "endpoint_gone", endpoint = id, %revision, is_sure);
     if is_sure {
         poison::endpoint_ended(instance, id);
