Do not rely on keys right after a restore of the store

What callers would see: a revoked key is served. An instance whose path was cut while a key was revoked, and that reads the restored configuration without the revocation, took itself for up to date.

Evidence: a_revocation_that_a_restore_lost_stops_the_key failed on the code before (200 two seconds after the revocation, 503 expected).

Keys stay certain for as long as the last confirmation before it allows.

--- a/crates/sedgewalld/src/fleet/watch_configuration.rs
+++ b/crates/sedgewalld/src/fleet/watch_configuration.rs
@@ -58,8 +58,16 @@
         read.set(read.get().max(Some(sent)));
     }
 
+    /// A store that was just restored may lack a revocation that it has
+    /// acknowledged, until the operator repeats it.
     fn confirm(&self, until: Instant) {
-        if !self.0.is_configuration_unreadable.get() {
+        let is_incomplete = self.0.is_configuration_unreadable.get()
+            || self
+                .0
+                .store_reachability
+                .borrow()
+                .may_lack_writes(Instant::now());
+        if !is_incomplete {
             self.0.keys.confirm(until);
         }
     }
