Write an instance's entry again that a restore of the store lost

What callers would see: an instance that the others no longer know gets no notes, so that it learns late of departures, placements and load. An entry was written once, at the start.

Evidence: an_instance_whose_entry_was_lost_writes_it_again failed on the code before (not written again within 30 s).

Change: an instance writes its entry again whenever a list lacks it.

--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -23,7 +23,7 @@
     orders::OrderQueues,
     watch_configuration::{Configuration, Versions},
     watch_endpoints::Endpoints,
-    watch_instances::{Instances, register},
+    watch_instances::{Instances, keep_registered},
     watch_poison::{self, PoisonRequests},
 };
 use crate::{daemon::DaemonError, process, responses, signals::Signals};
@@ -132,7 +132,7 @@
     list_watch::spawn(instance, PoisonRequests::new(instance));
     compio::runtime::spawn(watch_poison::keep_records(instance.clone()))
         .detach();
-    compio::runtime::spawn(register(instance.clone())).detach();
+    compio::runtime::spawn(keep_registered(instance.clone())).detach();
 }
 
 fn store_address(url: &str) -> Result<SocketAddr, DaemonError> {
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -199,6 +199,8 @@
         RefCell<HashMap<InstanceId, ObservedAddress>>,
     /// This instance's own entry, as the store listed it.
     pub(crate) own_entry: RefCell<Option<serde_json::Value>>,
+    /// Notified when the own entry was missing in a list.
+    pub(crate) own_entry_notify: Notify,
     /// Whether the entries of the instances were listed at least once.
     pub(crate) has_listed_instances: Cell<bool>,
     /// The last known lease holder.
@@ -318,6 +320,7 @@
             peers: RefCell::default(),
             observed_addresses: RefCell::default(),
             own_entry: RefCell::default(),
+            own_entry_notify: Notify::default(),
             has_listed_instances: Cell::new(false),
             leader: RefCell::default(),
             held: Cell::new(None),
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -32,6 +32,9 @@
 /// The interval at which an instance checks whether the first list has come.
 const FIRST_LIST_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long one wait for the loss of the own entry takes.
+const OWN_ENTRY_WAIT: Duration = Duration::from_secs(60);
+
 /// The entry of an instance in the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct InstanceEntry {
@@ -61,8 +64,11 @@
     fn handle_list(&self, listing: Listing) {
         let objects = listing.objects;
         let own = objects.iter().find(|object| object.name == *self.0.id());
+        let is_missing = own.is_none();
         *self.0.own_entry.borrow_mut() = own.map(|object| object.spec.clone());
-        self.0.has_listed_instances.set(true);
+        if self.0.has_listed_instances.replace(true) && is_missing {
+            self.0.own_entry_notify.notify();
+        }
         let is_listed =
             |id: &String| objects.iter().any(|object| object.name == *id);
         self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
@@ -106,8 +112,18 @@
     }
 }
 
+/// Writes this instance's own entry, and again whenever a list does not show
+/// it, because the store was restored from a copy without it. Never returns.
+pub(crate) async fn keep_registered(instance: Rc<FleetInstance>) {
+    loop {
+        register(&instance).await;
+        while !instance.own_entry_notify.wait(OWN_ENTRY_WAIT).await {}
+        tracing::warn!(event = "own_entry_missing");
+    }
+}
+
 /// Writes this instance's own entry, with retries until the store has it.
-pub(crate) async fn register(instance: Rc<FleetInstance>) {
+async fn register(instance: &FleetInstance) {
     let entry = InstanceEntry {
         notes_address: instance.settings.peer_listen,
         zone: instance.settings.zone.clone(),
@@ -124,7 +140,7 @@
         return;
     }
     let mut back_off = BackOff::default();
-    while let Err(err) = write_entry(&instance, &spec).await {
+    while let Err(err) = write_entry(instance, &spec).await {
         let cause = err.to_string();
         tracing::warn!(event = "announce_failed", cause);
         compio::time::sleep(back_off.failed(CallKind::Watcher, true)).await;
