Keep one lease holder across a restore of the store

What callers would see: adapters loaded and removed by two instances that do not know of each other. Engines that check no epochs get orders of two holders, and epochs that were used before.

Cause: a restored store shows the lease record of an earlier holder, or none. The earlier holder took the record for its own and ordered at once; without a record the next holder ordered at once; both counted on from an epoch that had been given out already. A renewal at a lost version could replace the record of another holder that was given the same number.

Change: an epoch contains the store's era, so that each is higher than all of earlier eras. A record of an earlier era names no last holder: whoever acquires the lease then waits for the lease of an unknown holder and the handover delay. Renewals in a later era than their epoch's count as lost.

Remains: an instance that has been cut off from the store and all others since the first start of the system, until after a restore that lost the first lease record, orders without waiting.

--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -20,7 +20,9 @@
 pub struct LeaseTakeover<'a> {
     /// The record that this instance wrote.
     pub taken: &'a LeaseRecord,
-    /// The record that was replaced, if there was one.
+    /// The record that was replaced, if there was one and it was the last
+    /// holder's. A store that was restored from a copy may show an earlier
+    /// one, or none.
     pub before: Option<&'a LeaseRecord>,
     /// The latest time at which the replaced lease expired.
     pub ended: Instant,
@@ -56,13 +58,11 @@
     ) -> Instant {
         let LeaseTakeover { taken, before, ended } = takeover;
         let order_from = match before {
-            Some(before) if taken.is_handover_pending => {
-                match before.holder == taken.holder {
-                    true => self.first_order_at(before.epoch, now),
-                    false => ended + self.delay,
-                }
+            _ if !taken.is_handover_pending => now,
+            Some(before) if before.holder == taken.holder => {
+                self.first_order_at(before.epoch, now)
             }
-            _ => now,
+            _ => ended + self.delay,
         };
         self.last = Some((taken.epoch, order_from));
         order_from
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -97,6 +97,14 @@
     pub incarnation: Incarnation,
     /// The URL at which peers reach this instance.
     pub peer_url: String,
+    /// The lowest epoch under which the lease may be acquired. If a store that
+    /// loses records numbers its eras, this is above all epochs of earlier
+    /// eras; otherwise 0.
+    pub epoch_floor: Epoch,
+    /// Whether no other instance can have held the lease since this one held
+    /// it last, or ever. It matters if there is no record, or one that is
+    /// below the floor: the last holder's record may then be lost.
+    pub has_no_predecessor: bool,
 }
 
 /// A conditional update of the lease record, for the code that drives the
@@ -250,6 +258,10 @@
     }
 
     /// Starts to acquire a free lease, under the next epoch.
+    ///
+    /// Without a record of the current era, the instance that held the lease
+    /// last is unknown, so that the handover delay is pending unless the
+    /// candidate knows that there was no other.
     pub fn acquire(
         self,
         candidate: &Candidate,
@@ -257,16 +269,20 @@
     ) -> Lease<Acquiring> {
         let seen = self.state.seen;
         let last_epoch = seen.as_ref().map_or(0, |s| s.record.epoch);
-        let is_handover_pending = seen.as_ref().is_some_and(|before| {
-            before.record.is_handover_pending
-                || before.record.holder != candidate.instance
-        });
+        let last = seen.as_ref().map(|stored| &stored.record);
+        let last = last.filter(|last| last.epoch >= candidate.epoch_floor);
+        let is_handover_pending = match last {
+            Some(last) => {
+                last.is_handover_pending || last.holder != candidate.instance
+            }
+            None => !candidate.has_no_predecessor,
+        };
         let record = LeaseRecord {
             shard: self.state.shard,
             holder: candidate.instance.clone(),
             incarnation: candidate.incarnation,
             peer_url: candidate.peer_url.clone(),
-            epoch: last_epoch + 1,
+            epoch: (last_epoch + 1).max(candidate.epoch_floor),
             renewal: 0,
             is_released: false,
             is_handover_pending,
--- a/crates/coordination/tests/handover_rules.rs
+++ b/crates/coordination/tests/handover_rules.rs
@@ -26,11 +26,24 @@
 };
 
 /// A model of the store with a single object. Writes with an unknown outcome
-/// may take effect later.
+/// may take effect later. A restore takes back the last writes.
 #[derive(Default)]
 struct Store {
     stored: Option<StoredLease>,
     late: Vec<LeaseWrite>,
+    era: u64,
+    /// The object before each write.
+    history: Vec<Option<StoredLease>>,
+}
+
+/// The number of bits of an epoch below the era.
+const COUNT_BITS: u32 = 32;
+
+fn epoch_floor(era: u64) -> u64 {
+    match era {
+        0 => 0,
+        era => (era << COUNT_BITS) + 1,
+    }
 }
 
 impl Store {
@@ -40,13 +53,27 @@
             return WriteAnswer::Conflict;
         }
         let version = current.unwrap_or(0) + 1;
+        self.history.push(self.stored.clone());
         self.stored =
             Some(StoredLease { record: write.record.clone(), version });
         WriteAnswer::Done(version)
     }
 
+    fn restore(&mut self, lost_writes: usize) {
+        let kept = self.history.len().saturating_sub(lost_writes);
+        if let Some(before) = self.history.drain(kept..).next() {
+            self.stored = before;
+        }
+        self.era += 1;
+    }
+
     fn send(&mut self, write: &LeaseWrite, fault: Fault) -> WriteAnswer {
+        let is_lost_era = write.record.epoch < epoch_floor(self.era);
         match fault {
+            Fault::None if is_lost_era => {
+                self.write(write);
+                WriteAnswer::Conflict
+            }
             Fault::None => self.write(write),
             Fault::AnswerLost => {
                 self.write(write);
@@ -89,6 +116,8 @@
     Release(usize),
     /// Delayed writes take effect.
     LateWrites,
+    /// The store is restored and loses this many writes.
+    Restore(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -105,6 +134,7 @@
         1 => (0..INSTANCES).prop_map(Step::Restart),
         1 => (0..INSTANCES).prop_map(Step::Release),
         1 => Just(Step::LateWrites),
+        1 => (0usize..8).prop_map(Step::Restore),
     ]
 }
 
@@ -114,6 +144,12 @@
     handover_delay: HandoverDelay,
     watching: Lease<Watching>,
     held: Option<(Lease<Held>, Instant)>,
+    /// The era as of the last answer of the store.
+    era: Option<u64>,
+    has_seen_restore: bool,
+    is_first_start: bool,
+    /// The era that began while this instance held the lease.
+    held_into: Option<u64>,
 }
 
 fn new_lease() -> Lease<Watching> {
@@ -121,11 +157,16 @@
 }
 
 impl LeaseClient {
+    /// Starts an instance. At the first start of the system, all instances
+    /// reach the store in its first era.
     fn start(idx: usize, incarnation: u64) -> LeaseClient {
+        let is_first_start = incarnation < INSTANCES as u64;
         let candidate = Candidate {
             instance: format!("i{idx}"),
             incarnation,
             peer_url: String::new(),
+            epoch_floor: 0,
+            has_no_predecessor: false,
         };
         let handover_delay = HandoverDelay::new(HANDOVER_DELAY);
         LeaseClient {
@@ -133,6 +174,19 @@
             handover_delay,
             watching: new_lease(),
             held: None,
+            era: is_first_start.then_some(0),
+            has_seen_restore: false,
+            is_first_start,
+            held_into: None,
+        }
+    }
+
+    /// Learns the store's era from an answer.
+    fn check_era(&mut self, store: &Store) {
+        let known = self.era.replace(store.era);
+        if known.is_some_and(|known| known < store.era) {
+            self.has_seen_restore = true;
+            self.watching = new_lease();
         }
     }
 
@@ -148,20 +202,32 @@
     }
 
     fn try_acquire(&mut self, store: &mut Store, fault: Fault, now: Instant) {
+        self.check_era(store);
         self.watching.observe(store.stored.clone(), now);
-        let before = self.watching.seen().cloned();
+        let floor = epoch_floor(store.era);
+        let seen = self.watching.seen().cloned();
+        let is_first =
+            seen.is_none() && self.is_first_start && !self.has_seen_restore;
+        let before = seen.filter(|record| record.epoch >= floor);
         let own = &self.candidate.instance;
         let is_own = before.as_ref().is_some_and(|b| b.holder == *own);
-        if !is_own && !self.watching.is_free(now) {
+        let is_last_holder =
+            before.is_none() && self.held_into == Some(store.era);
+        if !is_own && !is_last_holder && !self.watching.is_free(now) {
             return;
         }
-        let is_released = before.as_ref().is_some_and(|b| b.is_released);
-        let ended = match is_released {
-            true => now,
-            false => self.watching.latest_expiry(None).unwrap_or(now),
+        let ended = match &before {
+            Some(before) if before.is_released => now,
+            Some(_) => self.watching.latest_expiry(None).unwrap_or(now),
+            None => now + TIMING.time_to_live,
+        };
+        let candidate = Candidate {
+            epoch_floor: floor,
+            has_no_predecessor: is_last_holder || is_first,
+            ..self.candidate.clone()
         };
         let watching = std::mem::replace(&mut self.watching, new_lease());
-        let acquiring = watching.acquire(&self.candidate, now);
+        let acquiring = watching.acquire(&candidate, now);
         let answer = store.send(acquiring.write(), fault);
         let acquired = match acquiring.complete_acquire(answer, now) {
             AcquireOutcome::Unclear(acquiring) => {
@@ -198,7 +264,16 @@
             lease.complete_handover();
         }
         let write = lease.renewal();
+        let epoch = lease.epoch();
         let answer = store.send(&write, fault);
+        if answer != WriteAnswer::Unclear {
+            self.check_era(store);
+        }
+        let is_ended_by_restore =
+            answer == WriteAnswer::Conflict && epoch < epoch_floor(store.era);
+        if is_ended_by_restore && now >= from {
+            self.held_into = Some(store.era);
+        }
         let renewed = match lease.complete_renewal(write, answer, now, now) {
             RenewOutcome::Held(lease)
                 if answer == WriteAnswer::Unclear
@@ -241,6 +316,7 @@
             (0..INSTANCES).map(|n| LeaseClient::start(n, n as u64)).collect();
         let mut last_incarnation = INSTANCES as u64;
         let mut last: Option<(usize, Instant)> = None;
+        let mut last_epoch = 0;
         for step in steps {
             match step {
                 Step::Act(instance, fault) => {
@@ -254,6 +330,10 @@
                             instance, now - at, other,
                         );
                     }
+                    let (lease, _) = instances[instance].held.as_ref().expect("a lease");
+                    let is_lower = lease.epoch() < last_epoch;
+                    prop_assert!(!is_lower, "an epoch went back");
+                    last_epoch = lease.epoch();
                     last = Some((instance, now));
                 }
                 Step::Order(_) => {}
@@ -264,6 +344,7 @@
                 }
                 Step::Release(instance) => instances[instance].release(&mut store),
                 Step::LateWrites => store.apply_late_writes(),
+                Step::Restore(lost_writes) => store.restore(lost_writes),
             }
         }
     }
@@ -337,3 +418,48 @@
         *second.held.as_ref().expect("the second instance holds the lease");
     assert_eq!(reacquired_order_at, first_order_at);
 }
+
+/// Guards against orders of two holders when the store is restored to the
+/// record of an earlier holder, which takes it for its own.
+#[test]
+fn a_restored_record_of_an_earlier_holder_waits_for_the_handover() {
+    let start = Instant::now();
+    let mut store = Store::default();
+    let mut first = LeaseClient::start(1, 1);
+    first.act(&mut store, Fault::None, start);
+    let expired_at = start + TIMING.time_to_live + TIMING.margin;
+    let mut second = LeaseClient::start(2, 2);
+    second.act(&mut store, Fault::None, start);
+    second.act(&mut store, Fault::None, expired_at);
+    let mut now = expired_at;
+    let mut lost_writes = 1;
+    while !second.may_order(now) {
+        now += TIMING.renew_every;
+        second.act(&mut store, Fault::None, now);
+        lost_writes += 1;
+    }
+
+    store.restore(lost_writes);
+    first.act(&mut store, Fault::None, now);
+    first.act(&mut store, Fault::None, now);
+    let freed_at = now + TIMING.time_to_live + TIMING.margin;
+    first.act(&mut store, Fault::None, freed_at);
+    assert!(first.held.is_some() && !first.may_order(freed_at));
+}
+
+/// Guards against a stop of all orders after each restore: the holder whose
+/// lease was current goes on under a higher epoch.
+#[test]
+fn a_holder_that_a_restore_interrupts_orders_again_at_once() {
+    let start = Instant::now();
+    let mut store = Store::default();
+    let mut holder = LeaseClient::start(1, 1);
+    holder.act(&mut store, Fault::None, start);
+    let epoch = holder.held.as_ref().expect("a lease").0.epoch();
+    store.restore(1);
+    holder.act(&mut store, Fault::None, start);
+    assert!(holder.held.is_none());
+    holder.act(&mut store, Fault::None, start);
+    assert!(holder.may_order(start));
+    assert!(holder.held.expect("a lease").0.epoch() > epoch);
+}
--- a/crates/coordination/tests/lease_rules.rs
+++ b/crates/coordination/tests/lease_rules.rs
@@ -71,6 +71,8 @@
 
 fn candidate(instance: usize) -> Candidate {
     Candidate {
+        epoch_floor: 0,
+        has_no_predecessor: true,
         instance: format!("i{instance}"),
         incarnation: instance as u64,
         peer_url: String::new(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod incarnation;
 pub mod latency_regression;
+pub mod lease_era;
 pub mod limit_share;
 pub mod load_rate_limiter;
 pub mod load_times;
--- a/crates/fleet/tests/restore_rules.rs
+++ b/crates/fleet/tests/restore_rules.rs
@@ -8,6 +8,7 @@
 use sedgewall_fleet::{
     departure::Departure,
     endpoint::Endpoint,
+    lease_era::{epoch_floor, era_of},
     revision::{Revision, StoreEra},
     view::FleetView,
 };
@@ -237,3 +238,15 @@
         prop_assert_eq!(is_usable(&view), !is_draining);
     }
 }
+
+proptest! {
+    #[test]
+    fn epochs_of_a_later_era_are_higher(
+        era in 1..StoreEra::MAX,
+        holders in 0_u64..1_000_000,
+    ) {
+        let last = epoch_floor(era) + holders;
+        prop_assert!(last < epoch_floor(era + 1));
+        prop_assert_eq!(era_of(last), era);
+    }
+}
--- a/crates/sedgewalld/src/election.rs
+++ b/crates/sedgewalld/src/election.rs
@@ -248,6 +248,8 @@
 
 fn candidate(instance: &Instance) -> Candidate {
     Candidate {
+        epoch_floor: 0,
+        has_no_predecessor: true,
         instance: instance.settings.instance.clone(),
         incarnation: instance.incarnation,
         peer_url: instance.settings.peer_url(),
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -254,6 +254,8 @@
     pub(crate) is_configuration_unreadable: Cell<bool>,
     /// The era of the store as of the last answer, or 0 before the first.
     pub(crate) store_era: Cell<StoreEra>,
+    /// Whether the store was restored since the start of this process.
+    pub(crate) has_seen_restore: Cell<bool>,
     pub(crate) instances_relist_notify: Rc<Notify>,
     pub(crate) endpoints_relist_notify: Rc<Notify>,
     /// Since when other instances have reported newer state than this one has.
@@ -350,6 +352,7 @@
             is_versions_behind: Cell::new(false),
             is_configuration_unreadable: Cell::new(false),
             store_era: Cell::new(0),
+            has_seen_restore: Cell::new(false),
             instances_relist_notify: Rc::default(),
             endpoints_relist_notify: Rc::default(),
             behind_since: Cell::new(None),
@@ -400,6 +403,7 @@
     /// Records that the store answered. A change of reachability is reported
     /// to the other instances at once.
     pub(crate) fn record_store_success(&self) {
+        self.check_store_era();
         if self.store_reachability.borrow_mut().record_success(Instant::now())
         {
             self.notify_notes();
@@ -415,6 +419,7 @@
             return;
         }
         tracing::warn!(event = "store_restored", era, known_era = known);
+        self.has_seen_restore.set(true);
         let now = Instant::now();
         self.store_reachability.borrow_mut().record_restore(now);
         for notify in self.relist_notifies() {
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -17,7 +17,10 @@
     },
 };
 use sedgewall_fleet::{
-    note::Note, store_reachability::ReportedOutage,
+    lease_era::{epoch_floor, era_of},
+    note::Note,
+    revision::StoreEra,
+    store_reachability::ReportedOutage,
     store_reports::REPORT_VALID_FOR,
 };
 
@@ -96,6 +99,9 @@
     let mut handover_delay = HandoverDelay::new(turn);
     wait_for_peers(&instance).await;
     let mut watching = new_lease();
+    // The era that began while this instance held the lease. In that era it
+    // is the last holder until a record of the era says otherwise.
+    let mut held_into = None;
     loop {
         compio::time::sleep(POLL_INTERVAL).await;
         if !may_challenge(&instance) {
@@ -105,9 +111,9 @@
         if !may_challenge(&instance) {
             continue;
         }
-        if let Some(taken) = take(&instance, watching).await {
+        if let Some(taken) = take(&instance, watching, held_into).await {
             let kept = begin_holding(&instance, taken, &mut handover_delay);
-            keep(&instance, kept).await;
+            held_into = keep(&instance, kept).await;
         }
         watching = new_lease();
     }
@@ -158,7 +164,7 @@
 /// A lease that was just taken.
 struct TakenLease {
     lease: Lease<Held>,
-    /// The record that was replaced.
+    /// The record that was replaced, if it was the last holder's.
     before: Option<LeaseRecord>,
     /// The latest time at which the replaced lease ended.
     ended: Instant,
@@ -171,6 +177,7 @@
 async fn take(
     instance: &FleetInstance,
     mut watching: Lease<Watching>,
+    held_into: Option<StoreEra>,
 ) -> Option<TakenLease> {
     // The lease holder plans for all engines, so large instances are preferred
     // for a lease that was never held. If it was held before, a fast takeover
@@ -178,24 +185,48 @@
     let size_delay = SMALLEST_INSTANCE_DELAY
         .mul_f64(1.0 - instance.fleet.cpu_share.min(1.0));
     let mut has_waited = false;
+    let mut era = instance.store.era();
     loop {
         if !may_challenge(instance) {
             return None;
         }
         let stored = lease_store::read(instance).await.ok()?;
-        if stored.is_none() && !std::mem::replace(&mut has_waited, true) {
+        if era < instance.store.era() {
+            era = instance.store.era();
+            // The numbers of versions start again in a new era.
+            watching = new_lease();
+        }
+        let continues = held_into.is_some_and(|held| held == era);
+        if stored.is_none()
+            && !continues
+            && !std::mem::replace(&mut has_waited, true)
+        {
             compio::time::sleep(size_delay).await;
             continue;
         }
         let now = Instant::now();
         watching.observe(stored, now);
-        let before = watching.seen().cloned();
+        let floor = epoch_floor(era);
+        let seen = watching.seen().cloned();
+        let before = seen.filter(|record| record.epoch >= floor);
         let is_own = before
             .as_ref()
             .is_some_and(|record| record.holder == *instance.id());
-        if is_own || watching.is_free(now) {
-            let ended = latest_expiry(instance, &watching, now);
-            let acquiring = watching.acquire(&candidate(instance), now);
+        let is_last_holder = continues && before.is_none();
+        if is_own || is_last_holder || watching.is_free(now) {
+            let ended = match before {
+                Some(_) => latest_expiry(instance, &watching, now),
+                None => unknown_holders_expiry(instance, now),
+            };
+            let is_first = watching.seen().is_none()
+                && !instance.fleet.has_run_before
+                && !instance.has_seen_restore.get();
+            let candidate = Candidate {
+                epoch_floor: floor,
+                has_no_predecessor: is_last_holder || is_first,
+                ..candidate(instance)
+            };
+            let acquiring = watching.acquire(&candidate, now);
             let lease = acquire(instance, acquiring).await?;
             return Some(TakenLease { lease, before, ended, sent: now });
         }
@@ -233,6 +264,21 @@
     watching.latest_expiry(noted).unwrap_or(now)
 }
 
+/// Returns when the lease of a holder whose record is lost has ended: such a
+/// holder loses it with its next renewal, but may go on for as long as other
+/// instances report that the store is out.
+fn unknown_holders_expiry(instance: &FleetInstance, now: Instant) -> Instant {
+    let reports_valid_for = REPORT_VALID_FOR + REPORT_DELAY;
+    let reachability = instance.store_reachability.borrow();
+    let reported_until = match reachability.reported_outage(reports_valid_for)
+    {
+        ReportedOutage::Never => now,
+        ReportedOutage::Until(end) => end,
+        ReportedOutage::Ongoing => now + reports_valid_for,
+    };
+    reported_until.max(now + TIME_TO_LIVE)
+}
+
 async fn acquire(
     instance: &FleetInstance,
     acquiring: Lease<Acquiring>,
@@ -265,8 +311,13 @@
     renewed_by_peers_since: Option<Instant>,
 }
 
-/// Renews the lease until it is lost or this instance leaves.
-async fn keep(instance: &FleetInstance, mut kept: KeptLease) {
+/// Renews the lease until it is lost or this instance leaves. Returns the
+/// store's new era if the lease was current until a restore ended it, and the
+/// handover delay had passed.
+async fn keep(
+    instance: &FleetInstance,
+    mut kept: KeptLease,
+) -> Option<StoreEra> {
     loop {
         let now = Instant::now();
         if now >= kept.order_from {
@@ -278,7 +329,7 @@
             instance.held.set(None);
             let epoch = kept.lease.epoch();
             tracing::warn!(event = "lease_lapsed", epoch);
-            return;
+            return None;
         }
         let before = instance.held.replace(Some(HeldLease {
             epoch: kept.lease.epoch(),
@@ -295,16 +346,23 @@
             .renewed_by_peers_since
             .is_some_and(|since| now - since >= MAX_PEER_RENEWAL_TIME);
         if is_peer_renewal_over || must_release(instance, now) {
-            return release(instance, &kept.lease).await;
+            release(instance, &kept.lease).await;
+            return None;
         }
         if !kept.lease.is_renewal_due(now) {
             compio::time::sleep(TICK).await;
             continue;
         }
+        let (epoch, order_from) = (kept.lease.epoch(), kept.order_from);
         let Some(renewed) = renew(instance, kept).await else {
             instance.held.set(None);
-            tracing::warn!(event = "lease_lost");
-            return;
+            // No other instance can have acquired the lease in the era in
+            // which it was current until now.
+            let era = instance.store.era();
+            let ended_by_restore = era_of(epoch) < era;
+            tracing::warn!(event = "lease_lost", epoch, ended_by_restore);
+            let is_past_handover = now >= order_from;
+            return (ended_by_restore && is_past_handover).then_some(era);
         };
         kept = renewed;
     }
@@ -415,5 +473,7 @@
         instance: instance.id().clone(),
         incarnation: instance.incarnation,
         peer_url: instance.settings.peer_listen.to_string(),
+        epoch_floor: 0,
+        has_no_predecessor: false,
     }
 }
--- a/crates/sedgewalld/src/fleet/lease_store.rs
+++ b/crates/sedgewalld/src/fleet/lease_store.rs
@@ -15,7 +15,10 @@
 use sedgewall_coordination::lease::{
     LeaseRecord, LeaseWrite, StoredLease, WriteAnswer,
 };
-use sedgewall_fleet::note::{Note, RenewalAnswer, RenewalRequest};
+use sedgewall_fleet::{
+    lease_era::era_of,
+    note::{Note, RenewalAnswer, RenewalRequest},
+};
 use sedgewall_platform::{
     StoreError,
     store::{Revision, StoredObject},
@@ -61,7 +64,12 @@
         Ok(_) => instance.record_store_success(),
         Err(err) => instance.record_store_failure(sent, err),
     }
-    Ok(read?.and_then(|object| decode(&object)))
+    let Some(object) = read? else { return Ok(None) };
+    let era = instance.store.era();
+    if object.revision.era() < era {
+        return Err(StoreError::Restored(era));
+    }
+    Ok(decode(&object))
 }
 
 fn decode(object: &StoredObject) -> Option<StoredLease> {
@@ -76,7 +84,9 @@
     }
 }
 
-/// Writes the record directly to the store.
+/// Writes the record directly to the store. In a later era than that of the
+/// record's epoch, the write counts as a conflict: what it expects may be lost,
+/// and the expected version may have been given to another holder's record.
 pub(super) async fn write(
     instance: &FleetInstance,
     write: &LeaseWrite,
@@ -89,23 +99,33 @@
         }
     };
     let (kind, name) = (LEASES_KIND, ORDERS_LEASE);
+    let era = era_of(write.record.epoch);
     let written = match write.expected {
         Some(number) => {
-            let revision = Revision::new(instance.store.era(), number);
+            let revision =
+                Revision::new(era, number).or_in_era(instance.store.era());
             instance.store.replace(kind, name, revision, &spec).await
         }
         None => instance.store.create(kind, name, &spec).await,
     };
     match written {
+        Ok(_) if era != 0 && era < instance.store.era() => {
+            WriteAnswer::Conflict
+        }
         Ok(object) => WriteAnswer::Done(object.revision.number()),
         // The conflict is with an earlier send of the same write, whose answer
         // was lost.
-        Err(StoreError::Conflict(Some(known))) if known.spec == spec => {
+        Err(StoreError::Conflict(Some(known)))
+            if known.spec == spec
+                && (era == 0 || known.revision.era() == era) =>
+        {
             WriteAnswer::Done(known.revision.number())
         }
-        Err(StoreError::Conflict(_) | StoreError::NotFound) => {
-            WriteAnswer::Conflict
-        }
+        Err(
+            StoreError::Conflict(_)
+            | StoreError::NotFound
+            | StoreError::Restored(_),
+        ) => WriteAnswer::Conflict,
         Err(_) => WriteAnswer::Unclear,
     }
 }
