--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -11,9 +11,63 @@
 use std::time::Duration;
 
 use sedgewall_clock::Instant;
-use sedgewall_state::Epoch;
+use sedgewall_state::{Epoch, InstanceId};
 
-use crate::lease::LeaseRecord;
+use crate::lease::{Lease, LeaseRecord, Watching};
+
+/// What an instance knows, besides the record, when it may acquire the lease.
+#[derive(Clone, Copy, Debug)]
+pub struct TakeoverContext<'a> {
+    /// The instance.
+    pub own: &'a InstanceId,
+    /// The lowest epoch of the store's current era. A record below it was
+    /// restored from a copy, and later ones may be lost.
+    pub epoch_floor: Epoch,
+    /// Whether this instance's own lease was current until the restore that
+    /// began the current era.
+    pub held_until_restore: bool,
+    /// Whether no lease can be lost: this instance has been up since the first
+    /// start of the system, and has seen no restore.
+    pub is_first_era: bool,
+}
+
+/// Whether an instance may acquire the lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TakeoverDecision {
+    /// Another instance may hold the lease.
+    Wait,
+    /// The lease may be acquired.
+    Acquire {
+        /// The last holder's record, if it is known.
+        last: Option<LeaseRecord>,
+        /// Whether no other instance can have held the lease since this one
+        /// held it last, or ever.
+        has_no_predecessor: bool,
+    },
+}
+
+impl TakeoverDecision {
+    /// Decides by the observed record. Without the last holder's record, the
+    /// instance that held the lease until the restore is the last holder.
+    pub fn new(
+        watching: &Lease<Watching>,
+        context: TakeoverContext<'_>,
+        now: Instant,
+    ) -> TakeoverDecision {
+        let seen = watching.seen();
+        let last = seen.filter(|seen| seen.epoch >= context.epoch_floor);
+        let is_own = last.is_some_and(|last| last.holder == *context.own);
+        let is_last_holder = last.is_none() && context.held_until_restore;
+        if !is_own && !is_last_holder && !watching.is_free(now) {
+            return TakeoverDecision::Wait;
+        }
+        let is_first = seen.is_none() && context.is_first_era;
+        TakeoverDecision::Acquire {
+            last: last.cloned(),
+            has_no_predecessor: is_last_holder || is_first,
+        }
+    }
+}
 
 /// A lease that was just acquired, and the record that it replaced.
 #[derive(Clone, Copy, Debug)]
--- a/crates/coordination/tests/handover_rules.rs
+++ b/crates/coordination/tests/handover_rules.rs
@@ -6,7 +6,9 @@
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
 use sedgewall_coordination::{
-    handover::{HandoverDelay, LeaseTakeover},
+    handover::{
+        HandoverDelay, LeaseTakeover, TakeoverContext, TakeoverDecision,
+    },
     lease::{
         AcquireOutcome, Candidate, Held, Lease, LeaseRecord, LeaseTiming,
         LeaseWrite, RenewOutcome, StoredLease, Watching, WriteAnswer,
@@ -204,26 +206,27 @@
     fn try_acquire(&mut self, store: &mut Store, fault: Fault, now: Instant) {
         self.check_era(store);
         self.watching.observe(store.stored.clone(), now);
-        let floor = epoch_floor(store.era);
-        let seen = self.watching.seen().cloned();
-        let is_first =
-            seen.is_none() && self.is_first_start && !self.has_seen_restore;
-        let before = seen.filter(|record| record.epoch >= floor);
-        let own = &self.candidate.instance;
-        let is_own = before.as_ref().is_some_and(|b| b.holder == *own);
-        let is_last_holder =
-            before.is_none() && self.held_into == Some(store.era);
-        if !is_own && !is_last_holder && !self.watching.is_free(now) {
+        let context = TakeoverContext {
+            own: &self.candidate.instance,
+            epoch_floor: epoch_floor(store.era),
+            held_until_restore: self.held_into == Some(store.era),
+            is_first_era: self.is_first_start && !self.has_seen_restore,
+        };
+        let decision = TakeoverDecision::new(&self.watching, context, now);
+        let TakeoverDecision::Acquire { last: before, has_no_predecessor } =
+            decision
+        else {
             return;
-        }
+        };
+        let epoch_floor = context.epoch_floor;
         let ended = match &before {
             Some(before) if before.is_released => now,
             Some(_) => self.watching.latest_expiry(None).unwrap_or(now),
             None => now + TIMING.time_to_live,
         };
         let candidate = Candidate {
-            epoch_floor: floor,
-            has_no_predecessor: is_last_holder || is_first,
+            epoch_floor,
+            has_no_predecessor,
             ..self.candidate.clone()
         };
         let watching = std::mem::replace(&mut self.watching, new_lease());
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -225,6 +225,8 @@
         .absolute(instance.store.calls());
     metrics::counter!("sedgewall_endpoint_connections_total")
         .absolute(instance.pool.connections_opened());
+    metrics::gauge!("sedgewall_store_era")
+        .set(f64::from(instance.store.era()));
     let leads = instance.current_lease(Instant::now()).is_some();
     metrics::gauge!("sedgewall_leads").set(f64::from(u8::from(leads)));
 }
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -10,7 +10,9 @@
 
 use sedgewall_clock::Instant;
 use sedgewall_coordination::{
-    handover::{HandoverDelay, LeaseTakeover},
+    handover::{
+        HandoverDelay, LeaseTakeover, TakeoverContext, TakeoverDecision,
+    },
     lease::{
         AcquireOutcome, Acquiring, AnnouncedLease, Candidate, Held, Lease,
         LeaseRecord, LeaseTiming, RenewOutcome, Watching, WriteAnswer,
@@ -23,6 +25,7 @@
     store_reachability::ReportedOutage,
     store_reports::REPORT_VALID_FOR,
 };
+use sedgewall_state::id::Epoch;
 
 use super::{
     instance::{FleetInstance, HeldLease, Stage},
@@ -164,9 +167,9 @@
 /// A lease that was just taken.
 struct TakenLease {
     lease: Lease<Held>,
-    /// The record that was replaced, if it was the last holder's.
-    before: Option<LeaseRecord>,
-    /// The latest time at which the replaced lease ended.
+    /// The last holder's record, if it is known.
+    last: Option<LeaseRecord>,
+    /// The latest time at which the last holder's lease ended.
     ended: Instant,
     /// When the write was sent, from which the time to live counts.
     sent: Instant,
@@ -196,9 +199,9 @@
             // The numbers of versions start again in a new era.
             watching = new_lease();
         }
-        let continues = held_into.is_some_and(|held| held == era);
+        let held_until_restore = held_into == Some(era);
         if stored.is_none()
-            && !continues
+            && !held_until_restore
             && !std::mem::replace(&mut has_waited, true)
         {
             compio::time::sleep(size_delay).await;
@@ -206,29 +209,27 @@
         }
         let now = Instant::now();
         watching.observe(stored, now);
-        let floor = epoch_floor(era);
-        let seen = watching.seen().cloned();
-        let before = seen.filter(|record| record.epoch >= floor);
-        let is_own = before
-            .as_ref()
-            .is_some_and(|record| record.holder == *instance.id());
-        let is_last_holder = continues && before.is_none();
-        if is_own || is_last_holder || watching.is_free(now) {
-            let ended = match before {
+        let context = TakeoverContext {
+            own: instance.id(),
+            epoch_floor: epoch_floor(era),
+            held_until_restore,
+            is_first_era: !instance.fleet.has_run_before
+                && !instance.has_seen_restore.get(),
+        };
+        let decision = TakeoverDecision::new(&watching, context, now);
+        if let TakeoverDecision::Acquire { last, has_no_predecessor } =
+            decision
+        {
+            let ended = match last {
                 Some(_) => latest_expiry(instance, &watching, now),
                 None => unknown_holders_expiry(instance, now),
             };
-            let is_first = watching.seen().is_none()
-                && !instance.fleet.has_run_before
-                && !instance.has_seen_restore.get();
-            let candidate = Candidate {
-                epoch_floor: floor,
-                has_no_predecessor: is_last_holder || is_first,
-                ..candidate(instance)
-            };
+            let epoch_floor = context.epoch_floor;
+            let candidate =
+                candidate(instance, epoch_floor, has_no_predecessor);
             let acquiring = watching.acquire(&candidate, now);
             let lease = acquire(instance, acquiring).await?;
-            return Some(TakenLease { lease, before, ended, sent: now });
+            return Some(TakenLease { lease, last, ended, sent: now });
         }
         compio::time::sleep(POLL_INTERVAL + rank_delay(instance)).await;
     }
@@ -386,14 +387,14 @@
     let now = Instant::now();
     let takeover = LeaseTakeover {
         taken: taken.lease.record(),
-        before: taken.before.as_ref(),
+        before: taken.last.as_ref(),
         ended: taken.ended,
     };
     let order_from = handover_delay.record_takeover(takeover, now);
     tracing::info!(
         event = "lease_taken",
         epoch = taken.lease.epoch(),
-        before = taken.before.map(|record| record.holder),
+        before = taken.last.map(|record| record.holder),
         rank = instance.rank(taken.lease.epoch() - 1),
         orders_in_ms =
             order_from.saturating_duration_since(now).as_millis() as u64,
@@ -468,12 +469,16 @@
     })
 }
 
-fn candidate(instance: &FleetInstance) -> Candidate {
+fn candidate(
+    instance: &FleetInstance,
+    epoch_floor: Epoch,
+    has_no_predecessor: bool,
+) -> Candidate {
     Candidate {
         instance: instance.id().clone(),
         incarnation: instance.incarnation,
         peer_url: instance.settings.peer_listen.to_string(),
-        epoch_floor: 0,
-        has_no_predecessor: false,
+        epoch_floor,
+        has_no_predecessor,
     }
 }
