Say not run only if no attempt of a request can have run

What callers saw: not_run for a request that had run. Of a repeatable completion, the first attempt ended with an unknown outcome and an engine rejected the second; of a call to a plain service, the second attempt found no endpoint or no connection. A caller that trusts not_run may repeat what must not run twice, and its idempotency key was released.

Cause: the answer after the last attempt spoke of that attempt only.

Evidence: both tests (retry_is_rejected, retry_is_not_sent) failed on the code before, with NotRun instead of Unknown.

Change: the run state of each answer follows from all attempts.

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -73,6 +73,9 @@
     pub fail_loads: u32,
     /// The next orders are carried out but their answers are lost.
     pub lose_order_answers: u32,
+    /// The next completion breaks off after it has begun, and all later ones
+    /// are rejected.
+    pub break_then_reject: bool,
     /// The process ends at once.
     pub crash: bool,
     /// It forgets all adapters and cuts all streams, as a restart does.
@@ -152,6 +155,8 @@
     sequences: VecDeque<Sequence>,
     epoch: u64,
     faults: EngineFaults,
+    /// Whether a completion was broken off.
+    has_broken_off: bool,
     stats: EngineStats,
     steps: u64,
     tokens: u64,
@@ -209,6 +214,7 @@
             sequences: VecDeque::new(),
             epoch: 0,
             faults: EngineFaults::default(),
+            has_broken_off: false,
             stats: EngineStats::default(),
             steps: 0,
             tokens: 0,
@@ -329,6 +335,14 @@
             self.inner.borrow_mut().stats.turned_down += 1;
             return not_run(StatusCode::CONFLICT, "adapter is not loaded");
         }
+        if self.inner.borrow().faults.break_then_reject {
+            if self.inner.borrow().has_broken_off {
+                return not_run(StatusCode::BAD_REQUEST, "rejected");
+            }
+            self.inner.borrow_mut().has_broken_off = true;
+            self.note_run(&headers);
+            return broken();
+        }
         self.note_run(&headers);
         let prompt = match body.messages.last() {
             Some(message) => message.content.clone(),
--- a/crates/bench/src/plain_service.rs
+++ b/crates/bench/src/plain_service.rs
@@ -13,6 +13,9 @@
     http::{BODY_TIME, MAX_BODY, broken, json, read_json},
 };
 
+/// The exit code of a crash that was asked for.
+const CRASH_CODE: i32 = 70;
+
 /// Faults that the stand-in shows.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -23,6 +26,8 @@
     pub delay_ms: u64,
     /// Turns calls away and asks for so long a rest, in seconds, if any.
     pub rest_s: u64,
+    /// The process ends as soon as the next call has begun.
+    pub crash_in_call: bool,
 }
 
 /// What the service counted.
@@ -101,6 +106,9 @@
             return answer;
         }
         self.note_run(&request);
+        if self.faults.borrow().crash_in_call {
+            std::process::exit(CRASH_CODE);
+        }
         let path = request.uri().path().to_owned();
         let request_id = header(&request, REQUEST_ID_HEADER);
         let body = read_body(request.into_body(), MAX_BODY, BODY_TIME).await;
--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -397,6 +397,48 @@
     });
 }
 
+/// Guards against `not_run` for a call whose first attempt ran, because the
+/// retry found no endpoint.
+#[test]
+fn a_service_call_whose_retry_is_not_sent_is_not_answered_not_run() {
+    on_loop(async {
+        let cluster = small("retry-not-sent").await;
+        let faults =
+            ServiceFaults { crash_in_call: true, ..Default::default() };
+        cluster.faults("service-1", &faults).await;
+        let address = cluster.address("entry-1");
+        let url = format!("http://{address}/services/league/table");
+        let call = Call::new(Method::GET, url);
+        let answer = cluster.http.call(call, Duration::from_secs(60)).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(problem(&answer).run_state, RunState::Unknown);
+    });
+}
+
+/// Guards against `not_run` for a completion whose first attempt ran, because
+/// the engine rejected the retry.
+#[test]
+fn a_completion_whose_retry_is_rejected_is_not_answered_not_run() {
+    on_loop(async {
+        let mut cluster = Cluster::start("retry-rejected").await;
+        cluster.engine("engine-1", &EngineOptions::default()).await;
+        cluster.entry("entry-1", "leuven").await;
+        cluster.apply_small();
+        cluster.wait_led(SMALL_SHARD, "").await;
+        let model = "lineup-0@1";
+        let warm = cluster.complete("entry-1", model, 4, &[]).await;
+        assert_whole(&warm.expect("an answer"), model, 4);
+
+        let faults =
+            EngineFaults { break_then_reject: true, ..Default::default() };
+        cluster.faults("engine-1", &faults).await;
+        let answer = cluster.complete("entry-1", model, 4, &[]).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+        assert_eq!(problem(&answer).run_state, RunState::Unknown);
+    });
+}
+
 /// Symptom: endpoints that had asked for rest got calls all the same; found on an
 /// operator's platform, and here as well.
 #[test]
--- a/crates/sedgewalld/src/call.rs
+++ b/crates/sedgewalld/src/call.rs
@@ -3,9 +3,7 @@
 //!
 //! This module enforces the retry rules. A request is sent again only if the
 //! last attempt certainly did not run, or if the request is repeatable.
-//! `not_run` is meant to be answered only if no attempt can have run; but the
-//! answer to a request that an engine rejects says `not_run` whatever became
-//! of earlier attempts.
+//! `not_run` is answered only if no attempt can have run.
 
 use std::{rc::Rc, time::Duration};
 
@@ -432,7 +430,7 @@
             AttemptError::OutcomeUnknown(detail) => (EndKind::Failed, detail),
             AttemptError::Rejected(status, detail) => {
                 shard_request.report_end(EndKind::Finished);
-                let state = RunState::NotRun;
+                let state = self.run_state();
                 return Err(Problem::new(status, "rejected", state, detail));
             }
         };
@@ -463,12 +461,18 @@
     /// grant.
     pub(crate) fn refusal_problem(&self, refusal: &Refusal) -> Problem {
         let mut problem = Problem::from_refusal(refusal);
-        if self.may_have_run {
-            problem.run_state = RunState::Unknown;
-        }
+        problem.run_state = self.run_state();
         problem
     }
 
+    /// Returns the run state to answer with if the last attempt did not run.
+    fn run_state(&self) -> RunState {
+        match self.may_have_run {
+            true => RunState::Unknown,
+            false => RunState::NotRun,
+        }
+    }
+
     fn exhausted_problem(&self, detail: &str) -> Problem {
         if !self.may_have_run {
             return Problem::from_refusal(&Refusal {
--- a/crates/sedgewalld/src/services.rs
+++ b/crates/sedgewalld/src/services.rs
@@ -240,8 +240,15 @@
     call: &ServiceCall,
 ) -> Result<Response<LocalBody>, Problem> {
     let mut failures = 0;
+    let mut may_have_run = false;
     loop {
-        let mut outstanding_call = acquire_endpoint(instance, call)?;
+        let acquired = acquire_endpoint(instance, call);
+        let mut outstanding_call = acquired.map_err(|mut problem| {
+            if may_have_run {
+                problem.run_state = RunState::Unknown;
+            }
+            problem
+        })?;
         match send(instance, call, &outstanding_call.target).await {
             Ok(answer) => {
                 if let Some(cooldown) = requested_cooldown(&answer) {
@@ -257,12 +264,13 @@
             Err(err) => {
                 outstanding_call.is_failed = true;
                 failures += 1;
+                may_have_run |= !err.is_not_sent();
                 let may_repeat = call.is_repeatable || err.is_not_sent();
                 let may_retry = may_repeat
                     && failures <= instance.settings.limits.retries
                     && instance.requests.borrow_mut().take_retry();
                 if !may_retry {
-                    return Err(call_problem(call, &err));
+                    return Err(call_problem(call, &err, may_have_run));
                 }
                 let endpoint = outstanding_call.target.endpoint.clone();
                 instance.record_event(
@@ -368,9 +376,15 @@
     instance.http.call(out, call.within).await
 }
 
-fn call_problem(call: &ServiceCall, err: &CallError) -> Problem {
+/// Returns the problem to answer with after the last attempt has failed.
+/// `may_have_run` states whether any attempt may have run.
+fn call_problem(
+    call: &ServiceCall,
+    err: &CallError,
+    may_have_run: bool,
+) -> Problem {
     let detail = format!("service {}: {err}", call.group);
-    if err.is_not_sent() {
+    if !may_have_run {
         return Problem::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "service_unreachable",
