Notice a restore although the store stated no era before it

A store that begins to state its era with its first restore was taken for one that is seen for the first time: the order of entries followed the era, but nothing was listed anew at once, missing entries had no grace, and keys counted as certain. An era that follows answers without one is a restore.

--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -252,8 +252,8 @@
     pub(crate) is_versions_behind: Cell<bool>,
     /// Whether the newest configuration in the store could not be read.
     pub(crate) is_configuration_unreadable: Cell<bool>,
-    /// The era of the store as of the last answer, or 0 before the first.
-    pub(crate) store_era: Cell<StoreEra>,
+    /// The era of the store as of the last answer, or none before the first.
+    pub(crate) store_era: Cell<Option<StoreEra>>,
     /// Whether the store was restored since the start of this process.
     pub(crate) has_seen_restore: Cell<bool>,
     pub(crate) instances_relist_notify: Rc<Notify>,
@@ -351,7 +351,7 @@
             is_configuration_behind: Cell::new(false),
             is_versions_behind: Cell::new(false),
             is_configuration_unreadable: Cell::new(false),
-            store_era: Cell::new(0),
+            store_era: Cell::new(None),
             has_seen_restore: Cell::new(false),
             instances_relist_notify: Rc::default(),
             endpoints_relist_notify: Rc::default(),
@@ -413,9 +413,12 @@
     /// Checks whether the store was restored from a copy since its last
     /// answer. If so, all kinds that wait for changes are listed again.
     pub(crate) fn check_store_era(&self) {
+        if !self.store.has_answered() {
+            return;
+        }
         let era = self.store.era();
-        let known = self.store_era.replace(era);
-        if known == 0 || era <= known {
+        let known = self.store_era.replace(Some(era)).unwrap_or(era);
+        if era <= known {
             return;
         }
         tracing::warn!(event = "store_restored", era, known_era = known);
