--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -6,8 +6,9 @@
 //! therefore tells all others, and repeats this for a while, since notes may
 //! be lost. The invariant: an entry that may have been written no later than
 //! the departure never brings an endpoint back; only one that was certainly
-//! written later does. A departure that the endpoint itself announced is not undone by any entry of the same
-//! incarnation, since the store may not have the announced state yet.
+//! written later does. A departure that the endpoint itself announced is not
+//! undone by any entry of the same incarnation, since the store may not have
+//! the announced state yet.
 
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -116,7 +116,7 @@
 
 impl From<Revision> for u64 {
     fn from(revision: Revision) -> u64 {
-        u64::from(revision.era) << NUMBER_BITS | revision.number
+        (u64::from(revision.era) << NUMBER_BITS) | revision.number
     }
 }
 
--- a/crates/fleet/src/store_reachability.rs
+++ b/crates/fleet/src/store_reachability.rs
@@ -9,11 +9,12 @@
 use sedgewall_clock::Instant;
 
 /// How long after the last known failure or restore of the store a missing
-/// entry may still reappear. Entries that lapsed reappear within 2 s of the end of an
-/// outage, according to the platform's documentation, and the outage ends up
-/// to one pause between calls after the last failure. The value must not be
-/// longer: 3 s after the outage, no more requests may go to an endpoint that
-/// has really left, and 0.2 s are reserved for requests that were just sent.
+/// entry may still reappear. Entries that lapsed or were lost reappear within
+/// 2 s of the end of an outage, according to the platform's documentation, and
+/// the outage ends up to one pause between calls after the last failure. The
+/// value must not be longer: 3 s after the outage, no more requests may go to
+/// an endpoint that has really left, and 0.2 s are reserved for requests that
+/// were just sent.
 const MISSING_ENTRY_GRACE: Duration = Duration::from_millis(2_800);
 
 /// A failed call to the store.
