Date a restore by the last answer before it

Cause: an instance whose path to the store had been silent for 2.6 s around a restore noticed it when its watches were given up, 5 s late. It counted the grace of entries that the store may have lost from then, and kept an endpoint that had really left.

Change: a restore is dated by the last answer before it, for the grace of missing entries and for whether a removal is certain. Keys stay uncertain from when it is noticed, which is the safe side there.

--- a/crates/fleet/src/store_reachability.rs
+++ b/crates/fleet/src/store_reachability.rs
@@ -61,7 +61,9 @@
     last_failed: Option<CallFailure>,
     last_answered: Option<Instant>,
     recovered_at: Option<Instant>,
-    restored_at: Option<Instant>,
+    /// The last answer before the store was restored.
+    restored_after: Option<Instant>,
+    restore_noticed_at: Option<Instant>,
     is_probing: bool,
     has_unreported_change: bool,
 }
@@ -107,16 +109,21 @@
         self.is_unreachable
     }
 
-    /// Records that the store was found to be restored from a copy that lacks
-    /// its latest writes.
+    /// Records that an answer shows the store to be restored from a copy that
+    /// lacks its latest writes. The answer itself has not been recorded yet.
+    ///
+    /// An instance that was cut off notices a restore late, when the entries
+    /// that are still missing belong to endpoints that have left.
     pub fn record_restore(&mut self, now: Instant) {
-        self.restored_at = Some(now);
+        self.restored_after = Some(self.last_answered.unwrap_or(now));
+        self.restore_noticed_at = Some(now);
     }
 
     /// Returns whether the store may lack writes that it has acknowledged,
     /// because it was restored and the writers have not repeated them yet.
     pub fn may_lack_writes(&self, now: Instant) -> bool {
-        self.restored_at.is_some_and(|at| now - at < MISSING_ENTRY_GRACE)
+        self.restore_noticed_at
+            .is_some_and(|at| now - at < MISSING_ENTRY_GRACE)
     }
 
     /// Returns whether the store is unreachable, or was so or was restored
@@ -125,7 +132,7 @@
         let is_recent = |at: Instant| now - at < time;
         self.is_unreachable
             || self.recovered_at.is_some_and(is_recent)
-            || self.restored_at.is_some_and(is_recent)
+            || self.restored_after.is_some_and(is_recent)
     }
 
     /// Returns until when another instance may rely on a report of an outage
@@ -146,7 +153,7 @@
     /// outage of the store, or that it lost in a restore, may reappear.
     pub fn missing_entry_grace(&self, now: Instant) -> Duration {
         let failed_at = self.last_failed.map(|last| last.unreachable_at());
-        let Some(since) = failed_at.max(self.restored_at) else {
+        let Some(since) = failed_at.max(self.restored_after) else {
             return Duration::ZERO;
         };
         MISSING_ENTRY_GRACE.saturating_sub(now - since)
--- a/crates/fleet/tests/store_reachability_rules.rs
+++ b/crates/fleet/tests/store_reachability_rules.rs
@@ -95,3 +95,19 @@
     assert!(reachability.missing_entry_grace(late).is_zero());
     assert!(!reachability.may_lack_writes(late));
 }
+
+/// Guards against requests to an endpoint 5.9 s after it had left: an instance
+/// that had been cut off noticed a restore 5 s late, and took the entry for one
+/// that the store had just lost.
+#[test]
+fn a_restore_that_is_noticed_late_does_not_delay_the_removal_of_entries() {
+    let answered = Instant::now();
+    let mut reachability = StoreReachability::default();
+    reachability.record_success(answered);
+    let noticed = answered + Duration::from_secs(5);
+    reachability.record_restore(noticed);
+    assert!(reachability.missing_entry_grace(noticed).is_zero());
+    let window = Duration::from_secs(4);
+    assert!(!reachability.was_disturbed_within(window, noticed));
+    assert!(reachability.may_lack_writes(noticed));
+}
