--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -139,7 +139,8 @@
         }
         let known = self.get(&id).map(|state| state.endpoint.revision);
         if known.is_some_and(|known| known > endpoint.revision) {
-            // The known entry may be one that the store restored.
+            // If the store restored the known entry from a copy, the older
+            // one may show a later state of the endpoint.
             self.mark_departed(&id);
             return false;
         }
