--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -48,7 +48,7 @@
 
 /// The settings that all instances of a deployment share, as stated by its
 /// platform.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetSettings {
     /// The retry budget: the maximum share of requests that may be retried.
@@ -94,6 +94,22 @@
     /// may have used up the retry budget that all instances share.
     #[serde(default)]
     pub has_run_before: bool,
+    /// The names of the contracts that the platform has in force for this
+    /// deployment, separated by commas. They determine the defaults of the
+    /// settings below.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub contracts: String,
+    /// The memory that this instance may use, in megabytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
+    /// Whether requests that wait for an endpoint are ordered by priority,
+    /// deadline and customer, and wait as long as an answer is possible.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ordered_waiting: Option<bool>,
+    /// The maximum number of bytes of request and response bodies that this
+    /// instance holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub buffer_budget_bytes: Option<u64>,
 }
 
 fn two_seconds_ms() -> u64 {
@@ -331,6 +347,10 @@
                 fleet.in_force_within_ms > 0,
                 "fleet.in_force_within_ms: must be above 0",
             );
+            require(
+                fleet.buffer_budget_bytes.is_none_or(|bytes| bytes > 0),
+                "fleet.buffer_budget_bytes: must be above 0",
+            );
         }
         require(
             self.log_level.parse::<LogLevel>().is_ok(),
--- a/crates/sedgewalld/src/main.rs
+++ b/crates/sedgewalld/src/main.rs
@@ -98,7 +98,7 @@
         println!("{}: settings are valid.", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    let ended = match settings.fleet {
+    let ended = match settings.fleet.clone() {
         Some(fleet) => fleet::daemon::run(settings, fleet),
         None => {
             start_log(&settings.log_level);
