--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -7,6 +7,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     endpoint::Endpoint,
+    engine_pools::PoolReport,
     note::Status,
     view::{FleetView, Need, Totals},
 };
@@ -366,6 +367,7 @@
             crashes: Vec::new(),
             condemned: 0,
             limits: Vec::new(),
+            pools: PoolReport::default(),
         }
     }
 
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -4,9 +4,12 @@
 use std::{collections::HashMap, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_state::id::ZoneName;
+use sedgewall_state::id::{ModelName, ZoneName};
 
-use crate::adapter::AdapterKey;
+use crate::{
+    adapter::AdapterKey,
+    engine_pools::{RequestClass, WaitingClasses},
+};
 
 /// Time constant of the request rate, after which a request counts a third.
 /// Popularity shifts within seconds: a longer time keeps adapters without
@@ -17,6 +20,10 @@
 /// Rarely requested adapters are requested about every ten seconds.
 const POPULARITY_DECAY_TIME: Duration = Duration::from_secs(30);
 
+/// Time constant of the rate of long prompt tokens. Prompts are large and
+/// rare, and an adapter's prompts arrive in bursts of some seconds.
+const TOKEN_DECAY_TIME: Duration = Duration::from_secs(3);
+
 /// How long after its last request an adapter still counts as waited for. A
 /// rejected caller retries within a third of its remaining time, which is
 /// about 1.7 s.
@@ -29,6 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     adapters: HashMap<AdapterKey, AdapterDemand>,
+    /// When a long prompt was last reported for each base model.
+    last_long: HashMap<ModelName, Instant>,
 }
 
 /// The demand for one adapter.
@@ -44,6 +53,11 @@
     /// Priority of the most urgent request that waits for the adapter, 0 being
     /// the most urgent; `None` if no request waits.
     waiting: Option<u8>,
+    /// The classes of the waiting requests, as far as they are known.
+    waiting_classes: WaitingClasses,
+    /// Tokens of long prompts, decayed since `tokens_updated`.
+    long_tokens: f64,
+    tokens_updated: Instant,
 }
 
 impl AdapterDemand {
@@ -59,6 +73,22 @@
         self.decayed(self.popularity_weight, POPULARITY_DECAY_TIME, now)
     }
 
+    /// Returns the rate of tokens of long prompts, per second.
+    pub fn long_tokens_per_s(&self, now: Instant) -> f64 {
+        self.decayed_tokens(now) / TOKEN_DECAY_TIME.as_secs_f64()
+    }
+
+    fn decayed_tokens(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.tokens_updated);
+        let age = age.as_secs_f64() / TOKEN_DECAY_TIME.as_secs_f64();
+        self.long_tokens * (-age).exp()
+    }
+
+    /// Returns the classes of the waiting requests, as far as they are known.
+    pub fn waiting_classes(&self) -> WaitingClasses {
+        self.waiting_classes
+    }
+
     fn decayed(&self, weight: f64, decay_time: Duration, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated).as_secs_f64();
         weight * (-age / decay_time.as_secs_f64()).exp()
@@ -98,6 +128,9 @@
                 last_requested: now,
                 zone: zone.to_owned(),
                 waiting: None,
+                waiting_classes: WaitingClasses::default(),
+                long_tokens: 0.0,
+                tokens_updated: now,
             }
         });
         entry.add(f64::from(count), now);
@@ -111,10 +144,57 @@
         entry.waiting = Some(most_urgent.min(priority));
     }
 
+    /// Adds tokens of long prompts for an adapter with requests.
+    pub fn add_long_tokens(
+        &mut self,
+        key: &AdapterKey,
+        tokens: u64,
+        now: Instant,
+    ) {
+        let Some(entry) = self.adapters.get_mut(key) else { return };
+        if tokens == 0 {
+            return;
+        }
+        entry.long_tokens = entry.decayed_tokens(now) + tokens as f64;
+        entry.tokens_updated = now;
+        self.last_long.insert(key.model.clone(), now);
+    }
+
+    /// Returns when a long prompt was last reported for a base model or one of
+    /// its adapters.
+    pub fn last_long(&self, model: &str) -> Option<Instant> {
+        self.last_long.get(model).copied()
+    }
+
+    /// Adds the classes of the requests that wait for an adapter.
+    pub fn add_waiting_classes(
+        &mut self,
+        key: &AdapterKey,
+        classes: WaitingClasses,
+    ) {
+        if let Some(entry) = self.adapters.get_mut(key) {
+            entry.waiting_classes = entry.waiting_classes.union(classes);
+        }
+    }
+
+    /// Marks an adapter as one that no request of a class waits for.
+    pub fn clear_waiting_class(
+        &mut self,
+        key: &AdapterKey,
+        class: RequestClass,
+    ) {
+        let Some(entry) = self.adapters.get_mut(key) else { return };
+        entry.waiting_classes.remove(class);
+        if entry.waiting_classes.is_empty() {
+            entry.waiting = None;
+        }
+    }
+
     /// Marks an adapter as one that no request waits for.
     pub fn clear_waiting(&mut self, key: &AdapterKey) {
         if let Some(entry) = self.adapters.get_mut(key) {
             entry.waiting = None;
+            entry.waiting_classes = WaitingClasses::default();
         }
     }
 
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -14,6 +14,7 @@
     adapter::{AdapterKey, WeightVersion},
     departure::Departure,
     endpoint::Endpoint,
+    engine_pools::{ClassDemand, PoolReport},
     incarnation::Incarnation,
     limit_share::LimitReport,
     poison::Crash,
@@ -193,6 +194,12 @@
     /// that of all instances if `is_total` is set.
     #[serde(default)]
     pub limits: Vec<LimitReport>,
+    /// The sender's streams and, from the lease holder, the splits of engines
+    /// into pools. Left out while empty, so that instances of the previous
+    /// release, which reject additional fields, can read the note. A later
+    /// field must be read from a note with and without this one.
+    #[serde(default, skip_serializing_if = "PoolReport::is_empty")]
+    pub pools: PoolReport,
 }
 
 /// Number of consecutive notes that may be lost before the last status of an
@@ -228,6 +235,10 @@
     /// long, in milliseconds.
     #[serde(default)]
     pub saturated: Vec<(EndpointId, u64)>,
+    /// The classes of the requests. Left out while empty, as
+    /// [`Status::pools`].
+    #[serde(default, skip_serializing_if = "ClassDemand::is_empty")]
+    pub classes: ClassDemand,
 }
 
 /// Whether an adapter that was being loaded on an engine was already loaded
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,9 +19,10 @@
 
 use crate::{
     adapter::{AdapterKey, WeightVersion},
-    demand::Demand,
+    demand::{AdapterDemand, Demand},
     endpoint_state::EndpointState,
     engine_headroom::EngineHeadroom,
+    engine_pools::{MAX_REPLICA_PREFILL_SHARE, RequestClass},
     load_rate_limiter::LoadRateLimiter,
     load_times::LoadTimes,
     note::{Placed, Removed},
@@ -245,67 +246,154 @@
     /// Places adapters that requests wait for and that no engine can serve, in
     /// descending order of popularity.
     fn serve_demand(&mut self, orders: &mut Vec<Order>) {
-        let mut wanted: Vec<(f64, AdapterKey)> = Vec::new();
+        let mut wanted: Vec<(f64, AdapterKey, Option<RequestClass>)> =
+            Vec::new();
         for (key, demand) in self.demand.iter() {
-            if self.serves_model(key)
-                && demand.has_waiting(self.now)
-                && !self.can_be_served(key)
-            {
-                wanted.push((demand.popularity(self.now), key.clone()));
+            if !self.serves_model(key) || !demand.has_waiting(self.now) {
+                continue;
+            }
+            for class in self.waiting_classes(demand) {
+                if !self.can_be_served(key, class) {
+                    let popularity = demand.popularity(self.now);
+                    wanted.push((popularity, key.clone(), class));
+                }
             }
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, key) in wanted {
-            if self.place(&key, orders) {
-                self.demand.clear_waiting(&key);
+        for (_, key, class) in wanted {
+            if !self.place(&key, class, orders) {
+                continue;
+            }
+            match class {
+                Some(class) => self.demand.clear_waiting_class(&key, class),
+                None => self.demand.clear_waiting(&key),
             }
         }
     }
 
+    /// Returns the classes of the requests that wait for an adapter; `None`
+    /// stands for requests that any engine may serve.
+    fn waiting_classes(
+        &self,
+        demand: &AdapterDemand,
+    ) -> Vec<Option<RequestClass>> {
+        let classes = demand.waiting_classes();
+        if self.view.split(self.service).is_none() || classes.is_empty() {
+            return vec![None];
+        }
+        let both = [RequestClass::Short, RequestClass::Long];
+        let waiting = both.into_iter().filter(|c| classes.contains(*c));
+        waiting.map(Some).collect()
+    }
+
+    /// Returns whether an engine is in the pool for a class. If that pool has
+    /// no usable engine, all engines count, because the other pool serves its
+    /// requests.
+    fn is_in_pool(&self, id: &EndpointId, class: Option<RequestClass>) -> bool {
+        let Some(class) = class else { return true };
+        let Some(pool) = self.view.pool(self.service, class) else {
+            return true;
+        };
+        pool.contains(id)
+            || !self.engines().any(|s| {
+                pool.contains(s.id()) && s.is_usable(self.now)
+            })
+    }
+
     /// Returns whether an engine that holds or loads the adapter has room for
-    /// another request.
-    fn can_be_served(&self, key: &AdapterKey) -> bool {
+    /// another request of a class.
+    fn can_be_served(
+        &self,
+        key: &AdapterKey,
+        class: Option<RequestClass>,
+    ) -> bool {
         self.holders(key).any(|state| {
             state.load() < MAX_UTILIZATION
                 && self.view.backlog(state) < BUSY_BACKLOG
                 && !state.is_saturated(self.now)
+                && self.is_in_pool(state.id(), class)
         })
     }
 
     /// Adds a replica of each adapter whose requests use up its share of the
-    /// slots on the engines that hold it.
+    /// slots on the engines that hold it, or, in the pool for long prompts,
+    /// its share of their prefill time.
     fn add_replicas(&mut self, orders: &mut Vec<Order>) {
         let slots = f64::from(self.group.slots.max(1));
+        let is_split = self.view.split(self.service).is_some();
         let mut short = Vec::new();
-        for (key, _) in self.demand.iter() {
+        for (key, demand) in self.demand.iter() {
             if !self.serves_model(key) || key.adapter.is_none() {
                 continue;
             }
             let in_flight = self.rate(key) * SERVICE_TIME_S;
-            let wanted = (in_flight / (slots * MAX_ADAPTER_SLOT_SHARE)).ceil();
-            if wanted <= 1.0 {
+            let by_requests =
+                (in_flight / (slots * MAX_ADAPTER_SLOT_SHARE)).ceil();
+            if !is_split {
+                if by_requests <= 1.0 {
+                    continue;
+                }
+                let has = self.holders(key).count() as f64;
+                if has >= 1.0 && has < by_requests {
+                    short.push((in_flight / has, key.clone(), None));
+                }
                 continue;
             }
-            let has = self.holders(key).count() as f64;
-            if has >= 1.0 && has < wanted {
-                short.push((in_flight / has, key.clone()));
+            let by_prefill = (self.prefill_s_per_s(demand)
+                / MAX_REPLICA_PREFILL_SHARE)
+                .ceil();
+            let wanted = [
+                (RequestClass::Short, by_requests),
+                (RequestClass::Long, by_prefill),
+            ];
+            for (class, wanted) in wanted {
+                let in_pool = self.holders(key).filter(|state| {
+                    self.is_in_pool(state.id(), Some(class))
+                });
+                let has = in_pool.count() as f64;
+                if wanted > 1.0 && has >= 1.0 && has < wanted {
+                    short.push((wanted / has, key.clone(), Some(class)));
+                }
             }
         }
         short.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, key) in short {
-            self.place(&key, orders);
+        for (_, key, class) in short {
+            self.place(&key, class, orders);
         }
     }
 
-    /// Orders one more engine to load an adapter. Returns whether an engine
-    /// was found.
-    fn place(&mut self, key: &AdapterKey, orders: &mut Vec<Order>) -> bool {
+    /// Returns the prefill time of an adapter's long prompts that arrive per
+    /// second, in seconds.
+    fn prefill_s_per_s(&self, demand: &AdapterDemand) -> f64 {
+        let tokens_per_s = demand.long_tokens_per_s(self.now);
+        let time = self
+            .view
+            .service_prefill_time(self.service, tokens_per_s as u64);
+        time.as_secs_f64()
+    }
+
+    /// Orders one more engine, of the pool for a class, to load an adapter. If
+    /// no engine has the adapter and no engine of the pool can take it, one of
+    /// the other pool is used. Returns whether an engine was found.
+    fn place(
+        &mut self,
+        key: &AdapterKey,
+        class: Option<RequestClass>,
+        orders: &mut Vec<Order>,
+    ) -> bool {
         let can_start =
             self.times.can_start_load(self.group.loads_per_s, self.now);
         if !can_start && self.view.warm(key).is_empty() {
             return false;
         }
-        let Some(target) = self.find_target(key) else { return false };
+        let mut target = self.find_target(key, class);
+        if target.is_none()
+            && class.is_some()
+            && self.holders(key).next().is_none()
+        {
+            target = self.find_target(key, None);
+        }
+        let Some(target) = target else { return false };
         if !target.is_warm && !can_start {
             return false;
         }
--- a/crates/fleet/src/placement/target.rs
+++ b/crates/fleet/src/placement/target.rs
@@ -10,6 +10,7 @@
     adapter::AdapterKey,
     endpoint_state::EndpointState,
     engine_headroom::{EngineHeadroom, NextSlot},
+    engine_pools::RequestClass,
     order::{Order, Task},
     view::{BUSY_BACKLOG, OTHER_ZONE_COST},
 };
@@ -43,8 +44,8 @@
 }
 
 impl PlanningPass<'_> {
-    /// Returns the engine to place an adapter on, or `None` if no engine can
-    /// take it.
+    /// Returns the engine to place an adapter on, of the pool for a class of
+    /// requests, or `None` if no engine can take it.
     ///
     /// An engine that still has the adapter in its own memory is preferred,
     /// even if the adapter has to wait for a place there, because a load from
@@ -60,9 +61,10 @@
     pub(super) fn find_target(
         &mut self,
         key: &AdapterKey,
+        class: Option<RequestClass>,
     ) -> Option<PlacementTarget> {
         let engines = self.engines.take().unwrap_or_else(|| self.headrooms());
-        let target = self.cheapest_target(key, &engines);
+        let target = self.cheapest_target(key, class, &engines);
         self.engines = Some(engines);
         target
     }
@@ -70,6 +72,7 @@
     fn cheapest_target(
         &self,
         key: &AdapterKey,
+        class: Option<RequestClass>,
         engines: &[EngineHeadroom],
     ) -> Option<PlacementTarget> {
         let zone = self.demand.get(key).map(|d| d.zone.as_str());
@@ -82,6 +85,7 @@
                     && (holds.is_empty() || engine.backlog < BUSY_BACKLOG)
                     && engine.models.contains(&key.model)
                     && !holds.contains(&&engine.endpoint)
+                    && self.is_in_pool(&engine.endpoint, class)
             })
         };
         let is_warm =
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -168,6 +168,14 @@
         })
     }
 
+    /// Returns whether any route to a service limits the gap between events.
+    pub fn limits_gap(&self, service: &str) -> bool {
+        self.routes.iter().any(|route| {
+            route.gap.is_some()
+                && route.backends.iter().any(|b| b.service == service)
+        })
+    }
+
     /// Returns the configuration of a service's engines; `None` for a plain
     /// service.
     pub fn engine_group(&self, service: &str) -> Option<&EngineGroup> {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,6 +14,7 @@
 mod learned_weights;
 mod limits;
 pub mod load_interpretation;
+mod pools;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -35,6 +36,7 @@
     departure::{Departure, Departures},
     endpoint::{Endpoint, EngineReport},
     endpoint_state::EndpointState,
+    engine_pools::PoolSplit,
     incarnation::{Incarnation, IncarnationStatus, Incarnations},
     latency_regression::LatencyRegression,
     limit_share::LimitShares,
@@ -86,6 +88,10 @@
     first_event_times: HashMap<ServiceName, LatencyRegression>,
     /// The residence time of requests of each plain service.
     residence_times: HashMap<ServiceName, ResidenceTime>,
+    /// The splits of engines into pools, by service.
+    splits: HashMap<ServiceName, PoolSplit>,
+    /// The epoch and sequence number of the note that the splits are from.
+    splits_heard: Option<(Epoch, u64)>,
     /// When the weights of the endpoints were last updated.
     learned_at: Option<Instant>,
     /// The expected duration of the last load from the weight store.
@@ -113,6 +119,8 @@
             unsent_departures: Vec::new(),
             first_event_times: HashMap::new(),
             residence_times: HashMap::new(),
+            splits: HashMap::new(),
+            splits_heard: None,
             learned_at: None,
             load_time: Duration::ZERO,
         }
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -15,6 +15,7 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     endpoint_state::EndpointState,
+    engine_pools::OTHER_POOL_COST,
     latency_regression::LatencyRegression,
     note::MAX_DIRECT_PEERS,
 };
@@ -144,18 +145,39 @@
         now: Instant,
     ) -> Choice {
         let mut found = Choice::NoEndpoint;
+        // The closest obstacle among the engines of the request's own pool.
+        let mut found_in_pool = Choice::NoEndpoint;
         let mut best: Option<(f64, &EndpointState)> = None;
+        let pool = self.request_pool(need);
         for state in usable {
+            let is_other = pool.is_some_and(|pool| !pool.contains(state.id()));
             if let Some(obstacle) = self.obstacle(state, need, now) {
+                if !is_other && pool.is_some() {
+                    found_in_pool =
+                        closer_obstacle(found_in_pool, obstacle.clone());
+                }
                 found = closer_obstacle(found, obstacle);
                 continue;
             }
-            let cost = self.cost(state, need);
+            let mut cost = self.cost(state, need);
+            if is_other {
+                cost += OTHER_POOL_COST;
+            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, state));
             }
         }
         let Some((_, state)) = best else { return found };
+        if need.may_wait
+            && let Some(pool) = pool
+            && !pool.contains(state.id())
+            && self.has_usable_engine(pool, need, now)
+        {
+            return Choice::Busy(match found_in_pool {
+                Choice::Loading(ready_in) => Some(ready_in),
+                _ => None,
+            });
+        }
         if need.may_wait && self.would_be_late(state, need) {
             return Choice::Busy(match found {
                 Choice::Loading(ready_in) => Some(ready_in),
@@ -287,9 +309,19 @@
 
     /// Returns how long an endpoint takes to prefill `tokens` tokens.
     pub fn prefill_time(&self, id: &EndpointId, tokens: u64) -> Duration {
-        let state = self.endpoints.get(id);
-        let regression = state
-            .and_then(|s| self.first_event_times.get(&s.endpoint.service));
+        self.endpoints.get(id).map_or(Duration::ZERO, |state| {
+            self.service_prefill_time(&state.endpoint.service, tokens)
+        })
+    }
+
+    /// Returns how long an engine of a service takes to prefill `tokens`
+    /// tokens, or zero before that is known.
+    pub fn service_prefill_time(
+        &self,
+        service: &str,
+        tokens: u64,
+    ) -> Duration {
+        let regression = self.first_event_times.get(service);
         regression.map_or(Duration::ZERO, |regression| {
             regression.prefill_time(tokens)
         })
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -48,6 +48,11 @@
         self.adapters.contains_key(key)
     }
 
+    /// Returns the adapters that requests use.
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = &AdapterKey> {
+        self.adapters.keys()
+    }
+
     /// Returns a copy without the adapters, for instances that only dispatch
     /// requests.
     pub fn without_adapters(&self) -> Work {
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -7,6 +7,7 @@
     adapter::AdapterKey,
     customer::Customers,
     endpoint::{Endpoint, EngineReport, HostedModel},
+    engine_pools::PoolReport,
     note::Status,
     route::{
         BaseModel, CallerLimits, EngineGroup, RoutingConfiguration, Service,
@@ -127,6 +128,7 @@
         crashes: Vec::new(),
         condemned: 0,
         limits: Vec::new(),
+        pools: PoolReport::default(),
     }
 }
 
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -17,6 +17,7 @@
 use sedgewall_fleet::{
     configuration::ConfigurationStatus,
     customer::Customer,
+    engine_pools::RequestClass,
     poison::Loss,
     view::{Choice, Need, Target},
     wait_policy::{WaitReason, WaitingRequest, retry_delay},
@@ -246,11 +247,14 @@
 ) -> Response<LocalBody> {
     instance.budget.borrow_mut().count_request(&call.service, call.arrived);
     if let Some(key) = call.key() {
-        *instance
-            .requested_adapters
-            .borrow_mut()
-            .entry(key.clone())
-            .or_default() += 1;
+        let tokens = call.metadata.prompt_tokens;
+        let class = instance.reported_class(&call.service, tokens);
+        let mut requested = instance.requested_adapters.borrow_mut();
+        let requested = requested.entry(key.clone()).or_default();
+        requested.requests += 1;
+        if class == Some(RequestClass::Long) {
+            requested.long_tokens += tokens;
+        }
     }
     let mut progress = Progress {
         tried: Vec::new(),
@@ -533,7 +537,8 @@
 /// Asks the lease holder to load the request's adapter.
 fn request_adapter(instance: &FleetInstance, call: &CallerRequest) {
     if let Some(key) = call.key() {
-        instance.request_adapter(key, call.priority());
+        let class = instance.split_class(call);
+        instance.request_adapter(key, call.priority(), class);
     }
 }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -227,6 +227,17 @@
         .absolute(instance.pool.connections_opened());
     metrics::gauge!("sedgewall_store_era")
         .set(f64::from(instance.store.era()));
+    if let Some(routing) = instance.routing() {
+        let view = instance.view.borrow();
+        for (service, _) in routing.engines() {
+            let split = view.split(service);
+            let fraction = split.map_or(0.0, |split| split.prefill_fraction);
+            metrics::gauge!(
+                "sedgewall_prefill_fraction", "service" => service.to_owned()
+            )
+            .set(fraction);
+        }
+    }
     let leads = instance.current_lease(Instant::now()).is_some();
     metrics::gauge!("sedgewall_leads").set(f64::from(u8::from(leads)));
 }
--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -4,7 +4,9 @@
 use std::{rc::Rc, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::adapter::AdapterKey;
+use sedgewall_fleet::{
+    adapter::AdapterKey, engine_pools::RequestClass, route::ServiceName,
+};
 use sedgewall_state::id::EndpointId;
 
 use super::instance::FleetInstance;
@@ -26,6 +28,8 @@
     /// The number of requests per slot at the endpoint before this one, as far
     /// as this instance knew.
     load: f64,
+    /// The service, if the request is counted as a short one for engine pools.
+    short_at: Option<ServiceName>,
 }
 
 impl InFlightGuard {
@@ -38,11 +42,20 @@
         let mut view = instance.view.borrow_mut();
         let prefill_time = view.prefill_time(endpoint, prompt_tokens);
         let mut load = 0.0;
+        let mut service = None;
         if let Some(state) = view.get_mut(endpoint) {
             load = state.load();
             state.own_work.begin(key, prompt_tokens);
+            service = key.map(|_| state.endpoint.service.clone());
         }
         drop(view);
+        let short_at = service.filter(|service| {
+            let class = instance.reported_class(service, prompt_tokens);
+            class == Some(RequestClass::Short)
+        });
+        if let Some(service) = &short_at {
+            instance.stream_counts.borrow_mut().begin(service);
+        }
         if prefill_time >= LARGE_PROMPT {
             instance.has_unreported_work.set(true);
         }
@@ -59,6 +72,7 @@
             unread_tokens: prompt_tokens,
             began: Instant::now(),
             load,
+            short_at,
         }
     }
 
@@ -76,6 +90,9 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.response_started();
+        if let Some(service) = &self.short_at {
+            self.instance.stream_counts.borrow_mut().end(service);
+        }
         let mut view = self.instance.view.borrow_mut();
         if let Some(state) = view.get_mut(&self.endpoint) {
             state.own_work.end(self.key.as_ref());
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -17,6 +17,9 @@
     adapter::AdapterKey,
     catch_up::CatchUp,
     demand::Demand,
+    engine_pools::{
+        RequestClass, StreamCounts, StreamReports, WaitingClasses,
+    },
     load_times::LoadTimes,
     note::{LeaderLease, Note},
     poison::PoisonDetector,
@@ -71,6 +74,8 @@
     pub(crate) zone: ZoneName,
     /// The share of a processor core that the instance has, in percent.
     pub(crate) cpu_percent: u32,
+    /// Whether the instance can read notes on engine pools.
+    pub(crate) reads_pools: bool,
     /// When the other instance's entry was first read here.
     pub(crate) known_since: Instant,
 }
@@ -111,6 +116,23 @@
     pub(crate) sent: Instant,
 }
 
+/// The requests for an adapter since the last report.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RequestedAdapter {
+    pub(crate) requests: u32,
+    /// Tokens of long prompts.
+    pub(crate) long_tokens: u64,
+}
+
+/// An adapter that requests wait for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AwaitedAdapter {
+    /// The priority of the most urgent request.
+    pub(crate) priority: u8,
+    /// The classes of the requests, if the engines are split.
+    pub(crate) classes: WaitingClasses,
+}
+
 /// Counters since the start of the process.
 #[derive(Debug, Default)]
 pub(crate) struct NoteCounters {
@@ -161,12 +183,16 @@
     /// What requests showed of adapters that were still loading, to be
     /// reported to the lease holder.
     pub(crate) observed_loads: RefCell<Vec<ObservedLoad>>,
-    /// The number of requests for each adapter since the last report to the
-    /// lease holder.
-    pub(crate) requested_adapters: RefCell<HashMap<AdapterKey, u32>>,
-    /// Adapters that requests wait for, with the priority of the most urgent
-    /// request.
-    pub(crate) awaited_adapters: RefCell<HashMap<AdapterKey, u8>>,
+    /// The requests for each adapter since the last report to the lease
+    /// holder.
+    pub(crate) requested_adapters:
+        RefCell<HashMap<AdapterKey, RequestedAdapter>>,
+    /// Adapters that requests wait for.
+    pub(crate) awaited_adapters: RefCell<HashMap<AdapterKey, AwaitedAdapter>>,
+    /// This instance's streams, for the decision on engine pools.
+    pub(crate) stream_counts: RefCell<StreamCounts>,
+    /// The streams of all instances, as far as their notes reach this one.
+    pub(crate) stream_reports: RefCell<StreamReports>,
     /// This instance's share of each customer's allowance.
     pub(crate) rate_limiter: RefCell<RateLimiter>,
     /// Whether all revocations of keys are certain to be known here.
@@ -186,8 +212,10 @@
     pub(crate) suspicions: RefCell<Suspicions>,
     /// The longest time limit that a caller stated, by route.
     longest_time_limits: RefCell<HashMap<String, Duration>>,
-    /// When the lease holder was last asked for each adapter.
-    last_requested: RefCell<HashMap<AdapterKey, Instant>>,
+    /// When the lease holder was last asked for each adapter, by class if the
+    /// engines are split.
+    last_requested:
+        RefCell<HashMap<(AdapterKey, Option<RequestClass>), Instant>>,
     /// This instance's use of the retry budget that all instances share.
     pub(crate) budget: RefCell<RetryBudget>,
     /// The other instances, as listed in the store.
@@ -308,6 +336,8 @@
             observed_loads: RefCell::default(),
             requested_adapters: RefCell::default(),
             awaited_adapters: RefCell::default(),
+            stream_counts: RefCell::default(),
+            stream_reports: RefCell::default(),
             rate_limiter: RefCell::default(),
             keys: Keys::new(revoke_within),
             store_reachability: RefCell::default(),
@@ -517,14 +547,20 @@
     }
 
     /// Asks the lease holder for an adapter that a request of the given
-    /// priority waits for. The holder is asked for the same adapter once per
-    /// interval: it remembers the adapter, and asking again makes up for a
+    /// priority waits for; `class` is its class if the engines are split. The
+    /// holder is asked for the same adapter once per interval: it remembers the adapter, and asking again makes up for a
     /// lost note.
-    pub(crate) fn request_adapter(&self, key: &AdapterKey, priority: u8) {
+    pub(crate) fn request_adapter(
+        &self,
+        key: &AdapterKey,
+        priority: u8,
+        class: Option<RequestClass>,
+    ) {
         let now = Instant::now();
         let mut last_requested = self.last_requested.borrow_mut();
+        let id = (key.clone(), class);
         let is_known = last_requested
-            .get(key)
+            .get(&id)
             .is_some_and(|at| now - *at < ADAPTER_REQUEST_INTERVAL);
         if is_known {
             return;
@@ -533,10 +569,16 @@
             last_requested
                 .retain(|_, at| now - *at < ADAPTER_REQUEST_INTERVAL);
         }
-        last_requested.insert(key.clone(), now);
+        last_requested.insert(id, now);
         let mut waiting = self.awaited_adapters.borrow_mut();
-        let known = waiting.entry(key.clone()).or_insert(priority);
-        *known = priority.min(*known);
+        let classes = WaitingClasses::default();
+        let known = waiting
+            .entry(key.clone())
+            .or_insert(AwaitedAdapter { priority, classes });
+        known.priority = priority.min(known.priority);
+        if let Some(class) = class {
+            known.classes.insert(class);
+        }
         drop(waiting);
         self.notify_notes();
     }
--- a/crates/sedgewalld/src/fleet/leader.rs
+++ b/crates/sedgewalld/src/fleet/leader.rs
@@ -8,7 +8,9 @@
     load_rate_limiter::LoadRateLimiter, placement::PlacementPlanner,
 };
 
-use super::{instance::FleetInstance, orders::OrderQueues};
+use super::{
+    engine_pools::PoolDecisions, instance::FleetInstance, orders::OrderQueues,
+};
 use crate::process;
 
 /// The planning interval while no request waits.
@@ -29,6 +31,7 @@
 pub(crate) async fn run(instance: Rc<FleetInstance>, orders: OrderQueues) {
     let mut last_cleanup = Instant::now();
     let mut epoch = None;
+    let mut pools = PoolDecisions::default();
     loop {
         instance.planner_notified(PLAN_INTERVAL).await;
         let now = Instant::now();
@@ -61,6 +64,7 @@
             *orders.planner.borrow_mut() = Some(planner);
         }
         let Some(routing) = instance.routing() else { continue };
+        pools.update(&instance, &routing, held.epoch, now);
         let planned = match orders.planner.borrow_mut().as_mut() {
             Some(planner) => planner.plan(
                 &routing,
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod catch_up;
 pub(crate) mod daemon;
+mod engine_pools;
 mod in_flight;
 mod instance;
 mod keys;
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -11,6 +11,7 @@
 use sedgewall_fleet::{
     catch_up::StateSummary,
     departure::Departure,
+    engine_pools::ClassDemand,
     load_times::LoadObservation,
     note::{DemandReport, LeaderLease, LoadObservationReport, Note, Status},
     note_schedule::{NoteSchedule, Pending, Role, Topology},
@@ -113,6 +114,7 @@
                 now,
             );
             record_customer_demand(instance, &status, now);
+            apply_pool_report(instance, &status, now);
             announcements::apply_limit_reports(instance, &status, now);
             instance.view.borrow_mut().apply_status(status, now);
         }
@@ -173,6 +175,27 @@
     }
 }
 
+/// Records the streams of another instance and, if it holds the lease, its
+/// splits of engines into pools.
+fn apply_pool_report(instance: &FleetInstance, status: &Status, now: Instant) {
+    instance.stream_reports.borrow_mut().record(
+        &status.from,
+        status.sequence,
+        &status.pools.streams,
+        now + status.valid_for(),
+        now,
+    );
+    if let Some(lead) = status.leads
+        && instance.current_lease(now).is_none()
+    {
+        instance.view.borrow_mut().apply_splits(
+            &status.pools.splits,
+            lead.epoch,
+            status.sequence,
+        );
+    }
+}
+
 /// Records that an endpoint has left, so that no request is sent to it.
 pub(crate) fn apply_departure(
     instance: &FleetInstance,
@@ -280,9 +303,17 @@
     for (key, count) in &report.counts {
         demand.add(key, *count, &report.zone, now);
     }
+    let long_tokens = report.classes.long_tokens.iter();
+    for ((key, _), tokens) in report.counts.iter().zip(long_tokens) {
+        demand.add_long_tokens(key, *tokens, now);
+    }
     for (key, rank) in &report.waiting {
         demand.mark_waiting(key, *rank);
     }
+    let classes = report.classes.waiting.iter();
+    for ((key, _), classes) in report.waiting.iter().zip(classes) {
+        demand.add_waiting_classes(key, *classes);
+    }
     drop(demand);
     for endpoint in &report.unreachable {
         record_unreachable(instance, endpoint, report, now);
@@ -570,6 +601,7 @@
         crashes: instance.poison.borrow().recent_crashes(now),
         condemned: instance.poison.borrow().condemned_len() as u64,
         limits: instance.view.borrow().limit_reports(is_total, now),
+        pools: instance.pool_report(sequence, leads.is_some(), now),
     }
 }
 
@@ -581,10 +613,17 @@
 
 fn send_demand_report(instance: &FleetInstance, sender: &NoteSender) {
     instance.has_unreported_sends.set(false);
-    let counts: Vec<_> =
-        instance.requested_adapters.borrow_mut().drain().collect();
-    let waiting: Vec<_> =
-        instance.awaited_adapters.borrow_mut().drain().collect();
+    let mut classes = ClassDemand::default();
+    let mut counts = Vec::new();
+    for (key, requested) in instance.requested_adapters.borrow_mut().drain() {
+        counts.push((key, requested.requests));
+        classes.long_tokens.push(requested.long_tokens);
+    }
+    let mut waiting = Vec::new();
+    for (key, awaited) in instance.awaited_adapters.borrow_mut().drain() {
+        waiting.push((key, awaited.priority));
+        classes.waiting.push(awaited.classes);
+    }
     let unreachable: Vec<_> =
         instance.unreachable.take().into_iter().collect();
     let observations: Vec<_> = instance
@@ -616,6 +655,7 @@
         unreachable,
         arrivals: observations,
         saturated,
+        classes,
     };
     if instance.held.get().is_some() {
         apply_demand_report(instance, sender, &report, Instant::now());
--- a/crates/sedgewalld/src/fleet/peers.rs
+++ b/crates/sedgewalld/src/fleet/peers.rs
@@ -107,6 +107,15 @@
         there.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// Returns whether all live instances can read notes on engine pools.
+    pub(crate) fn all_peers_read_pools(&self) -> bool {
+        let now = Instant::now();
+        self.has_listed_instances.get()
+            && self.peers.borrow().iter().all(|(id, peer)| {
+                peer.reads_pools || !self.is_live(id, peer, now)
+            })
+    }
+
     fn is_live(&self, id: &InstanceId, peer: &Peer, now: Instant) -> bool {
         now - peer.known_since < NEW_PEER_GRACE
             || self.view.borrow().is_live_peer(id, now)
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -47,6 +47,9 @@
     last_bytes: Instant,
     /// The longest time without a byte, after the headers.
     longest_pause: Duration,
+    /// The longest time for which this instance waited for bytes. Unlike the
+    /// pauses, it does not include the time that a slow caller takes.
+    longest_wait: Duration,
     is_over: bool,
 }
 
@@ -83,6 +86,7 @@
         bytes: 0,
         last_bytes: Instant::now(),
         longest_pause: Duration::ZERO,
+        longest_wait: Duration::ZERO,
         is_over: false,
     };
     LocalBody::chunks(stream::unfold(relay, |mut relay| async move {
@@ -97,7 +101,10 @@
             return None;
         }
         loop {
-            match self.read().await {
+            let began = Instant::now();
+            let read = self.read().await;
+            self.longest_wait = self.longest_wait.max(began.elapsed());
+            match read {
                 Ok(Some(bytes)) => {
                     self.record_pause();
                     let whole = match &mut self.framer {
@@ -257,6 +264,11 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
+        request_log::stream_ended(
+            &self.instance,
+            &self.call,
+            self.longest_wait,
+        );
         if !self.is_over {
             request_log::caller_left(&self.call, self.bytes);
             poison::run_lost(&self.instance, &self.call, Loss::CallerLeft);
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -129,6 +129,27 @@
     );
 }
 
+/// Counts a stream that ended, and whether a gap between its events exceeded
+/// what its route allows.
+pub(crate) fn stream_ended(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    longest_wait: Duration,
+) {
+    let Some(gap) = call.route.gap.filter(|_| call.is_engine) else { return };
+    let is_delayed = longest_wait > gap;
+    let service = &call.service;
+    metrics::counter!(
+        "sedgewall_streams_ended_total", "service" => service.clone()
+    )
+    .increment(1);
+    metrics::counter!(
+        "sedgewall_streams_delayed_total", "service" => service.clone()
+    )
+    .increment(u64::from(is_delayed));
+    instance.stream_counts.borrow_mut().stream_ended(service, is_delayed);
+}
+
 /// Logs a request that got a response of this instance's own.
 pub(crate) fn refused(
     call: &CallerRequest,
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -44,6 +44,10 @@
     zone: ZoneName,
     /// The share of a processor core that the instance has, in percent.
     cpu_percent: u32,
+    /// Whether the instance can read notes on engine pools. Instances of the
+    /// previous release cannot, and reject the entire note.
+    #[serde(default)]
+    reads_pools: bool,
 }
 
 /// Handles the entries of the other instances.
@@ -99,6 +103,7 @@
                     address: entry.notes_address,
                     zone: entry.zone,
                     cpu_percent: entry.cpu_percent,
+                    reads_pools: entry.reads_pools,
                     known_since: known
                         .map_or_else(Instant::now, |peer| peer.known_since),
                 };
@@ -128,6 +133,7 @@
         notes_address: instance.settings.peer_listen,
         zone: instance.settings.zone.clone(),
         cpu_percent: instance.cpu_percent(),
+        reads_pools: true,
     };
     let Ok(spec) = serde_json::to_value(&entry) else { return };
     // An instance that restarts at the same address finds its entry in the
