--- a/crates/fleet/src/engine_pools.rs
+++ b/crates/fleet/src/engine_pools.rs
@@ -129,7 +129,9 @@
 }
 
 /// The classes of the requests that wait for an adapter.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
 pub struct WaitingClasses {
     /// Whether a request of class [`RequestClass::Short`] waits.
     pub short: bool,
@@ -336,8 +338,7 @@
                     _ => (report.ended, report.delayed),
                 };
                 if ended > 0 {
-                    let heard =
-                        EndedStreams { heard_at: now, ended, delayed };
+                    let heard = EndedStreams { heard_at: now, ended, delayed };
                     let of_service =
                         self.ended.entry(report.service.clone()).or_default();
                     of_service.push_back(heard);
@@ -357,7 +358,9 @@
     /// Drops what is no longer counted.
     fn forget(&mut self, now: Instant) {
         for ended in self.ended.values_mut() {
-            while ended.front().is_some_and(|e| now - e.heard_at > STREAM_WINDOW)
+            while ended
+                .front()
+                .is_some_and(|e| now - e.heard_at > STREAM_WINDOW)
             {
                 ended.pop_front();
             }
@@ -540,12 +543,13 @@
         let long = inputs.prefill_s_per_s / TARGET_PREFILL_UTILIZATION;
         let short = short_engines(inputs);
         let smoothed = match self.smoothed {
-            None => Smoothed { at: now, long_engines: long, short_engines: short },
+            None => {
+                Smoothed { at: now, long_engines: long, short_engines: short }
+            }
             Some(known) => {
                 let time = now.saturating_duration_since(known.at);
-                let keep = (-time.as_secs_f64()
-                    / SMOOTHING_TIME.as_secs_f64())
-                .exp();
+                let keep =
+                    (-time.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp();
                 let mix = |old: f64, new: f64| old * keep + new * (1.0 - keep);
                 Smoothed {
                     at: now,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -289,15 +289,19 @@
     /// Returns whether an engine is in the pool for a class. If that pool has
     /// no usable engine, all engines count, because the other pool serves its
     /// requests.
-    fn is_in_pool(&self, id: &EndpointId, class: Option<RequestClass>) -> bool {
+    fn is_in_pool(
+        &self,
+        id: &EndpointId,
+        class: Option<RequestClass>,
+    ) -> bool {
         let Some(class) = class else { return true };
         let Some(pool) = self.view.pool(self.service, class) else {
             return true;
         };
         pool.contains(id)
-            || !self.engines().any(|s| {
-                pool.contains(s.id()) && s.is_usable(self.now)
-            })
+            || !self
+                .engines()
+                .any(|s| pool.contains(s.id()) && s.is_usable(self.now))
     }
 
     /// Returns whether an engine that holds or loads the adapter has room for
@@ -347,9 +351,9 @@
                 (RequestClass::Long, by_prefill),
             ];
             for (class, wanted) in wanted {
-                let in_pool = self.holders(key).filter(|state| {
-                    self.is_in_pool(state.id(), Some(class))
-                });
+                let in_pool = self
+                    .holders(key)
+                    .filter(|state| self.is_in_pool(state.id(), Some(class)));
                 let has = in_pool.count() as f64;
                 if wanted > 1.0 && has >= 1.0 && has < wanted {
                     short.push((wanted / has, key.clone(), Some(class)));
@@ -366,9 +370,8 @@
     /// second, in seconds.
     fn prefill_s_per_s(&self, demand: &AdapterDemand) -> f64 {
         let tokens_per_s = demand.long_tokens_per_s(self.now);
-        let time = self
-            .view
-            .service_prefill_time(self.service, tokens_per_s as u64);
+        let time =
+            self.view.service_prefill_time(self.service, tokens_per_s as u64);
         time.as_secs_f64()
     }
 
--- a/crates/fleet/src/view/pools.rs
+++ b/crates/fleet/src/view/pools.rs
@@ -47,8 +47,9 @@
         }
         self.splits_heard = from;
         let named = splits.iter().filter(|split| split.prefill_fraction > 0.0);
-        self.splits =
-            named.map(|split| (split.service.clone(), split.clone())).collect();
+        self.splits = named
+            .map(|split| (split.service.clone(), split.clone()))
+            .collect();
     }
 
     /// Sets or removes the split of a service, as this instance decided as the
--- a/crates/sedgewalld/src/fleet/engine_pools.rs
+++ b/crates/sedgewalld/src/fleet/engine_pools.rs
@@ -52,14 +52,14 @@
                 instance.view.borrow_mut().set_split(service, None);
                 continue;
             }
-            let controller =
-                self.controllers.entry(service.to_owned()).or_insert_with(
-                    || {
-                        let view = instance.view.borrow();
-                        let split = view.split(service).cloned();
-                        PoolController::new(service, split, now)
-                    },
-                );
+            let controller = self
+                .controllers
+                .entry(service.to_owned())
+                .or_insert_with(|| {
+                    let view = instance.view.borrow();
+                    let split = view.split(service).cloned();
+                    PoolController::new(service, split, now)
+                });
             let streams =
                 instance.stream_reports.borrow().totals(service, now);
             let inputs = instance.view.borrow().pool_inputs(
@@ -113,9 +113,8 @@
         service: &str,
         prompt_tokens: u64,
     ) -> Option<RequestClass> {
-        self.reports_pools(service).then(|| {
-            self.view.borrow().request_class(service, prompt_tokens)
-        })
+        self.reports_pools(service)
+            .then(|| self.view.borrow().request_class(service, prompt_tokens))
     }
 
     /// Returns the class of a request if the engines of its service are split.
@@ -139,9 +138,13 @@
         let mut streams = self.stream_counts.borrow().reports();
         streams.retain(|report| self.reports_pools(&report.service));
         let until = now + OWN_STREAMS_VALID_FOR;
-        self.stream_reports
-            .borrow_mut()
-            .record(self.id(), sequence, &streams, until, now);
+        self.stream_reports.borrow_mut().record(
+            self.id(),
+            sequence,
+            &streams,
+            until,
+            now,
+        );
         let mut splits = Vec::new();
         if is_holder {
             splits.extend(self.view.borrow().splits().cloned());
