Split the handling of caller requests into separate modules

Waiting, endpoint choice, retries and response delivery move out of caller.rs. relay.rs and request_log.rs no longer import from caller.rs, so the circular dependency is gone. Decisions are unchanged.

--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -27,6 +27,7 @@
 };
 use sedgewall_state::id::EndpointId;
 use sedgewall_transport::{PooledResponse, SendError};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     announcements,
@@ -174,6 +175,11 @@
     }
 }
 
+/// Returns a number between 0 and 1 derived from the hash of a request id.
+pub(crate) fn hash_fraction(request_id: &str) -> f64 {
+    xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64
+}
+
 /// The bounds of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendLimits {
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -1,9 +1,5 @@
-//! The handling of one request of a caller: routing, sending and answering it.
-//!
-//! This module enforces the retry rules. A request is sent to another endpoint
-//! only if it certainly did not run or is safe to repeat, and only within the
-//! retry budget that all instances share. A refusal says "not run" only if no
-//! endpoint can have run the request.
+//! The handling of one request of a caller: reading, admitting and answering
+//! it.
 
 use std::{
     cell::{OnceCell, RefCell},
@@ -15,34 +11,27 @@
 use hyper::body::Incoming;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    configuration::ConfigurationStatus,
-    customer::Customer,
-    poison::Loss,
-    view::{Choice, Need, Target},
-    wait_policy::{WaitReason, WaitingRequest, retry_delay},
+    configuration::ConfigurationStatus, customer::Customer,
+    wait_policy::retry_delay,
 };
-use sedgewall_platform::{RequestMetadata, call::caller_response_headers};
-use sedgewall_state::id::EndpointId;
+use sedgewall_platform::RequestMetadata;
 use sedgewall_transport::{
     LocalBody,
     server::{BodyError, read_body},
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     admit::{
         AdmissionQuery, Admitted, admit_by_newest, charge_allowance,
         refund_allowance,
     },
-    attempt::{
-        self, AttemptError, CallerRequest, GoodAnswer, SendLimits, SentTo,
-    },
+    attempt::{CallerRequest, hash_fraction},
+    delivery,
     in_flight::OpenRequestGuard,
     instance::{FleetInstance, Stage},
-    permits::{Permits, PermittedChoice},
-    poison,
+    progress::Progress,
     refusal::{self, Reason},
-    relay, request_log,
+    request_log, retries,
 };
 
 /// The timeout for receiving a request body.
@@ -55,32 +44,12 @@
 /// its own.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
-/// How long a request that would be late at every endpoint waits for its
-/// adapter to be loaded on an engine that can start sooner. A load from the
-/// weight store takes 0.25 s; the rest is for giving the order.
-const LOAD_WAIT: Duration = Duration::from_millis(330);
-
-/// The interval at which a request checks full endpoints for capacity again.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
-
-/// The interval at which a later try checks full endpoints for capacity again.
-/// Later tries wait long, and many of them may wait on a small instance.
-const LATER_TRY_POLL_INTERVAL: Duration = Duration::from_millis(60);
-
 /// A try whose time limit is below this fraction of the longest time limit on
 /// its route is taken to be a repetition by its caller. A caller that is
 /// refused once more gives up, so such a try waits as long as any answer, even
 /// a late one, is still possible.
 const LATER_TRY_TIME_LIMIT_FRACTION: f64 = 0.9;
 
-/// The timeout of an attempt of a repeatable request, in multiples of the
-/// route's target latency. After it, the request goes to another endpoint.
-const ATTEMPT_TIMEOUT_TARGETS: f64 = 2.5;
-
-/// The maximum number of sends for one request, including those that an
-/// endpoint rejected.
-const MAX_SENDS: u32 = 6;
-
 /// Answers one request of a caller.
 pub(crate) async fn answer(
     instance: Rc<FleetInstance>,
@@ -225,20 +194,6 @@
     path.map_or(uri, http::Uri::from)
 }
 
-/// The attempts made so far for one request.
-pub(crate) struct Progress {
-    pub(crate) tried: Vec<EndpointId>,
-    pub(crate) sends: u32,
-    /// The number of sends whose request may have run.
-    pub(crate) runs: u32,
-    pub(crate) waited: Duration,
-    /// The time from the last send to its response headers.
-    pub(crate) engine_time: Duration,
-    /// If the wait for an endpoint was given up: the time until an endpoint is
-    /// expected to take the request, if that is known.
-    pub(crate) available_in: Option<Duration>,
-}
-
 async fn serve(
     instance: &Rc<FleetInstance>,
     call: Rc<CallerRequest>,
@@ -263,7 +218,7 @@
     let mut watch =
         request_log::UnansweredGuard::begin(instance, call.clone());
     let last_event = call.metadata.last_event.clone();
-    let found = send_with_retries(
+    let found = retries::send_with_retries(
         instance,
         &call,
         &mut progress,
@@ -271,329 +226,17 @@
     );
     let response = match found.await {
         Ok((good, target)) => {
-            forward(instance, call, progress, good, target, open).await
+            delivery::forward(instance, call, progress, good, target, open)
+                .await
         }
         Err(reason) => {
             if progress.runs == 0 {
                 refund_allowance(instance, &call);
             }
             request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, retry_delay_of(&call, &progress))
+            refusal::answer(reason, progress.retry_delay(&call))
         }
     };
     watch.answered();
     response
 }
-
-/// Sends the request to endpoints until one answers, within the retry rules.
-pub(crate) async fn send_with_retries(
-    instance: &Rc<FleetInstance>,
-    call: &CallerRequest,
-    progress: &mut Progress,
-    last_event: Option<&str>,
-) -> Result<(GoodAnswer, Target), Reason> {
-    loop {
-        poison::check(instance, call, progress.runs)?;
-        let target = match select_endpoint(instance, call, progress).await {
-            Ok(target) => target,
-            Err(_) if progress.runs > 0 => return Err(Reason::OutcomeUnknown),
-            Err(reason) => return Err(reason),
-        };
-        // While the request waited for capacity, other instances may have
-        // reported crashes under it.
-        poison::check(instance, call, progress.runs)?;
-        let is_first = progress.sends == 0;
-        if !is_first && !take_retry(instance, call) {
-            return Err(match progress.runs {
-                0 => Reason::RetriesSpent,
-                _ => Reason::OutcomeUnknown,
-            });
-        }
-        progress.sends += 1;
-        let to = SentTo { endpoint: target.id.clone(), at: Instant::now() };
-        *call.sent_to.borrow_mut() = Some(to);
-        let limits = send_limits(call, progress);
-        let began = Instant::now();
-        let sent =
-            attempt::send(instance, call, &target, last_event, limits).await;
-        progress.engine_time = began.elapsed();
-        let err = match sent {
-            Ok(good) => return Ok((good, target)),
-            Err(err) => err,
-        };
-        request_log::send_failed(call, progress, &target, &err);
-        progress.runs += u32::from(!err.is_not_run());
-        if !matches!(err, AttemptError::Misdirected) || call.key().is_none() {
-            progress.tried.push(target.id.clone());
-        }
-        check_retry(call, progress, &err)?;
-    }
-}
-
-/// Takes one retry out of the budget that all instances share.
-fn take_retry(instance: &FleetInstance, call: &CallerRequest) -> bool {
-    let now = Instant::now();
-    let instances = instance.instance_count();
-    instance.budget.borrow_mut().take(&call.service, now, instances)
-}
-
-/// Returns `Ok` if another attempt is allowed, otherwise the reason for the
-/// final answer.
-fn check_retry(
-    call: &CallerRequest,
-    progress: &Progress,
-    err: &AttemptError,
-) -> Result<(), Reason> {
-    let is_over = call.left().is_zero();
-    if progress.runs == 0 {
-        return match (is_over, progress.sends >= MAX_SENDS) {
-            (true, _) => Err(Reason::TooLate),
-            (_, true) => Err(Reason::RetriesSpent),
-            _ => Ok(()),
-        };
-    }
-    let may_repeat = call.is_repeatable()
-        && progress.runs < call.route.max_attempts
-        && progress.sends < MAX_SENDS;
-    if may_repeat && !is_over {
-        return Ok(());
-    }
-    Err(match err {
-        AttemptError::TimedOut => Reason::TimedOut,
-        _ => Reason::OutcomeUnknown,
-    })
-}
-
-fn send_limits(call: &CallerRequest, progress: &Progress) -> SendLimits {
-    let left = call.left();
-    let is_last =
-        !call.is_repeatable() || progress.runs + 1 >= call.route.max_attempts;
-    let time_limit =
-        call.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_TARGETS);
-    let within = if is_last { left } else { left.min(time_limit) };
-    SendLimits { within, is_last }
-}
-
-/// Waits until an endpoint can take the request, and returns that endpoint.
-async fn select_endpoint(
-    instance: &Rc<FleetInstance>,
-    call: &CallerRequest,
-    progress: &mut Progress,
-) -> Result<Target, Reason> {
-    let draw = xxh3_64(call.metadata.request_id.as_bytes());
-    let began = Instant::now();
-    let target = call.route.target_latency;
-    let waiting_request = waiting_request(instance, call);
-    let poll_interval = match waiting_request.is_later_try {
-        true => LATER_TRY_POLL_INTERVAL,
-        false => CAPACITY_POLL_INTERVAL,
-    };
-    // If the answer would be late on every engine that holds the adapter, wait
-    // until another engine has loaded it.
-    let load_wait_end = began + LOAD_WAIT;
-    let mut permits = Permits::default();
-    loop {
-        let now = Instant::now();
-        let may_wait = now < load_wait_end;
-        let need = Need {
-            service: &call.service,
-            key: call.key(),
-            exclude: &progress.tried,
-            draw,
-            prompt_tokens: call.metadata.prompt_tokens,
-            target_latency: target,
-            may_wait,
-        };
-        let PermittedChoice { choice, limit_ends_in } =
-            permits.choose(instance, need, now);
-        progress.waited = now - began;
-        let (reason, wait_reason, pause) = match choice {
-            Choice::Send(found) => return Ok(found),
-            Choice::Loading(ready_in) => {
-                let wait_reason = WaitReason::AdapterLoading(ready_in);
-                (Reason::AdapterAbsent, wait_reason, ready_in)
-            }
-            Choice::Absent => {
-                let cooling_down = call.key().and_then(|key| {
-                    instance.mark_holders_cooling_down(key, now)
-                });
-                let limit_ends_in = limit_ends_in.or(cooling_down);
-                request_adapter(instance, call);
-                let load_time = instance.view.borrow().load_time();
-                let wait_reason = WaitReason::AdapterNotLoaded { load_time };
-                match limit_ends_in {
-                    Some(ready_in) => {
-                        let pause = ready_in.min(target);
-                        (Reason::EndpointsLimited, wait_reason, pause)
-                    }
-                    None => (Reason::AdapterAbsent, wait_reason, target),
-                }
-            }
-            Choice::Full => {
-                request_adapter(instance, call);
-                (Reason::Full, WaitReason::NoCapacity, poll_interval)
-            }
-            Choice::Busy(ready_in) => {
-                if ready_in.is_none() {
-                    request_adapter(instance, call);
-                }
-                let left = load_wait_end - now;
-                sleep_or_woken(
-                    instance,
-                    call,
-                    ready_in.unwrap_or(left).min(left),
-                )
-                .await;
-                continue;
-            }
-            Choice::NoEndpoint => {
-                // No endpoint is usable. If some were excluded because they
-                // failed this request, a repeatable request may try them
-                // again.
-                if progress.runs > 0 {
-                    progress.tried.clear();
-                }
-                let cooling_down = || {
-                    let view = instance.view.borrow();
-                    view.service_cooldown(&call.service, now)
-                };
-                match limit_ends_in.or_else(cooling_down) {
-                    Some(ready_in) => {
-                        let wait_reason = WaitReason::Saturated(ready_in);
-                        let pause = ready_in.max(poll_interval);
-                        (Reason::EndpointsLimited, wait_reason, pause)
-                    }
-                    None => (
-                        Reason::NobodyThere,
-                        WaitReason::NoCapacity,
-                        poll_interval,
-                    ),
-                }
-            }
-        };
-        let until = waiting_request.wait_until(wait_reason, now);
-        if now >= until {
-            progress.available_in = match wait_reason {
-                WaitReason::AdapterLoading(ready_in)
-                | WaitReason::Saturated(ready_in) => Some(ready_in),
-                WaitReason::AdapterNotLoaded { .. }
-                | WaitReason::NoCapacity => limit_ends_in,
-            };
-            return Err(reason);
-        }
-        sleep_or_woken(instance, call, pause.min(until - now)).await;
-    }
-}
-
-/// Returns the delay after which the caller of a rejected request may retry.
-fn retry_delay_of(call: &CallerRequest, progress: &Progress) -> Duration {
-    let draw = hash_fraction(&call.metadata.request_id);
-    retry_delay(call.left(), progress.available_in, draw)
-}
-
-/// Returns a number between 0 and 1 derived from the hash of a request id.
-fn hash_fraction(request_id: &str) -> f64 {
-    xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64
-}
-
-/// Returns the bounds on how long a request may wait for an endpoint.
-fn waiting_request(
-    instance: &FleetInstance,
-    call: &CallerRequest,
-) -> WaitingRequest {
-    let tokens = call.metadata.prompt_tokens;
-    let engine_time = match call.key() {
-        Some(_) => {
-            instance.view.borrow().idle_first_event_time(&call.service, tokens)
-        }
-        None => Duration::ZERO,
-    };
-    WaitingRequest {
-        arrived: call.arrived,
-        deadline: call.deadline,
-        target: call.route.target_latency,
-        engine_time,
-        is_later_try: call.is_later_try && call.is_engine,
-    }
-}
-
-/// Waits for `time`, or until the state of the request's adapter changes.
-async fn sleep_or_woken(
-    instance: &FleetInstance,
-    call: &CallerRequest,
-    time: Duration,
-) {
-    let pause = time + Duration::from_millis(1);
-    match call.key() {
-        Some(key) => instance.wait_for_adapter(key, pause).await,
-        None => compio::time::sleep(pause).await,
-    }
-}
-
-/// Asks the lease holder to load the request's adapter.
-fn request_adapter(instance: &FleetInstance, call: &CallerRequest) {
-    if let Some(key) = call.key() {
-        instance.request_adapter(key, call.priority());
-    }
-}
-
-async fn forward(
-    instance: &Rc<FleetInstance>,
-    call: Rc<CallerRequest>,
-    progress: Progress,
-    good: GoodAnswer,
-    target: Target,
-    open: OpenRequestGuard,
-) -> Response<LocalBody> {
-    let status = good.answer.status;
-    let headers = caller_response_headers(&good.answer.headers);
-    if call.route.is_stream && status.is_success() {
-        let stream = relay::stream(
-            instance.clone(),
-            call,
-            progress,
-            good,
-            target,
-            open,
-        );
-        let mut response = Response::new(stream);
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        return response;
-    }
-    let head_time = call.arrived.elapsed();
-    let whole =
-        compio::time::timeout(call.left(), good.answer.collect()).await;
-    match whole {
-        Ok(Ok(body)) => {
-            let delivered = request_log::Delivered {
-                head_time,
-                bytes: body.len(),
-                longest_pause: Duration::ZERO,
-            };
-            request_log::served(&call, &progress, &target, &delivered);
-            if status.is_success() {
-                poison::run_succeeded(instance, &call);
-            }
-            let mut response = Response::new(LocalBody::full(body));
-            *response.status_mut() = status;
-            *response.headers_mut() = headers;
-            response
-        }
-        Ok(Err(_)) | Err(_) => {
-            let reason = match &whole {
-                Ok(Err(err)) => {
-                    let cause = err.to_string();
-                    poison::run_broken(instance, &call, &target, &cause);
-                    Reason::OutcomeUnknown
-                }
-                _ => {
-                    poison::run_lost(instance, &call, Loss::Broken);
-                    Reason::TimedOut
-                }
-            };
-            request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, retry_delay_of(&call, &progress))
-        }
-    }
-}
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -0,0 +1,81 @@
+//! Delivers an endpoint's response to the caller: a streamed one as it arrives,
+//! any other one whole.
+
+use std::{rc::Rc, time::Duration};
+
+use http::Response;
+use sedgewall_fleet::{poison::Loss, view::Target};
+use sedgewall_platform::call::caller_response_headers;
+use sedgewall_transport::LocalBody;
+
+use super::{
+    attempt::{CallerRequest, GoodAnswer},
+    in_flight::OpenRequestGuard,
+    instance::FleetInstance,
+    poison,
+    progress::Progress,
+    refusal::{self, Reason},
+    relay, request_log,
+};
+
+/// Returns the caller's response for an endpoint's response.
+pub(crate) async fn forward(
+    instance: &Rc<FleetInstance>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    good: GoodAnswer,
+    target: Target,
+    open: OpenRequestGuard,
+) -> Response<LocalBody> {
+    let status = good.answer.status;
+    let headers = caller_response_headers(&good.answer.headers);
+    if call.route.is_stream && status.is_success() {
+        let stream = relay::stream(
+            instance.clone(),
+            call,
+            progress,
+            good,
+            target,
+            open,
+        );
+        let mut response = Response::new(stream);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        return response;
+    }
+    let head_time = call.arrived.elapsed();
+    let whole =
+        compio::time::timeout(call.left(), good.answer.collect()).await;
+    match whole {
+        Ok(Ok(body)) => {
+            let delivered = request_log::Delivered {
+                head_time,
+                bytes: body.len(),
+                longest_pause: Duration::ZERO,
+            };
+            request_log::served(&call, &progress, &target, &delivered);
+            if status.is_success() {
+                poison::run_succeeded(instance, &call);
+            }
+            let mut response = Response::new(LocalBody::full(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Ok(Err(_)) | Err(_) => {
+            let reason = match &whole {
+                Ok(Err(err)) => {
+                    let cause = err.to_string();
+                    poison::run_broken(instance, &call, &target, &cause);
+                    Reason::OutcomeUnknown
+                }
+                _ => {
+                    poison::run_lost(instance, &call, Loss::Broken);
+                    Reason::TimedOut
+                }
+            };
+            request_log::refused(&call, &progress, reason);
+            refusal::answer(reason, progress.retry_delay(&call))
+        }
+    }
+}
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -14,10 +14,11 @@
 
 use super::{
     attempt::{CallerRequest, GoodAnswer},
-    caller::{self, Progress},
     in_flight::{InFlightGuard, OpenRequestGuard},
     instance::FleetInstance,
-    poison, request_log,
+    poison,
+    progress::Progress,
+    request_log, retries,
 };
 
 /// A lower bound of a stream's idle timeout.
@@ -184,7 +185,7 @@
         framer.discard_partial();
         let last_event = framer.last_id().map(str::to_owned);
         let call = self.call.clone();
-        let found = caller::send_with_retries(
+        let found = retries::send_with_retries(
             &self.instance,
             &call,
             &mut self.progress,
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -9,9 +9,9 @@
 
 use super::{
     attempt::{AttemptError, CallerRequest},
-    caller::Progress,
     instance::FleetInstance,
     poison,
+    progress::Progress,
     refusal::Reason,
 };
 
