--- a/crates/fleet/src/view/load_interpretation.rs
+++ b/crates/fleet/src/view/load_interpretation.rs
@@ -211,6 +211,12 @@
         }
     }
 
+    /// Returns the mean time that requests are in flight at the endpoints of a
+    /// plain service, or `None` before a request has ended there.
+    pub fn mean_residence_time(&self, service: &str) -> Option<Duration> {
+        self.residence_times.get(service).map(ResidenceTime::mean)
+    }
+
     /// Records how long a request was in flight at an endpoint that had `load`
     /// other known requests per slot.
     pub fn observe_residence_time(
--- a/crates/fleet/src/wait_policy.rs
+++ b/crates/fleet/src/wait_policy.rs
@@ -28,7 +28,7 @@
 
 /// Maximum time for which a request waits for an endpoint, whatever its
 /// target. An instance that stops has 8 s to finish all requests.
-const MAX_WAIT: Duration = Duration::from_secs(4);
+pub const MAX_WAIT: Duration = Duration::from_secs(4);
 
 /// A request that cannot be sent yet.
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +92,49 @@
         }
     }
 
+    /// Returns the time until which the request waits in a queue
+    /// ([`crate::wait_queue`]) for this reason; `answer_time` is the expected
+    /// time from the send to the end of the answer. It is rejected at once if
+    /// that time is before `now`.
+    ///
+    /// A first try waits as long as its answer is possible, because a caller
+    /// that is rejected gets its answer later than one that waits. The
+    /// exception is an adapter that nobody loads: the weight store is then the
+    /// limit, and loads for requests that are late anyway would make later
+    /// requests late too.
+    pub fn queued_until(
+        &self,
+        reason: WaitReason,
+        answer_time: Duration,
+        now: Instant,
+    ) -> Instant {
+        let left = self.deadline.saturating_duration_since(self.arrived);
+        let latest =
+            self.arrived + left.saturating_sub(answer_time).min(MAX_WAIT);
+        match reason {
+            // A wait that is known to be too long is not started.
+            WaitReason::AdapterLoading(ready_in)
+            | WaitReason::Saturated(ready_in)
+                if now + ready_in > latest =>
+            {
+                self.arrived
+            }
+            WaitReason::AdapterNotLoaded { load_time }
+                if !self.is_later_try =>
+            {
+                self.latest_start(load_time).min(latest)
+            }
+            _ => latest,
+        }
+    }
+
+    /// Returns the latest time to send the request so that its answer begins
+    /// within the target, or for a plain service ends within it;
+    /// `answer_time` is the expected time until then.
+    pub fn in_time_until(&self, answer_time: Duration) -> Instant {
+        self.arrived + self.target.saturating_sub(answer_time)
+    }
+
     /// Returns the time until which the request waits for capacity.
     fn capacity_deadline(&self) -> Instant {
         self.arrived + self.target.mul_f64(CAPACITY_WAIT_FRACTION)
@@ -125,3 +168,18 @@
     let wanted = gone_in.map_or(most, |time| time.min(most));
     wanted.mul_f64(1.0 - JITTER_FRACTION * draw.clamp(0.0, 1.0))
 }
+
+/// Returns the delay after which a rejected caller may retry that has a
+/// position in the queue; `wait` is the expected time until its turn. Callers
+/// whose turns come at different times need no jitter.
+pub fn retry_delay_in_turn(
+    left: Duration,
+    wait: Option<Duration>,
+    draw: f64,
+) -> Duration {
+    let most = left.mul_f64(MAX_RETRY_DELAY_FRACTION);
+    match wait {
+        Some(wait) if wait < most => wait,
+        _ => retry_delay(left, None, draw),
+    }
+}
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -214,6 +214,7 @@
         waited: Duration::ZERO,
         engine_time: Duration::ZERO,
         available_in: None,
+        turn: None,
     };
     let mut watch =
         request_log::UnansweredGuard::begin(instance, call.clone());
@@ -233,8 +234,9 @@
             if progress.runs == 0 {
                 refund_allowance(instance, &call);
             }
-            request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, progress.retry_delay(&call))
+            let retry_in = progress.retry_delay(&call);
+            request_log::refused(&call, &progress, reason, retry_in);
+            refusal::answer(reason, retry_in)
         }
     };
     watch.answered();
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -39,10 +39,6 @@
 /// the load balancer has probed readiness twice, one second apart.
 const BALANCER_GRACE: Duration = Duration::from_millis(2_400);
 
-/// The part of the configured grace period (`grace_s`) that is reserved for
-/// ending the process.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
 /// The interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -254,10 +250,12 @@
     tracing::info!(event = "stop", open = instance.open_requests.get());
     instance.stage.set(Stage::Leaving);
     instance.leaving_since.set(Some(began));
+    if let Some(queues) = &instance.wait_queues {
+        queues.wake_everyone();
+    }
     compio::time::sleep(BALANCER_GRACE).await;
     drop(stopping);
-    let grace = Duration::from_secs_f64(instance.fleet.grace_s);
-    let end = began + grace.saturating_sub(STOP_MARGIN);
+    let end = began + instance.stop_time();
     let has_duties =
         || instance.open_requests.get() > 0 || instance.held.get().is_some();
     while has_duties() && Instant::now() < end {
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -74,8 +74,9 @@
                     Reason::TimedOut
                 }
             };
-            request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, progress.retry_delay(&call))
+            let retry_in = progress.retry_delay(&call);
+            request_log::refused(&call, &progress, reason, retry_in);
+            refusal::answer(reason, retry_in)
         }
     }
 }
--- a/crates/sedgewalld/src/fleet/endpoint_choice.rs
+++ b/crates/sedgewalld/src/fleet/endpoint_choice.rs
@@ -79,15 +79,31 @@
         call: &'a CallerRequest,
         now: Instant,
     ) -> EndpointSearch<'a> {
+        let draw = xxh3_64(call.metadata.request_id.as_bytes());
         EndpointSearch {
             instance,
             call,
-            permits: Permits::default(),
-            draw: xxh3_64(call.metadata.request_id.as_bytes()),
+            permits: Permits::new(draw),
+            draw,
             load_wait_end: now + LOAD_WAIT,
         }
     }
 
+    /// Changes the random number by which a plain service admits the request
+    /// and by which its endpoint is chosen.
+    ///
+    /// Admission depends on the load and the number. With the same number for
+    /// its whole wait, the head of a queue could keep back requests that the
+    /// service would admit.
+    pub(crate) fn redraw(&mut self) {
+        self.draw = xxh3_64(&self.draw.to_le_bytes());
+    }
+
+    /// Ends the wait for an engine on which the answer would begin sooner.
+    pub(crate) fn end_load_wait(&mut self, at: Instant) {
+        self.load_wait_end = self.load_wait_end.min(at);
+    }
+
     /// Looks for an endpoint among those that the request was not sent to.
     pub(crate) fn look(
         &mut self,
--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -84,6 +84,11 @@
             let took = self.began.elapsed();
             view.observe_residence_time(&self.endpoint, self.load, took);
         }
+        if let Some(queues) = &self.instance.wait_queues
+            && let Some(state) = view.get(&self.endpoint)
+        {
+            queues.wake_service(&state.endpoint.service);
+        }
     }
 }
 
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -29,7 +29,9 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{Store, StoreError, store::StoreEra};
+use sedgewall_platform::{
+    Store, StoreError, contracts::Features, store::StoreEra,
+};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -38,7 +40,7 @@
 
 use super::{
     keys::Keys, notify::Notify, peers::ObservedAddress,
-    watch_poison::PoisonRecords,
+    wait_queues::WaitQueues, watch_poison::PoisonRecords,
 };
 
 /// The number of consecutive notes of the lease holder that may be lost before
@@ -52,6 +54,10 @@
 /// The number of remembered adapter requests above which old ones are dropped.
 const MAX_REMEMBERED_REQUESTS: usize = 512;
 
+/// The part of the configured grace period (`grace_s`) that is reserved for
+/// ending the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// The lifecycle stage of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -232,6 +238,9 @@
     pub(crate) open_requests: Cell<usize>,
     /// Requests that wait for each adapter.
     adapter_waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
+    /// The queues of requests that wait for an endpoint, if waiting is
+    /// ordered.
+    pub(crate) wait_queues: Option<WaitQueues>,
     planner_notify: Notify,
     pub(super) catch_up_notify: Notify,
     notes_notify: Notify,
@@ -290,6 +299,11 @@
             false => RetryBudget::new(allowance),
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
+        let features = Features::of_contracts(&fleet.contracts);
+        let has_queues =
+            fleet.ordered_waiting.unwrap_or(features.has_ordered_waiting);
+        let wait_queues =
+            has_queues.then(|| WaitQueues::new(settings.limits.requests));
         let view = FleetView::new(&settings.zone);
         let pool = EndpointPool::new();
         Rc::new(FleetInstance {
@@ -341,6 +355,7 @@
             peer_pool: EndpointPool::new(),
             open_requests: Cell::new(0),
             adapter_waiters: RefCell::default(),
+            wait_queues,
             planner_notify: Notify::default(),
             catch_up_notify: Notify::default(),
             notes_notify: Notify::default(),
@@ -364,6 +379,12 @@
         })
     }
 
+    /// Returns how long a planned stop may take until it is cut off.
+    pub(crate) fn stop_time(&self) -> Duration {
+        let grace = Duration::from_secs_f64(self.fleet.grace_s);
+        grace.saturating_sub(STOP_MARGIN)
+    }
+
     pub(crate) fn id(&self) -> &InstanceId {
         &self.settings.instance
     }
@@ -565,15 +586,22 @@
             // ended.
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_adapter(key);
+        }
     }
 
-    /// Wakes all requests that wait for an adapter.
+    /// Wakes all requests that wait for an adapter, and the heads of all
+    /// queues.
     pub(crate) fn wake_all(&self) {
         let waiting: Vec<_> =
             self.adapter_waiters.borrow_mut().drain().collect();
         for tx in waiting.into_iter().flat_map(|(_, waiters)| waiters) {
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_all();
+        }
     }
 
     /// Makes all watched kinds be listed again, except the one that was just
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod relay;
 mod request_log;
 mod retries;
+mod wait_queues;
 mod waiting;
 mod watch_configuration;
 mod watch_endpoints;
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -115,6 +115,9 @@
             record_customer_demand(instance, &status, now);
             announcements::apply_limit_reports(instance, &status, now);
             instance.view.borrow_mut().apply_status(status, now);
+            if let Some(queues) = &instance.wait_queues {
+                queues.note_received(now);
+            }
         }
         Note::Departed(departure) => {
             apply_departure(instance, &departure, now)
@@ -437,6 +440,9 @@
             instance.view.borrow_mut().forget_limits(now);
             instance.view.borrow_mut().forget_cooldowns(now);
             instance.forget_saturated(now);
+            if let Some(queues) = &instance.wait_queues {
+                queues.forget(now);
+            }
             instance.catch_up.borrow_mut().forget(now);
             instance.poison.borrow_mut().forget(now);
             watch_poison::update_watcher_role(&instance);
--- a/crates/sedgewalld/src/fleet/permits.rs
+++ b/crates/sedgewalld/src/fleet/permits.rs
@@ -28,13 +28,19 @@
 }
 
 /// The permits that one request has asked for.
-#[derive(Default)]
 pub(crate) struct Permits {
+    /// The random number that decides about permits. It stays the same for
+    /// all searches of a request, so that waiting does not raise its chance.
+    draw: u64,
     /// Endpoints at which the request was counted as demand.
     counted_as_demand: Vec<EndpointId>,
 }
 
 impl Permits {
+    pub(crate) fn new(draw: u64) -> Permits {
+        Permits { draw, counted_as_demand: Vec::new() }
+    }
+
     /// Selects an endpoint that may receive the request now.
     pub(crate) fn choose(
         &mut self,
@@ -66,7 +72,7 @@
                 view.record_demand(&id, now);
                 self.counted_as_demand.push(id.clone());
             }
-            let hash = xxh3_64_with_seed(id.as_bytes(), need.draw);
+            let hash = xxh3_64_with_seed(id.as_bytes(), self.draw);
             let request = PermitRequest {
                 draw: hash as f64 / u64::MAX as f64,
                 instances,
--- a/crates/sedgewalld/src/fleet/progress.rs
+++ b/crates/sedgewalld/src/fleet/progress.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use sedgewall_fleet::wait_policy::retry_delay;
+use sedgewall_fleet::{
+    wait_policy::{retry_delay, retry_delay_in_turn},
+    wait_queue::ExpectedWait,
+};
 use sedgewall_state::id::EndpointId;
 
 use super::attempt::{CallerRequest, hash_fraction};
@@ -19,6 +22,9 @@
     /// If the wait for an endpoint was given up: the time until an endpoint is
     /// expected to take the request, if that is known.
     pub(crate) available_in: Option<Duration>,
+    /// If the request was rejected from a queue: the position for the caller's
+    /// retry.
+    pub(crate) turn: Option<ExpectedWait>,
 }
 
 impl Progress {
@@ -26,6 +32,11 @@
     /// retry.
     pub(crate) fn retry_delay(&self, call: &CallerRequest) -> Duration {
         let draw = hash_fraction(&call.metadata.request_id);
-        retry_delay(call.left(), self.available_in, draw)
+        match (self.available_in, self.turn) {
+            (None, Some(turn)) => {
+                retry_delay_in_turn(call.left(), turn.wait, draw)
+            }
+            (available_in, _) => retry_delay(call.left(), available_in, draw),
+        }
     }
 }
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -115,7 +115,10 @@
     /// Returns the delay after which a retry is worthwhile, or none if no
     /// retry is. `longest_delay` suits the caller's time limit and the time
     /// until an endpoint is expected to take the request, if that is known.
-    fn retry_after(self, longest_delay: Duration) -> Option<Duration> {
+    pub(crate) fn retry_after(
+        self,
+        longest_delay: Duration,
+    ) -> Option<Duration> {
         match self {
             // These causes last for seconds: until a load has had its turn, or
             // an outage or a restart is over. Callers retry only once or
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -134,7 +134,9 @@
     call: &CallerRequest,
     progress: &Progress,
     reason: Reason,
+    retry_in: Duration,
 ) {
+    let retry_in = progress.turn.map(|_| reason.retry_after(retry_in));
     metrics::counter!("sedgewall_refused_total", "reason" => reason.name())
         .increment(1);
     tracing::info!(
@@ -151,5 +153,7 @@
         runs = progress.runs,
         is_later_try = call.is_later_try,
         held_ms = call.arrived.elapsed().as_millis() as u64,
+        queue_position = progress.turn.map(|turn| turn.position),
+        retry_in_ms = retry_in.flatten().map(|d| d.as_millis() as u64),
     );
 }
