Do not wake waiting requests after a rejected attempt; estimate stream times

A rejection by an endpoint makes no capacity available, and waking the next request would send the whole queue to a full endpoint. The latest time to send a streamed request now includes the mean duration of the route's streams.

--- a/crates/fleet/src/wait_queue.rs
+++ b/crates/fleet/src/wait_queue.rs
@@ -272,6 +272,13 @@
         }
     }
 
+    /// Lets a deferred request take its turn again.
+    pub fn end_deferral(&mut self, id: WaitId) {
+        if let Some(waiting) = self.waiting.get_mut(&id) {
+            waiting.is_deferred = false;
+        }
+    }
+
     /// Lets all deferred requests take their turns again.
     pub fn end_deferrals(&mut self) {
         for waiting in self.waiting.values_mut() {
--- a/crates/fleet/tests/wait_policy_rules.rs
+++ b/crates/fleet/tests/wait_policy_rules.rs
@@ -3,7 +3,12 @@
 use std::time::Duration;
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::wait_policy::{WaitReason, WaitingRequest, retry_delay};
+use sedgewall_fleet::{
+    residence_time::StreamTime,
+    wait_policy::{
+        MAX_WAIT, WaitReason, WaitingRequest, retry_delay, retry_delay_in_turn,
+    },
+};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -161,3 +166,58 @@
     let later_try = WaitingRequest { is_later_try: true, ..chat(now) };
     assert_eq!(later_try.wait_until(late, now), now);
 }
+
+/// Guards against a first try that is rejected although its answer is still
+/// possible, and against a request that waits when none is.
+#[test]
+fn in_a_queue_a_request_waits_while_an_answer_is_possible() {
+    let now = Instant::now();
+    let answer_time = ms(1_500);
+    let until =
+        |reason| chat(now).queued_until(reason, answer_time, now) - now;
+    assert_eq!(until(WaitReason::NoCapacity), ms(3_500));
+    assert_eq!(until(WaitReason::Saturated(ms(900))), ms(3_500));
+    assert_eq!(until(WaitReason::AdapterLoading(ms(900))), ms(3_500));
+    // A wait that is known to be too long is not started.
+    assert_eq!(until(WaitReason::Saturated(ms(3_600))), ms(0));
+    assert_eq!(until(WaitReason::AdapterLoading(ms(3_600))), ms(0));
+    // The weight store is the limit: a late load would make others late too.
+    assert_eq!(until(NOT_LOADED), ms(260));
+    for left in [0, 1_000, 4_000, 60_000] {
+        let request = WaitingRequest { deadline: now + ms(left), ..chat(now) };
+        let until =
+            request.queued_until(WaitReason::NoCapacity, answer_time, now);
+        let latest = ms(left).saturating_sub(answer_time).min(MAX_WAIT);
+        assert_eq!(until, now + latest);
+    }
+}
+
+/// Guards against callers that wait for a third of their time although their
+/// turn comes sooner, and against a retry time over that bound.
+#[test]
+fn the_retry_time_is_the_expected_turn_within_the_bound() {
+    let after = |wait| retry_delay_in_turn(ms(2_000), wait, 0.5);
+    assert_eq!(after(Some(ms(120))), ms(120));
+    let most = ms(2_000) / 3;
+    assert!(after(Some(ms(1_900))) <= most && after(None) <= most);
+}
+
+/// Guards against callers that read slowly: with their streams in the mean,
+/// other requests would be rejected although they could still be answered.
+#[test]
+fn a_slowly_read_stream_hardly_changes_the_expected_stream_time() {
+    let mut time = StreamTime::default();
+    assert_eq!(time.mean(), None);
+    for n in 0..200 {
+        time.observe(if n % 20 == 19 { ms(60_000) } else { ms(500) });
+    }
+    let mean = time.mean().expect("a mean");
+    assert!((ms(500)..ms(600)).contains(&mean), "{mean:?}");
+    // Streams that last longer are learned, also after very short ones.
+    let mut time = StreamTime::default();
+    time.observe(Duration::ZERO);
+    for _ in 0..300 {
+        time.observe(ms(800));
+    }
+    assert!(time.mean().is_some_and(|mean| mean > ms(600)), "{time:?}");
+}
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -232,6 +232,9 @@
         }
     };
     in_flight_guard.response_started();
+    if ended.as_ref().is_err_and(AttemptError::is_not_run) {
+        in_flight_guard.rejected();
+    }
     if ended.is_ok() && call.key().is_some() {
         let tokens = target.unread_tokens + prompt_tokens;
         let mut view = instance.view.borrow_mut();
--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -26,6 +26,8 @@
     /// The number of requests per slot at the endpoint before this one, as far
     /// as this instance knew.
     load: f64,
+    /// Whether the endpoint rejected the request or was not reached.
+    is_rejected: bool,
 }
 
 impl InFlightGuard {
@@ -59,9 +61,18 @@
             unread_tokens: prompt_tokens,
             began: Instant::now(),
             load,
+            is_rejected: false,
         }
     }
 
+    /// Records that the endpoint rejected the request or was not reached. The
+    /// end of this attempt makes no capacity available, and the requests that
+    /// wait are not woken by it. They would be sent to a full endpoint one
+    /// after the other.
+    pub(crate) fn rejected(&mut self) {
+        self.is_rejected = true;
+    }
+
     /// Records that the response has begun, which means that prefill of the
     /// prompt is done.
     pub(crate) fn response_started(&mut self) {
@@ -85,6 +96,7 @@
             view.observe_residence_time(&self.endpoint, self.load, took);
         }
         if let Some(queues) = &self.instance.wait_queues
+            && !self.is_rejected
             && let Some(state) = view.get(&self.endpoint)
         {
             queues.wake_service(&state.endpoint.service);
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -22,6 +22,7 @@
     poison::PoisonDetector,
     rate_limiter::RateLimiter,
     recent_successes::RecentSuccesses,
+    residence_time::StreamTime,
     retry_budget::{RetryAllowance, RetryBudget},
     route::RoutingConfiguration,
     store_reachability::{CallFailure, StoreReachability},
@@ -192,6 +193,8 @@
     pub(crate) suspicions: RefCell<Suspicions>,
     /// The longest time limit that a caller stated, by route.
     longest_time_limits: RefCell<HashMap<String, Duration>>,
+    /// The duration of streams, by route.
+    stream_times: RefCell<HashMap<String, StreamTime>>,
     /// When the lease holder was last asked for each adapter.
     last_requested: RefCell<HashMap<AdapterKey, Instant>>,
     /// This instance's use of the retry budget that all instances share.
@@ -331,6 +334,7 @@
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             longest_time_limits: RefCell::default(),
+            stream_times: RefCell::default(),
             last_requested: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
@@ -531,10 +535,29 @@
         *known
     }
 
-    /// Clears the longest time limits of all routes, because a new
-    /// configuration may change them.
+    /// Clears the longest time limits and the stream times of all routes,
+    /// because a new configuration may change them.
     pub(crate) fn clear_time_limits(&self) {
         self.longest_time_limits.borrow_mut().clear();
+        self.stream_times.borrow_mut().clear();
+    }
+
+    /// Records the time from the headers to the end of a stream of a route.
+    pub(crate) fn observe_stream_time(&self, route: &str, took: Duration) {
+        let mut times = self.stream_times.borrow_mut();
+        match times.get_mut(route) {
+            Some(time) => time.observe(took),
+            None => {
+                let time = times.entry(route.to_owned()).or_default();
+                time.observe(took);
+            }
+        }
+    }
+
+    /// Returns the mean time from the headers to the end of a stream of a
+    /// route, or `None` if none has ended yet.
+    pub(crate) fn mean_stream_time(&self, route: &str) -> Option<Duration> {
+        self.stream_times.borrow().get(route)?.mean()
     }
 
     /// Asks the lease holder for an adapter that a request of the given
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -153,6 +153,8 @@
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
         poison::run_succeeded(&self.instance, &self.call);
+        let took = self.call.arrived.elapsed() - self.head_time;
+        self.instance.observe_stream_time(&self.call.route.name, took);
         request_log::served(
             &self.call,
             &self.progress,
--- a/crates/sedgewalld/src/fleet/wait_queues.rs
+++ b/crates/sedgewalld/src/fleet/wait_queues.rs
@@ -246,6 +246,7 @@
         let (tx, rx) = oneshot::channel();
         self.state.borrow_mut().wakers.insert(id, tx);
         let _ = compio::time::timeout(within, rx).await;
+        self.state.borrow_mut().queue.end_deferral(id);
     }
 
     /// Records that the request is sent to an endpoint.
--- a/crates/sedgewalld/src/fleet/waiting.rs
+++ b/crates/sedgewalld/src/fleet/waiting.rs
@@ -198,9 +198,15 @@
         let request = waiting_request(instance, call);
         let target = request.target;
         let (answer_time, target_time) = match call.key() {
-            // How long the events after the first one take is not known. The
-            // target is a margin for them, as without ordered waiting.
-            Some(_) => (request.engine_time.max(target), request.engine_time),
+            Some(_) => {
+                let begins = request.engine_time;
+                let stream_time = instance.mean_stream_time(&call.route.name);
+                // Before a stream of the route has ended, the target is the
+                // margin for its events, as without ordered waiting.
+                let ends = stream_time
+                    .map_or(begins.max(target), |time| begins + time);
+                (ends, begins)
+            }
             None => {
                 let view = instance.view.borrow();
                 let mean = view.mean_residence_time(&call.service);
