--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -30,6 +30,8 @@
     load: f64,
     /// The service, if the request is counted as a short one for engine pools.
     short_at: Option<ServiceName>,
+    /// Whether the endpoint rejected the request or was not reached.
+    is_rejected: bool,
 }
 
 impl InFlightGuard {
@@ -73,9 +75,18 @@
             began: Instant::now(),
             load,
             short_at,
+            is_rejected: false,
         }
     }
 
+    /// Records that the endpoint rejected the request or was not reached. The
+    /// end of this attempt makes no capacity available, and the requests that
+    /// wait are not woken by it. They would be sent to a full endpoint one
+    /// after the other.
+    pub(crate) fn rejected(&mut self) {
+        self.is_rejected = true;
+    }
+
     /// Records that the response has begun, which means that prefill of the
     /// prompt is done.
     pub(crate) fn response_started(&mut self) {
@@ -101,6 +112,12 @@
             let took = self.began.elapsed();
             view.observe_residence_time(&self.endpoint, self.load, took);
         }
+        if let Some(queues) = &self.instance.wait_queues
+            && !self.is_rejected
+            && let Some(state) = view.get(&self.endpoint)
+        {
+            queues.wake_service(&state.endpoint.service);
+        }
     }
 }
 
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -25,6 +25,7 @@
     poison::PoisonDetector,
     rate_limiter::RateLimiter,
     recent_successes::RecentSuccesses,
+    residence_time::StreamTime,
     retry_budget::{RetryAllowance, RetryBudget},
     route::RoutingConfiguration,
     store_reachability::{CallFailure, StoreReachability},
@@ -32,7 +33,9 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{Store, StoreError, store::StoreEra};
+use sedgewall_platform::{
+    Store, StoreError, contracts::Features, store::StoreEra,
+};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -41,7 +44,7 @@
 
 use super::{
     keys::Keys, notify::Notify, peers::ObservedAddress,
-    watch_poison::PoisonRecords,
+    wait_queues::WaitQueues, watch_poison::PoisonRecords,
 };
 
 /// The number of consecutive notes of the lease holder that may be lost before
@@ -55,6 +58,10 @@
 /// The number of remembered adapter requests above which old ones are dropped.
 const MAX_REMEMBERED_REQUESTS: usize = 512;
 
+/// The part of the configured grace period (`grace_s`) that is reserved for
+/// ending the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// The lifecycle stage of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -212,6 +219,8 @@
     pub(crate) suspicions: RefCell<Suspicions>,
     /// The longest time limit that a caller stated, by route.
     longest_time_limits: RefCell<HashMap<String, Duration>>,
+    /// The duration of streams, by route.
+    stream_times: RefCell<HashMap<String, StreamTime>>,
     /// When the lease holder was last asked for each adapter, by class if the
     /// engines are split.
     last_requested:
@@ -260,6 +269,9 @@
     pub(crate) open_requests: Cell<usize>,
     /// Requests that wait for each adapter.
     adapter_waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
+    /// The queues of requests that wait for an endpoint, if waiting is
+    /// ordered.
+    pub(crate) wait_queues: Option<WaitQueues>,
     planner_notify: Notify,
     pub(super) catch_up_notify: Notify,
     notes_notify: Notify,
@@ -318,6 +330,11 @@
             false => RetryBudget::new(allowance),
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
+        let features = Features::of_contracts(&fleet.contracts);
+        let has_queues =
+            fleet.ordered_waiting.unwrap_or(features.has_ordered_waiting);
+        let wait_queues =
+            has_queues.then(|| WaitQueues::new(settings.limits.requests));
         let view = FleetView::new(&settings.zone);
         let pool = EndpointPool::new();
         Rc::new(FleetInstance {
@@ -347,6 +364,7 @@
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             longest_time_limits: RefCell::default(),
+            stream_times: RefCell::default(),
             last_requested: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
@@ -371,6 +389,7 @@
             peer_pool: EndpointPool::new(),
             open_requests: Cell::new(0),
             adapter_waiters: RefCell::default(),
+            wait_queues,
             planner_notify: Notify::default(),
             catch_up_notify: Notify::default(),
             notes_notify: Notify::default(),
@@ -394,6 +413,12 @@
         })
     }
 
+    /// Returns how long a planned stop may take until it is cut off.
+    pub(crate) fn stop_time(&self) -> Duration {
+        let grace = Duration::from_secs_f64(self.fleet.grace_s);
+        grace.saturating_sub(STOP_MARGIN)
+    }
+
     pub(crate) fn id(&self) -> &InstanceId {
         &self.settings.instance
     }
@@ -540,10 +565,29 @@
         *known
     }
 
-    /// Clears the longest time limits of all routes, because a new
-    /// configuration may change them.
+    /// Clears the longest time limits and the stream times of all routes,
+    /// because a new configuration may change them.
     pub(crate) fn clear_time_limits(&self) {
         self.longest_time_limits.borrow_mut().clear();
+        self.stream_times.borrow_mut().clear();
+    }
+
+    /// Records the time from the headers to the end of a stream of a route.
+    pub(crate) fn observe_stream_time(&self, route: &str, took: Duration) {
+        let mut times = self.stream_times.borrow_mut();
+        match times.get_mut(route) {
+            Some(time) => time.observe(took),
+            None => {
+                let time = times.entry(route.to_owned()).or_default();
+                time.observe(took);
+            }
+        }
+    }
+
+    /// Returns the mean time from the headers to the end of a stream of a
+    /// route, or `None` if none has ended yet.
+    pub(crate) fn mean_stream_time(&self, route: &str) -> Option<Duration> {
+        self.stream_times.borrow().get(route)?.mean()
     }
 
     /// Asks the lease holder for an adapter that a request of the given
@@ -607,15 +651,22 @@
             // ended.
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_adapter(key);
+        }
     }
 
-    /// Wakes all requests that wait for an adapter.
+    /// Wakes all requests that wait for an adapter, and the heads of all
+    /// queues.
     pub(crate) fn wake_all(&self) {
         let waiting: Vec<_> =
             self.adapter_waiters.borrow_mut().drain().collect();
         for tx in waiting.into_iter().flat_map(|(_, waiters)| waiters) {
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_all();
+        }
     }
 
     /// Makes all watched kinds be listed again, except the one that was just
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -14,10 +14,11 @@
 
 use super::{
     attempt::{CallerRequest, GoodAnswer},
-    caller::{self, Progress},
     in_flight::{InFlightGuard, OpenRequestGuard},
     instance::FleetInstance,
-    poison, request_log,
+    poison,
+    progress::Progress,
+    request_log, retries,
 };
 
 /// A lower bound of a stream's idle timeout.
@@ -159,6 +160,8 @@
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
         poison::run_succeeded(&self.instance, &self.call);
+        let took = self.call.arrived.elapsed() - self.head_time;
+        self.instance.observe_stream_time(&self.call.route.name, took);
         request_log::served(
             &self.call,
             &self.progress,
@@ -191,7 +194,7 @@
         framer.discard_partial();
         let last_event = framer.last_id().map(str::to_owned);
         let call = self.call.clone();
-        let found = caller::send_with_retries(
+        let found = retries::send_with_retries(
             &self.instance,
             &call,
             &mut self.progress,
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -9,9 +9,9 @@
 
 use super::{
     attempt::{AttemptError, CallerRequest},
-    caller::Progress,
     instance::FleetInstance,
     poison,
+    progress::Progress,
     refusal::Reason,
 };
 
@@ -155,7 +155,9 @@
     call: &CallerRequest,
     progress: &Progress,
     reason: Reason,
+    retry_in: Duration,
 ) {
+    let retry_in = progress.turn.map(|_| reason.retry_after(retry_in));
     metrics::counter!("sedgewall_refused_total", "reason" => reason.name())
         .increment(1);
     tracing::info!(
@@ -172,5 +174,7 @@
         runs = progress.runs,
         is_later_try = call.is_later_try,
         held_ms = call.arrived.elapsed().as_millis() as u64,
+        queue_position = progress.turn.map(|turn| turn.position),
+        retry_in_ms = retry_in.flatten().map(|d| d.as_millis() as u64),
     );
 }
