Bound the bytes held for slow readers, and read responses ahead

A budget per instance covers the bodies of requests and the unread parts of responses. A response whose caller stops reading is read ahead by a task, so that its endpoint does not abort it.

--- a/crates/sedgewalld/src/fleet/admit.rs
+++ b/crates/sedgewalld/src/fleet/admit.rs
@@ -116,8 +116,18 @@
     call: &CallerRequest,
 ) {
     let Some(customer) = &call.customer else { return };
-    let Some(allowance) = customer.allowance else { return };
     let tokens = call.metadata.prompt_tokens + call.metadata.answer_tokens;
+    refund_tokens(instance, customer, tokens);
+}
+
+/// Returns the tokens of a request that did not run to its customer's
+/// allowance.
+pub(super) fn refund_tokens(
+    instance: &FleetInstance,
+    customer: &Customer,
+    tokens: u64,
+) {
+    let Some(allowance) = customer.allowance else { return };
     let units = allowance.unit.count(tokens);
     instance.rate_limiter.borrow_mut().refund(customer, units);
 }
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -30,6 +30,7 @@
 
 use super::{
     announcements,
+    buffers::Reserved,
     in_flight::InFlightGuard,
     instance::{FleetInstance, ObservedLoad},
     poison,
@@ -46,6 +47,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The reservation for the body, if there is a budget.
+    pub(crate) _body_reserved: Option<Reserved>,
     pub(crate) route: Route,
     /// The configuration by which the request was routed.
     pub(crate) decided_by: ConfigurationStatus,
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
@@ -23,31 +23,26 @@
 };
 use sedgewall_platform::{RequestMetadata, call::caller_response_headers};
 use sedgewall_state::id::EndpointId;
-use sedgewall_transport::{
-    LocalBody,
-    server::{BodyError, read_body},
-};
+use sedgewall_transport::{LocalBody, SendError};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     admit::{
         AdmissionQuery, Admitted, admit_by_newest, charge_allowance,
-        refund_allowance,
+        refund_allowance, refund_tokens,
     },
     attempt::{
         self, AttemptError, CallerRequest, GoodAnswer, SendLimits, SentTo,
     },
+    delivery,
     in_flight::OpenRequestGuard,
     instance::{FleetInstance, Stage},
     permits::{Permits, PermittedChoice},
     poison,
     refusal::{self, Reason},
-    relay, request_log,
+    relay, request_body, request_log,
 };
 
-/// The timeout for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The time limit of a request whose caller states none.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(10);
 
@@ -173,12 +168,14 @@
         })?;
     }
     let most = routing.limits.body_bytes;
-    let body = read_body(body, most, BODY_TIMEOUT).await.map_err(|err| {
-        refuse(match err {
-            BodyError::TooLong(_) => Reason::BodyTooLong,
-            BodyError::TooSlow(_) | BodyError::Broken(_) => Reason::BodyBroken,
-        })
-    })?;
+    let (body, body_reserved) = request_body::read(instance, body, most)
+        .await
+        .map_err(|reason| {
+            if let (Reason::BufferFull, Some(customer)) = (reason, &customer) {
+                refund_tokens(instance, customer, tokens);
+            }
+            refuse(reason)
+        })?;
     let time_limit = metadata.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
     let deadline = arrived + time_limit.min(route.timeout) - ANSWER_MARGIN;
     let longest = instance.longest_time_limit(&route.name, time_limit);
@@ -195,6 +192,7 @@
         uri: origin_form(head.uri),
         headers: head.headers,
         body,
+        _body_reserved: body_reserved,
         route,
         decided_by,
         service,
@@ -561,6 +559,12 @@
         *response.headers_mut() = headers;
         return response;
     }
+    if let Some(buffers) = &instance.buffers {
+        return delivery::forward_whole(
+            buffers, instance, call, progress, good, target, open,
+        )
+        .await;
+    }
     let head_time = call.arrived.elapsed();
     let whole =
         compio::time::timeout(call.left(), good.answer.collect()).await;
@@ -571,29 +575,54 @@
                 bytes: body.len(),
                 longest_pause: Duration::ZERO,
             };
-            request_log::served(&call, &progress, &target, &delivered);
-            if status.is_success() {
-                poison::run_succeeded(instance, &call);
-            }
+            served_whole(
+                instance, &call, &progress, &target, status, &delivered,
+            );
             let mut response = Response::new(LocalBody::full(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
             response
         }
-        Ok(Err(_)) | Err(_) => {
-            let reason = match &whole {
-                Ok(Err(err)) => {
-                    let cause = err.to_string();
-                    poison::run_broken(instance, &call, &target, &cause);
-                    Reason::OutcomeUnknown
-                }
-                _ => {
-                    poison::run_lost(instance, &call, Loss::Broken);
-                    Reason::TimedOut
-                }
-            };
-            request_log::refused(&call, &progress, reason);
-            refusal::answer(reason, retry_delay_of(&call, &progress))
-        }
+        Ok(Err(err)) => lost(instance, &call, &progress, &target, Some(err)),
+        Err(_) => lost(instance, &call, &progress, &target, None),
+    }
+}
+
+/// Records that an endpoint's whole response was read.
+pub(super) fn served_whole(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    status: StatusCode,
+    delivered: &request_log::Delivered,
+) {
+    request_log::served(call, progress, target, delivered);
+    if status.is_success() {
+        poison::run_succeeded(instance, call);
     }
 }
+
+/// Returns the answer to a request whose response broke off, or did not arrive
+/// in time if there is no error.
+pub(super) fn lost(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    err: Option<SendError>,
+) -> Response<LocalBody> {
+    let reason = match err {
+        Some(err) => {
+            let cause = err.to_string();
+            poison::run_broken(instance, call, target, &cause);
+            Reason::OutcomeUnknown
+        }
+        None => {
+            poison::run_lost(instance, call, Loss::Broken);
+            Reason::TimedOut
+        }
+    };
+    request_log::refused(call, progress, reason);
+    refusal::answer(reason, retry_delay_of(call, progress))
+}
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    buffers::CONNECTION_BUFFER,
     caller, catch_up,
     instance::{FleetInstance, Stage},
     keys, leader, lease, list_watch,
@@ -106,6 +107,9 @@
     compio::runtime::spawn(notes::run_sender(instance.clone(), sender))
         .detach();
     compio::runtime::spawn(lease::run(instance.clone())).detach();
+    if let Some(buffers) = &instance.buffers {
+        compio::runtime::spawn(buffers.clone().watch_callers()).detach();
+    }
     compio::runtime::spawn(leader::run(instance.clone(), orders)).detach();
     compio::runtime::spawn(serve_callers(instance.clone(), callers, stop))
         .detach();
@@ -153,7 +157,9 @@
     stop: Stop,
 ) {
     let connections = instance.settings.limits.connections;
-    let limits = ServerLimits { connections, header_timeout: IDLE_TIMEOUT };
+    let max_buffer = instance.buffers.as_ref().map(|_| CONNECTION_BUFFER);
+    let limits =
+        ServerLimits { connections, header_timeout: IDLE_TIMEOUT, max_buffer };
     let handler: Handler = Rc::new(move |request| {
         Box::pin(caller::answer(instance.clone(), request))
     });
@@ -185,7 +191,11 @@
     metrics: PrometheusHandle,
 ) {
     let connections = OPERATOR_CONNECTIONS;
-    let limits = ServerLimits { connections, header_timeout: IDLE_TIMEOUT };
+    let limits = ServerLimits {
+        connections,
+        header_timeout: IDLE_TIMEOUT,
+        max_buffer: None,
+    };
     let handler: Handler = Rc::new(move |request| {
         let response = operator_answer(&instance, &metrics, &request);
         Box::pin(async move { response })
@@ -217,6 +227,10 @@
 fn update_gauges(instance: &FleetInstance) {
     metrics::gauge!("sedgewall_requests_open")
         .set(instance.open_requests.get() as f64);
+    if let Some(buffers) = &instance.buffers {
+        metrics::gauge!("sedgewall_buffered_bytes")
+            .set(buffers.held_bytes() as f64);
+    }
     let resident = process::resident_bytes();
     metrics::gauge!("sedgewall_resident_bytes").set(resident as f64);
     let cpu_s = process::cpu_ms() as f64 / 1_000.0;
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -0,0 +1,425 @@
+//! Delivery of responses to callers that may read slowly, under the budget of
+//! buffered bytes.
+//!
+//! While a caller reads as fast as its endpoint sends, its response is relayed
+//! without a buffer. Once it does not read for a while, a task reads the rest
+//! ahead, because endpoints abort a response that stays unread. If the limit or
+//! the budget is reached, that task stops reading, which holds the endpoint
+//! back. If the caller disconnects, the task and the relay are dropped, which
+//! closes the connection to the endpoint.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    future::poll_fn,
+    io,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compio::runtime::JoinHandle;
+use futures_util::stream;
+use http::{HeaderValue, Response, header};
+use sedgewall_clock::Instant;
+use sedgewall_fleet::view::Target;
+use sedgewall_platform::call::caller_response_headers;
+use sedgewall_transport::{LocalBody, SendError};
+
+use super::{
+    attempt::{CallerRequest, GoodAnswer},
+    buffers::{Buffers, CHECK_INTERVAL, Reserved},
+    caller::{self, Progress},
+    in_flight::OpenRequestGuard,
+    instance::FleetInstance,
+    notify::Notify,
+    relay::StreamRelay,
+    request_log,
+};
+
+/// The maximum number of bytes that are read ahead for one caller.
+const MAX_READ_AHEAD: u64 = 256 << 10;
+
+/// The bytes that a buffered chunk is counted for beyond its length, because
+/// the chunks of a stream are often shorter than what it takes to store them.
+const CHUNK_OVERHEAD: u64 = 64;
+
+/// A whole response up to this size is handed to the connection at once. It is
+/// no larger than what the connection buffers in any case.
+const SMALL_RESPONSE: u64 = 16 << 10;
+
+/// The interval at which a task that reads ahead checks for room in the
+/// budget.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// After the deadline, the response of a caller that has not read anything for
+/// this long is terminated. A caller that reads 10 KB a second takes 64 KB, the
+/// buffer of its connection, in less.
+const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// How long the connection to the caller stays open after its response was
+/// terminated, so that it can still take the events that it was handed.
+const FLUSH_TIME: Duration = Duration::from_secs(1);
+
+/// A response on its way to its caller.
+pub(crate) struct Delivery {
+    pub(super) reserved: Reserved,
+    call: Rc<CallerRequest>,
+    /// The relay while nobody reads from it.
+    relay: RefCell<Option<Box<StreamRelay>>>,
+    /// Whether a task reads ahead and has the relay.
+    is_reading_ahead: Cell<bool>,
+    reader: RefCell<Option<JoinHandle<()>>>,
+    chunks: RefCell<VecDeque<Chunk>>,
+    /// The bytes that are reserved for `chunks`.
+    reserved_bytes: Cell<u64>,
+    /// Notified when the caller has taken a chunk.
+    room_notify: Notify,
+    /// The caller's side, while it waits for a chunk that is read ahead.
+    waiting_caller: RefCell<Option<Waker>>,
+    /// For how many checks in a row the caller has not read.
+    idle_checks: Cell<u32>,
+    is_terminated: Rc<Cell<bool>>,
+}
+
+/// A chunk that its caller has not taken yet.
+struct Chunk {
+    bytes: io::Result<Bytes>,
+    reserved: u64,
+}
+
+/// Returns a body that forwards a stream's events.
+pub(super) fn stream_body(
+    buffers: &Rc<Buffers>,
+    relay: StreamRelay,
+) -> LocalBody {
+    let call = relay.call.clone();
+    let reserved = Reserved::open(buffers);
+    let delivery = Delivery::new(reserved, call, Some(relay), VecDeque::new());
+    body(delivery)
+}
+
+/// Reads a response that is not streamed to its end and returns it. If it does
+/// not fit the budget, its end is forwarded as it arrives.
+pub(super) async fn forward_whole(
+    buffers: &Rc<Buffers>,
+    instance: &Rc<FleetInstance>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    mut good: GoodAnswer,
+    target: Target,
+    open: OpenRequestGuard,
+) -> Response<LocalBody> {
+    let status = good.answer.status;
+    let mut headers = caller_response_headers(&good.answer.headers);
+    let head_time = call.arrived.elapsed();
+    let reserved = Reserved::open(buffers);
+    let mut chunks = VecDeque::new();
+    let reading = read_chunks(&reserved, &mut good, &mut chunks);
+    let read = compio::time::timeout(call.left(), reading).await;
+    let len = chunks.iter().map(Chunk::len).sum::<usize>();
+    let body = match read {
+        Ok(Ok(IsWhole(true))) => {
+            let delivered = request_log::Delivered {
+                head_time,
+                bytes: len,
+                longest_pause: Duration::ZERO,
+            };
+            caller::served_whole(
+                instance, &call, &progress, &target, status, &delivered,
+            );
+            if len as u64 <= SMALL_RESPONSE {
+                LocalBody::full(concat(chunks))
+            } else {
+                headers.insert(header::CONTENT_LENGTH, HeaderValue::from(len));
+                body(Delivery::new(reserved, call, None, chunks))
+            }
+        }
+        Ok(Ok(IsWhole(false))) => {
+            let relay = StreamRelay::after_chunks(
+                instance.clone(),
+                call.clone(),
+                progress,
+                good,
+                target,
+                open,
+                (head_time, len),
+            );
+            body(Delivery::new(reserved, call, Some(relay), chunks))
+        }
+        Ok(Err(err)) => {
+            let lost = Some(err);
+            return caller::lost(instance, &call, &progress, &target, lost);
+        }
+        Err(_) => {
+            return caller::lost(instance, &call, &progress, &target, None);
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Whether a response was read to its end.
+struct IsWhole(bool);
+
+/// Reads a response until its end, or until a chunk does not fit the budget.
+async fn read_chunks(
+    reserved: &Reserved,
+    good: &mut GoodAnswer,
+    chunks: &mut VecDeque<Chunk>,
+) -> Result<IsWhole, SendError> {
+    while let Some(bytes) = good.answer.body.next().await {
+        let mut chunk = Chunk::new(Ok(bytes?));
+        let fits = reserved.reserve(chunk.reserved);
+        if !fits {
+            chunk.reserved = 0;
+        }
+        chunks.push_back(chunk);
+        if !fits {
+            return Ok(IsWhole(false));
+        }
+    }
+    Ok(IsWhole(true))
+}
+
+fn concat(chunks: VecDeque<Chunk>) -> Bytes {
+    let mut parts: Vec<Bytes> =
+        chunks.into_iter().filter_map(|chunk| chunk.bytes.ok()).collect();
+    match parts.len() {
+        0 => Bytes::new(),
+        1 => parts.remove(0),
+        _ => parts.concat().into(),
+    }
+}
+
+fn body(delivery: Rc<Delivery>) -> LocalBody {
+    let side = CallerSide(delivery);
+    LocalBody::chunks(stream::unfold(side, |side| async move {
+        let item = side.0.next().await?;
+        Some((item, side))
+    }))
+}
+
+impl Chunk {
+    fn new(bytes: io::Result<Bytes>) -> Chunk {
+        let len = bytes.as_ref().map(|bytes| bytes.len() as u64);
+        let reserved = len.map_or(0, |len| len + CHUNK_OVERHEAD);
+        Chunk { bytes, reserved }
+    }
+
+    fn len(&self) -> usize {
+        self.bytes.as_ref().map_or(0, Bytes::len)
+    }
+}
+
+/// The side of a delivery that the caller's connection reads from. If it is
+/// dropped, the caller has left or has the whole response.
+struct CallerSide(Rc<Delivery>);
+
+impl Drop for CallerSide {
+    fn drop(&mut self) {
+        self.0.stop();
+    }
+}
+
+impl Delivery {
+    fn new(
+        reserved: Reserved,
+        call: Rc<CallerRequest>,
+        relay: Option<StreamRelay>,
+        chunks: VecDeque<Chunk>,
+    ) -> Rc<Delivery> {
+        let is_terminated: Rc<Cell<bool>> = Rc::default();
+        let relay = relay.map(|mut relay| {
+            relay.is_terminated = Some(is_terminated.clone());
+            Box::new(relay)
+        });
+        let reserved_bytes = chunks.iter().map(|chunk| chunk.reserved).sum();
+        let delivery = Rc::new(Delivery {
+            reserved,
+            call,
+            relay: RefCell::new(relay),
+            is_reading_ahead: Cell::new(false),
+            reader: RefCell::default(),
+            chunks: RefCell::new(chunks),
+            reserved_bytes: Cell::new(reserved_bytes),
+            room_notify: Notify::default(),
+            waiting_caller: RefCell::default(),
+            idle_checks: Cell::new(0),
+            is_terminated,
+        });
+        delivery.reserved.buffers().register(&delivery);
+        delivery
+    }
+
+    /// Returns the next chunk for the caller.
+    async fn next(&self) -> Option<io::Result<Bytes>> {
+        loop {
+            self.idle_checks.set(0);
+            if self.is_terminated.get() {
+                compio::time::sleep(FLUSH_TIME).await;
+                return Some(Err(io::Error::other("response terminated")));
+            }
+            if let Some(bytes) = self.take_chunk() {
+                return Some(bytes);
+            }
+            let relay = self.relay.borrow_mut().take();
+            if let Some(mut relay) = relay {
+                let item = relay.next().await;
+                *self.relay.borrow_mut() = Some(relay);
+                return item;
+            }
+            if !self.is_reading_ahead.get() {
+                return None;
+            }
+            self.room_notify.notify_waiting();
+            self.chunk_or_change().await;
+        }
+    }
+
+    fn take_chunk(&self) -> Option<io::Result<Bytes>> {
+        let chunk = self.chunks.borrow_mut().pop_front()?;
+        self.release(chunk.reserved);
+        self.room_notify.notify_waiting();
+        if self.chunks.borrow().is_empty()
+            && let Some(relay) = self.relay.borrow_mut().as_mut()
+        {
+            relay.log_if_served();
+        }
+        Some(chunk.bytes)
+    }
+
+    fn release(&self, bytes: u64) {
+        self.reserved_bytes.set(self.reserved_bytes.get() - bytes);
+        self.reserved.release(bytes);
+    }
+
+    /// Waits until [`Delivery::wake_caller`] is called.
+    async fn chunk_or_change(&self) {
+        let mut has_waited = false;
+        poll_fn(|cx| {
+            let mut waiting = self.waiting_caller.borrow_mut();
+            if has_waited && waiting.is_none() {
+                return Poll::Ready(());
+            }
+            has_waited = true;
+            *waiting = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    fn wake_caller(&self) {
+        if let Some(waker) = self.waiting_caller.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Begins to read ahead if the caller has not read since the last check,
+    /// and terminates the response if the caller has stopped reading for good.
+    pub(super) fn check_caller(self: &Rc<Delivery>) {
+        let is_at_rest = self.relay.borrow().is_some();
+        if !is_at_rest && self.chunks.borrow().is_empty() {
+            // The caller waits for the endpoint.
+            return;
+        }
+        let idle_checks = self.idle_checks.get() + 1;
+        self.idle_checks.set(idle_checks);
+        if idle_checks < 2 || self.is_terminated.get() {
+            return;
+        }
+        let is_overdue = Instant::now() >= self.call.deadline;
+        if is_overdue && CHECK_INTERVAL * idle_checks >= CALLER_STALL_TIMEOUT {
+            self.terminate("caller_stalled");
+            return;
+        }
+        let relay = self.relay.borrow_mut().take_if(|relay| !relay.is_over());
+        if let Some(relay) = relay {
+            self.is_reading_ahead.set(true);
+            let reading = self.clone().read_ahead(relay);
+            let reader = compio::runtime::spawn(reading);
+            *self.reader.borrow_mut() = Some(reader);
+        }
+    }
+
+    /// Reads until the end of the response, or until the caller has taken
+    /// everything and waits for more.
+    async fn read_ahead(self: Rc<Delivery>, mut relay: Box<StreamRelay>) {
+        relay.set_reading_ahead(true);
+        while let Some(item) = relay.next().await {
+            if self.push(Chunk::new(item)).await {
+                break;
+            }
+        }
+        relay.set_reading_ahead(false);
+        *self.relay.borrow_mut() = Some(relay);
+        self.is_reading_ahead.set(false);
+        self.wake_caller();
+    }
+
+    /// Adds a chunk once there is room for it. Returns whether the caller had
+    /// taken everything and waited for this chunk.
+    async fn push(&self, mut chunk: Chunk) -> bool {
+        loop {
+            let is_awaited = self.waiting_caller.borrow().is_some()
+                && self.chunks.borrow().is_empty();
+            let reserved_bytes = self.reserved_bytes.get();
+            let fits = reserved_bytes + chunk.reserved <= MAX_READ_AHEAD
+                || reserved_bytes == 0;
+            if is_awaited {
+                chunk.reserved = 0;
+            }
+            if is_awaited
+                || fits && self.reserved.reserve_spare(chunk.reserved)
+            {
+                self.reserved_bytes.set(reserved_bytes + chunk.reserved);
+                self.chunks.borrow_mut().push_back(chunk);
+                self.wake_caller();
+                return is_awaited;
+            }
+            self.room_notify.wait(ROOM_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Terminates the response, whose bytes the budget no longer counts.
+    pub(super) fn evict(&self) {
+        metrics::counter!("sedgewall_buffer_evictions_total").increment(1);
+        self.terminate("evicted");
+    }
+
+    /// Ends the response after the last chunk that its caller has taken. The
+    /// chunks of a resumable stream end where an event does.
+    fn terminate(&self, cause: &str) {
+        let buffers = self.reserved.buffers();
+        tracing::warn!(
+            event = "response_terminated",
+            request = self.call.metadata.request_id,
+            route = self.call.route.name,
+            endpoint = self.call.sent_to.borrow().as_ref().map(|to| &to.endpoint),
+            cause,
+            bytes = self.reserved_bytes.get(),
+            buffered_bytes = buffers.held_bytes(),
+            budget_bytes = buffers.limit(),
+            held_ms = self.call.arrived.elapsed().as_millis() as u64,
+        );
+        self.is_terminated.set(true);
+        self.stop();
+        self.wake_caller();
+    }
+
+    /// Drops what the caller has not taken. Dropping the relay closes the
+    /// connection to the endpoint.
+    fn stop(&self) {
+        let reader = self.reader.borrow_mut().take();
+        drop(reader);
+        self.is_reading_ahead.set(false);
+        let relay = self.relay.borrow_mut().take();
+        drop(relay);
+        let chunks = std::mem::take(&mut *self.chunks.borrow_mut());
+        self.release(self.reserved_bytes.get());
+        drop(chunks);
+    }
+}
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -37,6 +37,7 @@
 use sedgewall_transport::EndpointPool;
 
 use super::{
+    buffers::{self, Buffers, CONNECTION_BUFFER},
     keys::Keys, notify::Notify, peers::ObservedAddress,
     watch_poison::PoisonRecords,
 };
@@ -208,6 +209,8 @@
     /// This instance's lease on orders, if it holds it.
     pub(crate) held: Cell<Option<HeldLease>>,
     pub(crate) pool: EndpointPool,
+    /// The bytes held for callers and endpoints, if they have a budget.
+    pub(crate) buffers: Option<Rc<Buffers>>,
     /// Evidence of requests that crash endpoints.
     pub(crate) poison: RefCell<PoisonDetector>,
     /// Requests that succeeded here lately, as hashes with a key of this
@@ -291,7 +294,11 @@
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
         let view = FleetView::new(&settings.zone);
-        let pool = EndpointPool::new();
+        let buffers = buffers::budget_bytes(&fleet).map(Buffers::new);
+        let pool = match buffers {
+            Some(_) => EndpointPool::with_max_buffer(CONNECTION_BUFFER),
+            None => EndpointPool::new(),
+        };
         Rc::new(FleetInstance {
             settings,
             fleet,
@@ -328,6 +335,7 @@
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
             pool,
+            buffers,
             poison: RefCell::default(),
             recent_successes: RefCell::new(RecentSuccesses::new(
                 Instant::now(),
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -37,6 +37,8 @@
     BodyTooLong,
     /// The body did not arrive in time, or broke off.
     BodyBroken,
+    /// The body does not fit the budget of buffered bytes.
+    BufferFull,
     /// The adapter is on no engine and will not be loaded in time.
     AdapterAbsent,
     /// All endpoints that could serve the request are full.
@@ -73,6 +75,7 @@
             Reason::OverAllowance(_) => "over_allowance",
             Reason::BodyTooLong => "body_too_long",
             Reason::BodyBroken => "body_broken",
+            Reason::BufferFull => "buffer_full",
             Reason::AdapterAbsent => "adapter_absent",
             Reason::Full => "full",
             Reason::NobodyThere => "nobody_there",
@@ -135,6 +138,7 @@
             Reason::CrashesEndpoints(released_in) => Some(released_in),
             // Another instance may be able to serve the request.
             Reason::TooLate
+            | Reason::BufferFull
             | Reason::KeysUnsure
             | Reason::ConfigurationBehind => {
                 Some(longest_delay.min(SHORT_RETRY_DELAY))
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -4,7 +4,7 @@
 //! the last complete event. Any other stream ends where it broke, and never
 //! looks complete.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -15,6 +15,7 @@
 use super::{
     attempt::{CallerRequest, GoodAnswer},
     caller::{self, Progress},
+    delivery,
     in_flight::{InFlightGuard, OpenRequestGuard},
     instance::FleetInstance,
     poison, request_log,
@@ -31,13 +32,15 @@
 /// between events that is in time.
 const IDLE_TIMEOUT_GAPS: u32 = 8;
 
-struct StreamRelay {
+pub(super) struct StreamRelay {
     instance: Rc<FleetInstance>,
-    call: Rc<CallerRequest>,
+    pub(super) call: Rc<CallerRequest>,
     progress: Progress,
     target: Target,
     body: PooledBody,
-    _in_flight_guard: InFlightGuard,
+    /// Whether the status is that of a success.
+    is_success: bool,
+    in_flight_guard: Option<InFlightGuard>,
     _open: OpenRequestGuard,
     framer: Option<EventFramer>,
     /// The time from the arrival of the request to the response headers.
@@ -48,6 +51,14 @@
     /// The longest time without a byte, after the headers.
     longest_pause: Duration,
     is_over: bool,
+    /// Whether the response is read ahead of its caller.
+    is_reading_ahead: bool,
+    /// Whether the endpoint has completed a response that its caller has not
+    /// taken yet, so that it is not logged as served.
+    has_unlogged_end: bool,
+    /// Whether the response was terminated because of its size, which is
+    /// logged where it is done.
+    pub(super) is_terminated: Option<Rc<Cell<bool>>>,
 }
 
 /// How a stream failed before its end.
@@ -70,21 +81,21 @@
         .route
         .is_resumable
         .then(|| EventFramer::after(call.metadata.last_event.clone()));
-    let relay = StreamRelay {
-        head_time: call.arrived.elapsed(),
+    let buffers = instance.buffers.clone();
+    let head_time = call.arrived.elapsed();
+    let mut relay = StreamRelay::after_chunks(
         instance,
         call,
         progress,
+        good,
         target,
-        body: good.answer.body,
-        _in_flight_guard: good.in_flight_guard,
-        _open: open,
-        framer,
-        bytes: 0,
-        last_bytes: Instant::now(),
-        longest_pause: Duration::ZERO,
-        is_over: false,
-    };
+        open,
+        (head_time, 0),
+    );
+    relay.framer = framer;
+    if let Some(buffers) = buffers {
+        return delivery::stream_body(&buffers, relay);
+    }
     LocalBody::chunks(stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
         Some((item, relay))
@@ -92,8 +103,49 @@
 }
 
 impl StreamRelay {
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+    /// Returns a relay for the rest of a response of which some bytes were
+    /// read. It is not resumed on another engine.
+    pub(super) fn after_chunks(
+        instance: Rc<FleetInstance>,
+        call: Rc<CallerRequest>,
+        progress: Progress,
+        good: GoodAnswer,
+        target: Target,
+        open: OpenRequestGuard,
+        (head_time, bytes): (Duration, usize),
+    ) -> StreamRelay {
+        StreamRelay {
+            head_time,
+            instance,
+            call,
+            progress,
+            target,
+            is_success: good.answer.status.is_success(),
+            body: good.answer.body,
+            in_flight_guard: Some(good.in_flight_guard),
+            _open: open,
+            framer: None,
+            bytes,
+            last_bytes: Instant::now(),
+            longest_pause: Duration::ZERO,
+            is_over: false,
+            is_reading_ahead: false,
+            has_unlogged_end: false,
+            is_terminated: None,
+        }
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.is_over
+    }
+
+    pub(super) fn set_reading_ahead(&mut self, is_reading_ahead: bool) {
+        self.is_reading_ahead = is_reading_ahead;
+    }
+
+    pub(super) async fn next(&mut self) -> Option<io::Result<Bytes>> {
         if self.is_over {
+            self.log_if_served();
             return None;
         }
         loop {
@@ -143,6 +195,10 @@
 
     fn idle_timeout(&self) -> Duration {
         let route = &self.call.route;
+        if !route.is_stream {
+            // A response that is not streamed is bounded by its deadline.
+            return Duration::MAX;
+        }
         let gap = route.gap.unwrap_or_default();
         MIN_IDLE_TIMEOUT
             .max(route.target_latency * IDLE_TIMEOUT_TARGETS)
@@ -151,7 +207,26 @@
 
     fn finish(&mut self) -> Option<io::Result<Bytes>> {
         self.is_over = true;
-        poison::run_succeeded(&self.instance, &self.call);
+        if self.is_success {
+            poison::run_succeeded(&self.instance, &self.call);
+        }
+        self.has_unlogged_end = true;
+        if self.is_reading_ahead {
+            // The endpoint is done with the request, however long the caller
+            // takes to read the rest.
+            self.in_flight_guard = None;
+        } else {
+            self.log_if_served();
+        }
+        let rest = self.framer.as_mut().map(EventFramer::take_partial)?;
+        (!rest.is_empty()).then(|| Ok(rest.into()))
+    }
+
+    /// Logs a complete response as served, once.
+    pub(super) fn log_if_served(&mut self) {
+        if !std::mem::take(&mut self.has_unlogged_end) {
+            return;
+        }
         request_log::served(
             &self.call,
             &self.progress,
@@ -162,8 +237,6 @@
                 longest_pause: self.longest_pause,
             },
         );
-        let rest = self.framer.as_mut().map(EventFramer::take_partial)?;
-        (!rest.is_empty()).then(|| Ok(rest.into()))
     }
 
     /// Continues the stream on another engine, if the route and the retry
@@ -202,7 +275,7 @@
             after_event = last_event,
         );
         self.body = good.answer.body;
-        self._in_flight_guard = good.in_flight_guard;
+        self.in_flight_guard = Some(good.in_flight_guard);
         self.target = target;
         true
     }
@@ -257,8 +330,12 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        if !self.is_over {
+        let is_terminated =
+            self.is_terminated.as_ref().is_some_and(|flag| flag.get());
+        if (!self.is_over || self.has_unlogged_end) && !is_terminated {
             request_log::caller_left(&self.call, self.bytes);
+        }
+        if !self.is_over {
             poison::run_lost(&self.instance, &self.call, Loss::CallerLeft);
         }
     }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -88,6 +88,7 @@
 pub struct EndpointPool {
     idle: Idle,
     opened: Rc<Cell<u64>>,
+    max_buffer: Option<usize>,
 }
 
 /// The response of an endpoint, whose body has not been read yet.
@@ -114,6 +115,13 @@
         EndpointPool::default()
     }
 
+    /// Returns an empty pool whose connections buffer at most `max_buffer`
+    /// bytes. Response headers must fit.
+    pub fn with_max_buffer(max_buffer: usize) -> EndpointPool {
+        let max_buffer = Some(max_buffer);
+        EndpointPool { max_buffer, ..EndpointPool::default() }
+    }
+
     /// Returns the number of connections opened since the pool was created.
     pub fn connections_opened(&self) -> u64 {
         self.opened.get()
@@ -214,7 +222,11 @@
         stream: TcpStream,
     ) -> Result<Connection, hyper::Error> {
         set_socket_options(&stream);
-        let (sender, connection) = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        if let Some(max_buffer) = self.max_buffer {
+            builder.max_buf_size(max_buffer);
+        }
+        let (sender, connection) = builder
             .handshake(HyperStream::new_plain(stream))
             .await?;
         let task = compio::runtime::spawn(async move {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -40,6 +40,9 @@
     pub connections: usize,
     /// The time within which the headers of a request must be received.
     pub header_timeout: Duration,
+    /// The maximum size of a connection's buffers in bytes, or `None` for the
+    /// HTTP library's default of about 400 KB. Request headers must fit.
+    pub max_buffer: Option<usize>,
 }
 
 /// Error of reading a request's body.
@@ -141,11 +144,15 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_timeout);
+    if let Some(max_buffer) = limits.max_buffer {
+        builder.max_buf_size(max_buffer);
+    }
     let mut connection = pin!(
-        http1::Builder::new()
-            .timer(CompioTimer)
-            .header_read_timeout(limits.header_timeout)
-            .serve_connection(HyperStream::new_plain(stream), service)
+        builder.serve_connection(HyperStream::new_plain(stream), service)
     );
     let ended = select! {
         served = (&mut connection).fuse() => Some(served),
