--- a/crates/bench/src/http.rs
+++ b/crates/bench/src/http.rs
@@ -20,7 +20,7 @@
 const LIMITS: ServerLimits = ServerLimits {
     connections: 65_536,
     header_timeout: Duration::from_secs(30),
-    max_buffer: None,
+    slow_clients: None,
 };
 
 /// Serves requests at an address with an async function, for ever.
--- a/crates/fleet/tests/buffer_budget_rules.rs
+++ b/crates/fleet/tests/buffer_budget_rules.rs
@@ -40,7 +40,8 @@
 
 fn largest_evictable(model: &Model, except: HolderId) -> u64 {
     let others = model.iter().filter(|(id, _)| **id != except);
-    let sizes = others.filter(|(_, (_, may)| *may).map(|(_, (size, _))| *size);
+    let sizes =
+        others.filter(|(_, (_, may))| *may).map(|(_, (size, _))| *size);
     sizes.max().unwrap_or(0)
 }
 
--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -116,7 +116,7 @@
         header_timeout: Duration::from_millis(
             instance.settings.limits.header_ms,
         ),
-        max_buffer: None,
+        slow_clients: None,
     };
     let handler: Handler = Rc::new(move |request| {
         Box::pin(entry::answer(instance.clone(), request))
@@ -134,7 +134,7 @@
         header_timeout: Duration::from_millis(
             instance.settings.limits.header_ms,
         ),
-        max_buffer: None,
+        slow_clients: None,
     };
     let handler: Handler = Rc::new(move |request| {
         Box::pin(operator::answer(instance.clone(), metrics.clone(), request))
--- a/crates/sedgewalld/src/fleet/buffers.rs
+++ b/crates/sedgewalld/src/fleet/buffers.rs
@@ -11,6 +11,7 @@
 use sedgewall_fleet::buffer_budget::{BufferBudget, HolderId, Reservation};
 use sedgewall_platform::contracts::Features;
 use sedgewall_protocol::settings::FleetSettings;
+use sedgewall_transport::SlowClientLimits;
 
 use super::delivery::Delivery;
 
@@ -28,6 +29,13 @@
 /// Larger than the headers that any configuration allows callers.
 pub(crate) const CONNECTION_BUFFER: usize = 64 << 10;
 
+/// The limits of callers' connections. Callers wait up to 10 s for an answer,
+/// and may leave it unread as long.
+pub(crate) const SLOW_CALLERS: SlowClientLimits = SlowClientLimits {
+    max_buffer: CONNECTION_BUFFER,
+    unread_timeout: Duration::from_secs(10),
+};
+
 /// The budget of one instance, and the responses that can be evicted.
 pub(crate) struct Buffers {
     budget: RefCell<BufferBudget>,
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -168,9 +168,8 @@
         })?;
     }
     let most = routing.limits.body_bytes;
-    let (body, body_reserved) = request_body::read(instance, body, most)
-        .await
-        .map_err(|reason| {
+    let (body, body_reserved) =
+        request_body::read(instance, body, most).await.map_err(|reason| {
             if let (Reason::BufferFull, Some(customer)) = (reason, &customer) {
                 refund_tokens(instance, customer, tokens);
             }
--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -187,7 +187,7 @@
     let limits = ServerLimits {
         connections: MAX_SERVED_AT_ONCE,
         header_timeout: REQUEST_TIMEOUT,
-        max_buffer: None,
+        slow_clients: None,
     };
     let handler: Handler =
         Rc::new(move |request| Box::pin(answer(instance.clone(), request)));
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    buffers::CONNECTION_BUFFER,
+    buffers::SLOW_CALLERS,
     caller, catch_up,
     instance::{FleetInstance, Stage},
     keys, leader, lease, list_watch,
@@ -157,9 +157,11 @@
     stop: Stop,
 ) {
     let connections = instance.settings.limits.connections;
-    let max_buffer = instance.buffers.as_ref().map(|_| CONNECTION_BUFFER);
-    let limits =
-        ServerLimits { connections, header_timeout: IDLE_TIMEOUT, max_buffer };
+    let limits = ServerLimits {
+        connections,
+        header_timeout: IDLE_TIMEOUT,
+        slow_clients: instance.buffers.as_ref().map(|_| SLOW_CALLERS),
+    };
     let handler: Handler = Rc::new(move |request| {
         Box::pin(caller::answer(instance.clone(), request))
     });
@@ -194,7 +196,7 @@
     let limits = ServerLimits {
         connections,
         header_timeout: IDLE_TIMEOUT,
-        max_buffer: None,
+        slow_clients: None,
     };
     let handler: Handler = Rc::new(move |request| {
         let response = operator_answer(&instance, &metrics, &request);
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -398,7 +398,8 @@
             event = "response_terminated",
             request = self.call.metadata.request_id,
             route = self.call.route.name,
-            endpoint = self.call.sent_to.borrow().as_ref().map(|to| &to.endpoint),
+            endpoint =
+                self.call.sent_to.borrow().as_ref().map(|to| &to.endpoint),
             cause,
             bytes = self.reserved_bytes.get(),
             buffered_bytes = buffers.held_bytes(),
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -38,7 +38,9 @@
 
 use super::{
     buffers::{self, Buffers, CONNECTION_BUFFER},
-    keys::Keys, notify::Notify, peers::ObservedAddress,
+    keys::Keys,
+    notify::Notify,
+    peers::ObservedAddress,
     watch_poison::PoisonRecords,
 };
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -23,5 +23,8 @@
     pool::{
         EndpointPool, PooledBody, PooledResponse, ProbeOutcome, SendError,
     },
-    server::{Handler, ServerLimits, Stop, serve, serve_until, stop_signal},
+    server::{
+        Handler, ServerLimits, SlowClientLimits, Stop, serve, serve_until,
+        stop_signal,
+    },
 };
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -226,9 +226,8 @@
         if let Some(max_buffer) = self.max_buffer {
             builder.max_buf_size(max_buffer);
         }
-        let (sender, connection) = builder
-            .handshake(HyperStream::new_plain(stream))
-            .await?;
+        let (sender, connection) =
+            builder.handshake(HyperStream::new_plain(stream)).await?;
         let task = compio::runtime::spawn(async move {
             if let Err(err) = connection.await {
                 debug!("pool: connection to {address} failed: {err}.");
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -23,7 +23,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use log::{debug, warn};
+use socket2::SockRef;
 
+#[cfg(doc)]
+use crate::pool::TCP_USER_TIMEOUT;
 use crate::{body::LocalBody, pool::set_socket_options};
 
 /// The future of a handler's response to one request.
@@ -40,9 +43,21 @@
     pub connections: usize,
     /// The time within which the headers of a request must be received.
     pub header_timeout: Duration,
-    /// The maximum size of a connection's buffers in bytes, or `None` for the
-    /// HTTP library's default of about 400 KB. Request headers must fit.
-    pub max_buffer: Option<usize>,
+    /// The limits for clients that read slowly. Without them, a connection
+    /// may buffer megabytes, and is closed once its client has not read for
+    /// [`TCP_USER_TIMEOUT`].
+    pub slow_clients: Option<SlowClientLimits>,
+}
+
+/// The limits of connections to clients that read slowly.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowClientLimits {
+    /// The maximum size of each buffer of a connection, here and in the
+    /// kernel, in bytes. Request headers must fit.
+    pub max_buffer: usize,
+    /// How long a client may leave sent bytes unread or unacknowledged before
+    /// its connection is closed.
+    pub unread_timeout: Duration,
 }
 
 /// Error of reading a request's body.
@@ -140,16 +155,17 @@
     // to be sent together; TCP_USER_TIMEOUT, because a caller's machine that
     // lost power does not close its connection.
     set_socket_options(&stream);
+    if let Some(slow_clients) = limits.slow_clients {
+        set_slow_client_options(&stream, slow_clients);
+    }
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_timeout);
-    if let Some(max_buffer) = limits.max_buffer {
-        builder.max_buf_size(max_buffer);
+    builder.timer(CompioTimer).header_read_timeout(limits.header_timeout);
+    if let Some(slow_clients) = limits.slow_clients {
+        builder.max_buf_size(slow_clients.max_buffer);
     }
     let mut connection = pin!(
         builder.serve_connection(HyperStream::new_plain(stream), service)
@@ -170,6 +186,20 @@
     }
 }
 
+/// Sets the socket options for a client that may read slowly.
+///
+/// The kernel applies TCP_USER_TIMEOUT also while the client's receive window
+/// is closed, which would cut off a client that pauses.
+fn set_slow_client_options(stream: &TcpStream, limits: SlowClientLimits) {
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_user_timeout(Some(limits.unread_timeout))
+        .and_then(|()| socket.set_send_buffer_size(limits.max_buffer));
+    if let Err(err) = set {
+        debug!("http: cannot set options for slow clients: {err}.");
+    }
+}
+
 /// Decrements the number of open connections when dropped.
 struct ConnectionGuard(Rc<Cell<usize>>);
 
