--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -158,6 +158,9 @@
                     };
                     if !whole.is_empty() {
                         self.bytes += whole.len();
+                        if !self.call.route.is_stream {
+                            self.finish_if_complete().await;
+                        }
                         return Some(Ok(whole));
                     }
                 }
@@ -172,6 +175,14 @@
         }
     }
 
+    /// Ends a response whose stated length has been read: the connection to
+    /// the caller does not ask for more.
+    async fn finish_if_complete(&mut self) {
+        if self.body.is_complete() && matches!(self.read().await, Ok(None)) {
+            self.finish();
+        }
+    }
+
     fn record_pause(&mut self) {
         let now = Instant::now();
         let pause = now - std::mem::replace(&mut self.last_bytes, now);
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -21,7 +21,7 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use log::debug;
@@ -377,6 +377,12 @@
         }
     }
 
+    /// Returns whether the body's stated length has been read. Then
+    /// [`PooledBody::next`] returns `None` next.
+    pub fn is_complete(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
     fn return_to_pool(&mut self) {
         let Some((address, connection)) = self.connection.take() else {
             return;
