--- a/crates/sedgewalld/src/fleet/request_body.rs
+++ b/crates/sedgewalld/src/fleet/request_body.rs
@@ -59,6 +59,9 @@
         }
         if !reserved.reserve(part.len() as u64) {
             drop((parts, part, reserved));
+            let reason = Reason::BufferFull.name();
+            metrics::counter!("sedgewall_refused_total", "reason" => reason)
+                .increment(1);
             discard(body).await;
             return Err(Reason::BufferFull);
         }
