--- a/crates/sedgewalld/src/fleet/buffers.rs
+++ b/crates/sedgewalld/src/fleet/buffers.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns the size of the budget in bytes.
-    pub(super) fn limit(&self) -> u64 {
+    pub(crate) fn limit(&self) -> u64 {
         self.budget.borrow().limit()
     }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -87,6 +87,7 @@
         operators = %instance.settings.operator_listen,
         notes = %instance.settings.peer_listen,
         store = %store,
+        buffer_budget_bytes = instance.buffers.as_ref().map(|b| b.limit()),
         version = env!("CARGO_PKG_VERSION"),
     );
     let (stopping, stop) = stop_signal();
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -13,7 +13,7 @@
     collections::VecDeque,
     future::poll_fn,
     io,
-    rc::Rc,
+    rc::{Rc, Weak},
     task::{Poll, Waker},
     time::Duration,
 };
@@ -65,7 +65,13 @@
 /// A response on its way to its caller.
 pub(crate) struct Delivery {
     pub(super) reserved: Reserved,
-    call: Rc<CallerRequest>,
+    /// The request, whose body is needed only as long as it may be sent
+    /// again.
+    call: Weak<CallerRequest>,
+    request_id: String,
+    deadline: Instant,
+    /// Counts the request as open, if there is no relay that does.
+    _open: Option<OpenRequestGuard>,
     /// The relay while nobody reads from it.
     relay: RefCell<Option<Box<StreamRelay>>>,
     /// Whether a task reads ahead and has the relay.
@@ -96,8 +102,8 @@
 ) -> LocalBody {
     let call = relay.call.clone();
     let reserved = Reserved::open(buffers);
-    let delivery = Delivery::new(reserved, call, Some(relay), VecDeque::new());
-    body(delivery)
+    let source = Source::Relay(Box::new(relay));
+    body(Delivery::new(reserved, &call, source, VecDeque::new()))
 }
 
 /// Reads a response that is not streamed to its end and returns it. If it does
@@ -133,7 +139,8 @@
                 LocalBody::full(concat(chunks))
             } else {
                 headers.insert(header::CONTENT_LENGTH, HeaderValue::from(len));
-                body(Delivery::new(reserved, call, None, chunks))
+                let source = Source::Whole(open);
+                body(Delivery::new(reserved, &call, source, chunks))
             }
         }
         Ok(Ok(IsWhole(false))) => {
@@ -146,7 +153,8 @@
                 open,
                 (head_time, len),
             );
-            body(Delivery::new(reserved, call, Some(relay), chunks))
+            let source = Source::Relay(Box::new(relay));
+            body(Delivery::new(reserved, &call, source, chunks))
         }
         Ok(Err(err)) => {
             let lost = Some(err);
@@ -162,6 +170,13 @@
     response
 }
 
+/// Where the rest of a response comes from.
+enum Source {
+    Relay(Box<StreamRelay>),
+    /// The response was read to its end.
+    Whole(OpenRequestGuard),
+}
+
 /// Whether a response was read to its end.
 struct IsWhole(bool);
 
@@ -228,19 +243,25 @@
 impl Delivery {
     fn new(
         reserved: Reserved,
-        call: Rc<CallerRequest>,
-        relay: Option<StreamRelay>,
+        call: &Rc<CallerRequest>,
+        source: Source,
         chunks: VecDeque<Chunk>,
     ) -> Rc<Delivery> {
         let is_terminated: Rc<Cell<bool>> = Rc::default();
-        let relay = relay.map(|mut relay| {
-            relay.is_terminated = Some(is_terminated.clone());
-            Box::new(relay)
-        });
+        let (relay, open) = match source {
+            Source::Relay(mut relay) => {
+                relay.is_terminated = Some(is_terminated.clone());
+                (Some(relay), None)
+            }
+            Source::Whole(open) => (None, Some(open)),
+        };
         let reserved_bytes = chunks.iter().map(|chunk| chunk.reserved).sum();
         let delivery = Rc::new(Delivery {
             reserved,
-            call,
+            call: Rc::downgrade(call),
+            request_id: call.metadata.request_id.clone(),
+            deadline: call.deadline,
+            _open: open,
             relay: RefCell::new(relay),
             is_reading_ahead: Cell::new(false),
             reader: RefCell::default(),
@@ -331,7 +352,7 @@
         if idle_checks < 2 || self.is_terminated.get() {
             return;
         }
-        let is_overdue = Instant::now() >= self.call.deadline;
+        let is_overdue = Instant::now() >= self.deadline;
         if is_overdue && CHECK_INTERVAL * idle_checks >= CALLER_STALL_TIMEOUT {
             self.terminate("caller_stalled");
             return;
@@ -394,17 +415,17 @@
     /// chunks of a resumable stream end where an event does.
     fn terminate(&self, cause: &str) {
         let buffers = self.reserved.buffers();
+        let call = self.call.upgrade();
+        let sent_to = call.as_ref().and_then(|c| c.sent_to.borrow().clone());
         tracing::warn!(
             event = "response_terminated",
-            request = self.call.metadata.request_id,
-            route = self.call.route.name,
-            endpoint =
-                self.call.sent_to.borrow().as_ref().map(|to| &to.endpoint),
+            request = self.request_id,
+            route = call.as_ref().map(|call| &call.route.name),
+            endpoint = sent_to.map(|to| to.endpoint),
             cause,
             bytes = self.reserved_bytes.get(),
             buffered_bytes = buffers.held_bytes(),
             budget_bytes = buffers.limit(),
-            held_ms = self.call.arrived.elapsed().as_millis() as u64,
         );
         self.is_terminated.set(true);
         self.stop();
