--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -31,6 +31,7 @@
 
 use super::{
     announcements,
+    buffers::Reserved,
     in_flight::InFlightGuard,
     instance::{FleetInstance, ObservedLoad},
     poison,
@@ -47,6 +48,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The reservation for the body, if there is a budget.
+    pub(crate) _body_reserved: Option<Reserved>,
     pub(crate) route: Route,
     /// The configuration by which the request was routed.
     pub(crate) decided_by: ConfigurationStatus,
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -15,15 +15,12 @@
     engine_pools::RequestClass, wait_policy::retry_delay,
 };
 use sedgewall_platform::RequestMetadata;
-use sedgewall_transport::{
-    LocalBody,
-    server::{BodyError, read_body},
-};
+use sedgewall_transport::LocalBody;
 
 use super::{
     admit::{
         AdmissionQuery, Admitted, admit_by_newest, charge_allowance,
-        refund_allowance,
+        refund_allowance, refund_tokens,
     },
     attempt::{CallerRequest, hash_fraction},
     delivery,
@@ -31,12 +28,9 @@
     instance::{FleetInstance, Stage},
     progress::Progress,
     refusal::{self, Reason},
-    request_log, retries,
+    request_body, request_log, retries,
 };
 
-/// The timeout for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The time limit of a request whose caller states none.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(10);
 
@@ -142,12 +136,13 @@
         })?;
     }
     let most = routing.limits.body_bytes;
-    let body = read_body(body, most, BODY_TIMEOUT).await.map_err(|err| {
-        refuse(match err {
-            BodyError::TooLong(_) => Reason::BodyTooLong,
-            BodyError::TooSlow(_) | BodyError::Broken(_) => Reason::BodyBroken,
-        })
-    })?;
+    let (body, body_reserved) =
+        request_body::read(instance, body, most).await.map_err(|reason| {
+            if let (Reason::BufferFull, Some(customer)) = (reason, &customer) {
+                refund_tokens(instance, customer, tokens);
+            }
+            refuse(reason)
+        })?;
     let time_limit = metadata.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
     let deadline = arrived + time_limit.min(route.timeout) - ANSWER_MARGIN;
     let longest = instance.longest_time_limit(&route.name, time_limit);
@@ -164,6 +159,7 @@
         uri: origin_form(head.uri),
         headers: head.headers,
         body,
+        _body_reserved: body_reserved,
         route,
         decided_by,
         service,
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -3,13 +3,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::Response;
+use http::{Response, StatusCode};
 use sedgewall_fleet::{poison::Loss, view::Target};
 use sedgewall_platform::call::caller_response_headers;
-use sedgewall_transport::LocalBody;
+use sedgewall_transport::{LocalBody, SendError};
 
 use super::{
     attempt::{CallerRequest, GoodAnswer},
+    buffered_delivery,
     in_flight::OpenRequestGuard,
     instance::FleetInstance,
     poison,
@@ -43,6 +44,12 @@
         *response.headers_mut() = headers;
         return response;
     }
+    if let Some(buffers) = &instance.buffers {
+        return buffered_delivery::forward_whole(
+            buffers, instance, call, progress, good, target, open,
+        )
+        .await;
+    }
     let head_time = call.arrived.elapsed();
     let whole =
         compio::time::timeout(call.left(), good.answer.collect()).await;
@@ -53,30 +60,55 @@
                 bytes: body.len(),
                 longest_pause: Duration::ZERO,
             };
-            request_log::served(&call, &progress, &target, &delivered);
-            if status.is_success() {
-                poison::run_succeeded(instance, &call);
-            }
+            served_whole(
+                instance, &call, &progress, &target, status, &delivered,
+            );
             let mut response = Response::new(LocalBody::full(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
             response
         }
-        Ok(Err(_)) | Err(_) => {
-            let reason = match &whole {
-                Ok(Err(err)) => {
-                    let cause = err.to_string();
-                    poison::run_broken(instance, &call, &target, &cause);
-                    Reason::OutcomeUnknown
-                }
-                _ => {
-                    poison::run_lost(instance, &call, Loss::Broken);
-                    Reason::TimedOut
-                }
-            };
-            let retry_in = progress.retry_delay(&call);
-            request_log::refused(&call, &progress, reason, retry_in);
-            refusal::answer(reason, retry_in)
-        }
+        Ok(Err(err)) => lost(instance, &call, &progress, &target, Some(err)),
+        Err(_) => lost(instance, &call, &progress, &target, None),
+    }
+}
+
+/// Records that an endpoint's whole response was read.
+pub(super) fn served_whole(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    status: StatusCode,
+    delivered: &request_log::Delivered,
+) {
+    request_log::served(call, progress, target, delivered);
+    if status.is_success() {
+        poison::run_succeeded(instance, call);
     }
 }
+
+/// Returns the answer to a request whose response broke off, or did not arrive
+/// in time if there is no error.
+pub(super) fn lost(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    err: Option<SendError>,
+) -> Response<LocalBody> {
+    let reason = match err {
+        Some(err) => {
+            let cause = err.to_string();
+            poison::run_broken(instance, call, target, &cause);
+            Reason::OutcomeUnknown
+        }
+        None => {
+            poison::run_lost(instance, call, Loss::Broken);
+            Reason::TimedOut
+        }
+    };
+    let retry_in = progress.retry_delay(call);
+    request_log::refused(call, progress, reason, retry_in);
+    refusal::answer(reason, retry_in)
+}
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -43,8 +43,12 @@
 use sedgewall_transport::EndpointPool;
 
 use super::{
-    keys::Keys, notify::Notify, peers::ObservedAddress,
-    wait_queues::WaitQueues, watch_poison::PoisonRecords,
+    buffers::{self, Buffers, CONNECTION_BUFFER},
+    keys::Keys,
+    notify::Notify,
+    peers::ObservedAddress,
+    wait_queues::WaitQueues,
+    watch_poison::PoisonRecords,
 };
 
 /// The number of consecutive notes of the lease holder that may be lost before
@@ -245,6 +249,8 @@
     /// This instance's lease on orders, if it holds it.
     pub(crate) held: Cell<Option<HeldLease>>,
     pub(crate) pool: EndpointPool,
+    /// The bytes held for callers and endpoints, if they have a budget.
+    pub(crate) buffers: Option<Rc<Buffers>>,
     /// Evidence of requests that crash endpoints.
     pub(crate) poison: RefCell<PoisonDetector>,
     /// Requests that succeeded here lately, as hashes with a key of this
@@ -336,7 +342,11 @@
         let wait_queues =
             has_queues.then(|| WaitQueues::new(settings.limits.requests));
         let view = FleetView::new(&settings.zone);
-        let pool = EndpointPool::new();
+        let buffers = buffers::budget_bytes(&fleet).map(Buffers::new);
+        let pool = match buffers {
+            Some(_) => EndpointPool::with_max_buffer(CONNECTION_BUFFER),
+            None => EndpointPool::new(),
+        };
         Rc::new(FleetInstance {
             settings,
             fleet,
@@ -376,6 +386,7 @@
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
             pool,
+            buffers,
             poison: RefCell::default(),
             recent_successes: RefCell::new(RecentSuccesses::new(
                 Instant::now(),
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -9,6 +9,8 @@
 mod admit;
 mod announcements;
 mod attempt;
+mod buffered_delivery;
+mod buffers;
 mod caller;
 mod catch_up;
 pub(crate) mod daemon;
@@ -34,6 +36,7 @@
 mod progress;
 mod refusal;
 mod relay;
+mod request_body;
 mod request_log;
 mod retries;
 mod wait_queues;
