--- a/crates/fleet/src/rate_limiter.rs
+++ b/crates/fleet/src/rate_limiter.rs
@@ -21,26 +21,32 @@
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::customer::{Allowance, Customer, CustomerName, ROUTE_PRIORITIES};
+use crate::customer::{
+    Allowance, Customer, CustomerName, Customers, ROUTE_PRIORITIES,
+};
 
 /// Time constant of the demand, after which a request counts a third. It is
 /// long enough that the sum over all instances varies little between two
 /// requests of 9,000 tokens.
-const DEMAND_DECAY_TIME: Duration = Duration::from_millis(1_200);
+const DEMAND_DECAY_TIME: Duration = Duration::from_millis(1_000);
 
-/// The rate that is admitted beyond the allowance per unit in the bucket, or
-/// withheld per unit of debt, per second. With reports that are 0.45 s old, a
-/// higher gain makes the level oscillate.
-const GAIN_PER_S: f64 = 1.0;
+/// The rate that is admitted beyond the allowance per unit in the bucket, per
+/// second. A lower gain leaves an allowance unused after a surge, until the
+/// estimate of the demand has decayed.
+const SURPLUS_GAIN_PER_S: f64 = 2.0;
+
+/// The rate that is withheld from the allowance per unit of debt, per second.
+/// A higher gain makes the level oscillate if reports are late.
+const DEBT_GAIN_PER_S: f64 = 0.6;
 
 /// Capacity of the bucket, as a fraction of the allowance's burst. The
 /// remainder covers what is admitted between two reports.
-const CAPACITY: f64 = 0.5;
+const CAPACITY: f64 = 0.7;
 
 /// Capacity of the bucket in addition to [`CAPACITY`], in multiples of the
 /// largest request. With a smaller bucket, random arrivals of few large
 /// requests are rejected although their demand is below the allowance.
-const CAPACITY_REQUESTS: f64 = 5.0;
+const CAPACITY_REQUESTS: f64 = 3.0;
 
 /// Average age of the admitted units that the lease holder's totals show. The
 /// level is extrapolated over it.
@@ -181,6 +187,10 @@
     synced: Instant,
     /// Source and count of the admitted units that `level` includes.
     counted: Option<(Source, f64)>,
+    /// Level of a bucket with an equal share of the allowance, which applies
+    /// while no total is known. The first request is always admitted.
+    local_level: f64,
+    local_filled: Instant,
     /// The last known total demand, and when it was known.
     last_total: Option<(Classes, Instant)>,
 }
@@ -206,33 +216,29 @@
         let account = self.accounts.entry(name.clone());
         let account = account.or_insert_with(|| Account::new(now));
         account.add_demand(class, charge.units, now);
-        let own = account.per_s(now);
-        let known = self.total(name, own, instances, now);
-        let (source, admitted, synced) = self.admitted(name, now);
         let total_age = self.totals.as_ref().map(|totals| {
             now.saturating_duration_since(totals.demand.received_at)
         });
+        let known = self.sync(name, allowance, instances, now);
         let Some(account) = self.accounts.get_mut(name) else {
             return Ok(());
         };
-        if let Some(known) = known {
-            account.last_total = Some((known, now));
-        }
-        let n = instances.max(1) as f64;
-        let last = account.last_total.filter(|(_, at)| {
-            now.saturating_duration_since(*at) < LAST_TOTAL_VALID_FOR
-        });
-        let classes = match last {
-            Some((classes, _)) => {
-                std::array::from_fn(|at| classes[at].max(own[at]))
+        let equal_share = allowance.per_s / instances.max(1) as f64;
+        account.refill_local(equal_share, now);
+        let Some((bucket, classes)) = known else {
+            let level = account.local_level;
+            if level > 0.0 {
+                account.admit(charge.units);
+                return Ok(());
             }
-            None => own.map(|per_s| per_s * n),
+            return Err(LimitExceeded {
+                retry_in: retry_in(level, charge.units, equal_share),
+                balance: level,
+                share: 0.0,
+                total_per_s: None,
+                total_age,
+            });
         };
-        let demand: f64 = classes.iter().sum();
-        let capacity = allowance.burst * CAPACITY
-            + account.largest * CAPACITY_REQUESTS;
-        let bucket = BucketState { allowance, capacity, demand };
-        account.sync(source, admitted, synced, bucket);
         let level = account.level_now(bucket, now);
         let rate = bucket.allowed_rate(level);
         let more_urgent: f64 = classes[..class].iter().sum();
@@ -242,15 +248,11 @@
             account.admit(charge.units);
             return Ok(());
         }
-        // Until the debt is paid back, and until the bucket holds another
-        // request.
-        let missing = (-level).max(0.0) + charge.units;
-        let retry_s = (missing / allowance.per_s.max(1e-9)).min(MAX_RETRY_S);
         Err(LimitExceeded {
-            retry_in: Duration::from_secs_f64(retry_s),
+            retry_in: retry_in(level, charge.units, allowance.per_s),
             balance: level,
             share: fraction,
-            total_per_s: last.map(|_| demand),
+            total_per_s: Some(bucket.demand),
             total_age,
         })
     }
@@ -326,17 +328,57 @@
     }
 
     /// Records the demand at all instances, as the lease holder `from` reports
-    /// it.
+    /// it, and accounts it for each customer in `customers`. Where requests of
+    /// a customer are rare, its level must be known before the first one.
     pub fn record_totals(
         &mut self,
         from: &InstanceId,
         demand: Vec<CustomerDemand>,
+        customers: &Customers,
         at: Instant,
         expires_at: Instant,
     ) {
         let values = parse(demand);
         let demand = ReceivedDemand { values, received_at: at, expires_at };
         self.totals = Some(ReceivedTotals { from: from.clone(), demand });
+        for customer in customers.iter() {
+            let Some(allowance) = customer.allowance else { continue };
+            let account = self.accounts.entry(customer.name.clone());
+            account.or_insert_with(|| Account::new(at));
+            self.sync(&customer.name, allowance, self.instances, at);
+        }
+    }
+
+    /// Updates a customer's account to what is known of its requests at all
+    /// instances. Returns the bucket and the demand by route priority, if that
+    /// is known.
+    fn sync(
+        &mut self,
+        name: &CustomerName,
+        allowance: Allowance,
+        instances: usize,
+        now: Instant,
+    ) -> Option<(BucketState, Classes)> {
+        let own = self.accounts.get(name)?.per_s(now);
+        let known = self.total(name, own, instances, now);
+        let (source, admitted, synced) = self.admitted(name, now);
+        let account = self.accounts.get_mut(name)?;
+        if let Some(known) = known {
+            account.last_total = Some((known, now));
+        }
+        let (classes, _) = account.last_total.filter(|(_, at)| {
+            now.saturating_duration_since(*at) < LAST_TOTAL_VALID_FOR
+        })?;
+        let classes: Classes =
+            std::array::from_fn(|at| classes[at].max(own[at]));
+        let bucket = BucketState {
+            allowance,
+            capacity: allowance.burst * CAPACITY
+                + account.largest * CAPACITY_REQUESTS,
+            demand: classes.iter().sum(),
+        };
+        account.sync(source, admitted, synced, bucket);
+        Some((bucket, classes))
     }
 
     /// Removes expired reports and the accounts of idle customers.
@@ -350,7 +392,8 @@
             self.totals = None;
         }
         self.accounts.retain(|_, account| {
-            let idle = now.saturating_duration_since(account.updated);
+            let used = account.updated.max(account.synced);
+            let idle = now.saturating_duration_since(used);
             idle < Duration::from_secs_f64(MAX_DEBT_S) * 2
         });
     }
@@ -426,6 +469,14 @@
     }
 }
 
+/// Returns the time until a debt is paid back and the bucket holds another
+/// request.
+fn retry_in(level: f64, units: f64, per_s: f64) -> Duration {
+    let missing = (-level).max(0.0) + units;
+    let time_s = (missing / per_s.max(1e-9)).min(MAX_RETRY_S);
+    Duration::from_secs_f64(time_s)
+}
+
 impl Account {
     fn new(now: Instant) -> Account {
         Account {
@@ -437,6 +488,8 @@
             level: None,
             synced: now,
             counted: None,
+            local_level: 1.0,
+            local_filled: now,
             last_total: None,
         }
     }
@@ -459,7 +512,16 @@
         self.demand.map(|units| units * factor)
     }
 
+    fn refill_local(&mut self, per_s: f64, now: Instant) {
+        let time = now.saturating_duration_since(self.local_filled);
+        let level = self.local_level + per_s * time.as_secs_f64();
+        let debt = per_s * MAX_DEBT_S;
+        self.local_level = level.clamp(-debt, per_s.max(1.0));
+        self.local_filled = now;
+    }
+
     fn admit(&mut self, units: f64) {
+        self.local_level -= units;
         let refunded = self.refunded.min(units);
         self.refunded -= refunded;
         self.admitted += units - refunded;
@@ -502,7 +564,7 @@
 impl BucketState {
     /// Returns the rate that may be admitted at a level of the bucket.
     fn allowed_rate(self, level: f64) -> f64 {
-        (self.allowance.per_s + level * GAIN_PER_S).max(0.0)
+        (self.allowance.per_s + level * gain_per_s(level)).max(0.0)
     }
 
     /// Returns the level that is assumed where a customer's requests were not
@@ -528,11 +590,15 @@
         // If the whole demand is admitted, the level changes linearly.
         // Otherwise, it approaches zero.
         let linear = level + (self.allowance.per_s - self.demand) * time_s;
-        let limited = level * (-time_s * GAIN_PER_S).exp();
+        let limited = level * (-time_s * gain_per_s(level)).exp();
         linear.max(limited).min(self.capacity)
     }
 }
 
+fn gain_per_s(level: f64) -> f64 {
+    if level > 0.0 { SURPLUS_GAIN_PER_S } else { DEBT_GAIN_PER_S }
+}
+
 impl Values {
     fn add_demand(&mut self, other: &Values) {
         self.per_s += other.per_s;
--- a/crates/fleet/tests/allowance_replay.rs
+++ b/crates/fleet/tests/allowance_replay.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    customer::{Allowance, Customer, Unit},
+    customer::{Allowance, Customer, Customers, Unit},
     note::MAX_DIRECT_PEERS,
     rate_limiter::{Charge, CustomerDemand, RateLimiter},
 };
@@ -102,10 +102,13 @@
 struct Replay {
     scenario: Scenario,
     customer: Customer,
+    customers: Customers,
     rng: StdRng,
     limiters: Vec<RateLimiter>,
     holder: Option<usize>,
     sequence: Vec<u64>,
+    /// When each instance last sent a status.
+    sent_ms: Vec<Option<u64>>,
     cut: Vec<bool>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     count: u64,
@@ -139,17 +142,22 @@
     let unit = Unit::Tokens { plain: 200.0 };
     let per_s = scenario.per_s;
     let allowance = Allowance { per_s, burst: per_s, unit };
+    let customer = Customer {
+        name: "customer-1".to_owned(),
+        priority: 0,
+        allowance: Some(allowance),
+    };
+    let mut customers = Customers::default();
+    customers.add(customer.clone(), []);
     let mut replay = Replay {
         scenario,
-        customer: Customer {
-            name: "customer-1".to_owned(),
-            priority: 0,
-            allowance: Some(allowance),
-        },
+        customer,
+        customers,
         rng: StdRng::seed_from_u64(scenario.seed),
         limiters: vec![RateLimiter::default(); n],
         holder: Some(0),
         sequence: (0..n as u64).collect(),
+        sent_ms: vec![None; n],
         cut: vec![false; n],
         events: BinaryHeap::new(),
         count: 0,
@@ -312,6 +320,12 @@
             Some(_) => STATUS_MS * 2,
             None => STATUS_MS.max(LEADERLESS_MS * n as u64),
         };
+        // The interval that applies now counts from the last status.
+        self.push(ms + STATUS_MS, Event::Status { instance: from });
+        if self.sent_ms[from].is_some_and(|last| ms < last + pause) {
+            return;
+        }
+        self.sent_ms[from] = Some(ms);
         let now = self.now(ms);
         let is_total = is_large && is_holder;
         let limiter = &mut self.limiters[from];
@@ -345,7 +359,6 @@
                 self.push(ms + transit + late, Event::Note { note, to });
             }
         }
-        self.push(ms + pause, Event::Status { instance: from });
     }
 
     fn deliver(&mut self, ms: u64, note: usize, to: usize) {
@@ -358,7 +371,10 @@
         let (limiter, demand) = (&mut self.limiters[to], note.demand.clone());
         let from = format!("instance-{}", note.from);
         match note.is_total {
-            true => limiter.record_totals(&from, demand, now, until),
+            true => {
+                let customers = &self.customers;
+                limiter.record_totals(&from, demand, customers, now, until);
+            }
             false => limiter.record_peer(&from, demand, now, until),
         }
     }
