--- a/crates/fleet/src/rate_limiter.rs
+++ b/crates/fleet/src/rate_limiter.rs
@@ -22,13 +22,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::customer::{
-    Allowance, Customer, CustomerName, Customers, ROUTE_PRIORITIES,
+    Allowance, Customer, CustomerName, Customers, ROUTE_PRIORITIES, Unit,
 };
 
 /// Time constant of the demand, after which a request counts a third. It is
 /// long enough that the sum over all instances varies little between two
 /// requests of 9,000 tokens.
-const DEMAND_DECAY_TIME: Duration = Duration::from_millis(1_000);
+const DEMAND_DECAY_TIME: Duration = Duration::from_millis(700);
 
 /// The rate that is admitted beyond the allowance per unit in the bucket, per
 /// second. A lower gain leaves an allowance unused after a surge, until the
@@ -41,13 +41,21 @@
 
 /// Capacity of the bucket, as a fraction of the allowance's burst. The
 /// remainder covers what is admitted between two reports.
-const CAPACITY: f64 = 0.7;
+const CAPACITY: f64 = 0.65;
 
-/// Capacity of the bucket in addition to [`CAPACITY`], in multiples of the
-/// largest request. With a smaller bucket, random arrivals of few large
-/// requests are rejected although their demand is below the allowance.
+/// Capacity of the bucket in addition to [`CAPACITY`], in large requests, up to
+/// the burst. With a smaller bucket, random arrivals of few large requests are
+/// rejected although their demand is below the allowance.
 const CAPACITY_REQUESTS: f64 = 3.0;
 
+/// Tokens of a large request: the mean of long prompts.
+const LARGE_REQUEST_TOKENS: f64 = 9_000.0;
+
+/// Maximum time between two reports of a peer up to which the difference of
+/// their counts of admitted units is accounted. The level is extrapolated over
+/// longer gaps, so that their units must not be accounted again.
+const MAX_REPORT_GAP: Duration = Duration::from_secs(1);
+
 /// Average age of the admitted units that the lease holder's totals show. The
 /// level is extrapolated over it.
 const REPORT_AGE: Duration = Duration::from_millis(300);
@@ -121,7 +129,7 @@
 pub struct RateLimiter {
     accounts: HashMap<CustomerName, Account>,
     peers: HashMap<InstanceId, ReceivedDemand>,
-    /// Number of instances, as last given to [`RateLimiter::take`].
+    /// Number of instances, as last given by the caller.
     instances: usize,
     /// Units that peers reported as admitted, by customer, since this instance
     /// first received their reports.
@@ -135,6 +143,9 @@
     values: HashMap<CustomerName, Values>,
     received_at: Instant,
     expires_at: Instant,
+    /// Whether the report before this one is recent, so that the difference of
+    /// their counts is accounted.
+    is_regular: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -180,8 +191,6 @@
     admitted: f64,
     /// Refunded units that are not subtracted yet.
     refunded: f64,
-    /// Units of the largest request.
-    largest: f64,
     /// Level of the bucket of all instances at `synced`, if it is known.
     level: Option<f64>,
     synced: Instant,
@@ -291,8 +300,10 @@
             let own = Values { per_s, by_class, admitted: None };
             sums.entry(name).or_default().add_demand(&own);
         }
-        for (name, values) in &mut sums {
-            values.admitted = Some(self.admitted_here_and_at_peers(name));
+        if self.are_peers_known(now) {
+            for (name, values) in &mut sums {
+                values.admitted = Some(self.admitted_here_and_at_peers(name));
+            }
         }
         let sums = sums.into_iter();
         sums.flat_map(|(name, values)| values.entries(name)).collect()
@@ -308,8 +319,12 @@
         expires_at: Instant,
     ) {
         let values = parse(demand);
-        let scale = self.peer_scale(at);
-        if let Some(earlier) = self.peers.get(from) {
+        let earlier = self.peers.get(from).filter(|earlier| {
+            at.saturating_duration_since(earlier.received_at) < MAX_REPORT_GAP
+        });
+        let is_regular = earlier.is_some();
+        if let Some(earlier) = earlier {
+            let scale = self.peer_scale(at);
             for (name, values) in &values {
                 let Some(admitted) = values.admitted else { continue };
                 let before = earlier.values.get(name);
@@ -323,7 +338,12 @@
                 *sum.or_default() += added * scale;
             }
         }
-        let received = ReceivedDemand { values, received_at: at, expires_at };
+        let received = ReceivedDemand {
+            values,
+            received_at: at,
+            expires_at,
+            is_regular,
+        };
         self.peers.insert(from.clone(), received);
     }
 
@@ -339,7 +359,12 @@
         expires_at: Instant,
     ) {
         let values = parse(demand);
-        let demand = ReceivedDemand { values, received_at: at, expires_at };
+        let demand = ReceivedDemand {
+            values,
+            received_at: at,
+            expires_at,
+            is_regular: true,
+        };
         self.totals = Some(ReceivedTotals { from: from.clone(), demand });
         for customer in customers.iter() {
             let Some(allowance) = customer.allowance else { continue };
@@ -373,16 +398,17 @@
             std::array::from_fn(|at| classes[at].max(own[at]));
         let bucket = BucketState {
             allowance,
-            capacity: allowance.burst * CAPACITY
-                + account.largest * CAPACITY_REQUESTS,
+            capacity: capacity(allowance),
             demand: classes.iter().sum(),
         };
         account.sync(source, admitted, synced, bucket);
         Some((bucket, classes))
     }
 
-    /// Removes expired reports and the accounts of idle customers.
-    pub fn forget(&mut self, now: Instant) {
+    /// Removes expired reports and the accounts of idle customers, and records
+    /// the number of instances.
+    pub fn forget(&mut self, instances: usize, now: Instant) {
+        self.instances = instances;
         self.peers.retain(|_, received| now < received.expires_at);
         if self
             .totals
@@ -425,23 +451,40 @@
         for values in live().filter_map(|r| r.values.get(name)) {
             sum.add_demand(values);
         }
-        let scale = self.peer_scale(now);
+        // Peers that are not heard are assumed to be like the others.
+        let heard = live().count();
+        let scale = peers.max(heard) as f64 / heard.max(1) as f64;
         let classes = sum.classes();
         Some(std::array::from_fn(|at| classes[at] * scale + own[at]))
     }
 
-    /// Returns the number of peers per peer that is heard. Peers that are not
-    /// heard, as in a partition, are assumed to admit as much as the others.
+    /// Returns the number of peers that report regularly.
+    fn regular_peers(&self, now: Instant) -> usize {
+        let regular = self.peers.values().filter(|received| {
+            let age = now.saturating_duration_since(received.received_at);
+            received.is_regular
+                && now < received.expires_at
+                && age < MAX_REPORT_GAP * 2
+        });
+        regular.count()
+    }
+
+    /// Returns the number of peers per peer that reports regularly. The others,
+    /// as in a partition, are assumed to admit as much.
     fn peer_scale(&self, now: Instant) -> f64 {
-        let peers = self.instances.saturating_sub(1);
-        let live = self.peers.values().filter(|r| now < r.expires_at);
-        let heard = live.count();
-        match heard * 2 < peers {
-            true => 1.0,
-            false => peers.max(heard) as f64 / heard.max(1) as f64,
+        let regular = self.regular_peers(now);
+        let peers = self.instances.saturating_sub(1).max(regular);
+        match self.are_peers_known(now) {
+            true => peers as f64 / regular.max(1) as f64,
+            false => 1.0,
         }
     }
 
+    /// Returns whether at least half of the peers report regularly.
+    fn are_peers_known(&self, now: Instant) -> bool {
+        self.regular_peers(now) * 2 >= self.instances.saturating_sub(1)
+    }
+
     fn admitted_here_and_at_peers(&self, name: &CustomerName) -> f64 {
         let here = self.accounts.get(name).map_or(0.0, |a| a.admitted);
         here + self.admitted_by_peers.get(name).copied().unwrap_or(0.0)
@@ -463,12 +506,23 @@
             }
             None => {
                 let admitted = self.admitted_here_and_at_peers(name);
-                (Source::Peers, Some(admitted), now)
+                let is_known = self.are_peers_known(now);
+                (Source::Peers, is_known.then_some(admitted), now)
             }
         }
     }
 }
 
+/// Returns the capacity of the bucket of all instances.
+fn capacity(allowance: Allowance) -> f64 {
+    let large = match allowance.unit {
+        Unit::Requests => 1.0,
+        Unit::Tokens { .. } => LARGE_REQUEST_TOKENS,
+    };
+    let capacity = allowance.burst * CAPACITY + large * CAPACITY_REQUESTS;
+    capacity.min(allowance.burst)
+}
+
 /// Returns the time until a debt is paid back and the bucket holds another
 /// request.
 fn retry_in(level: f64, units: f64, per_s: f64) -> Duration {
@@ -484,7 +538,6 @@
             updated: now,
             admitted: 0.0,
             refunded: 0.0,
-            largest: 0.0,
             level: None,
             synced: now,
             counted: None,
@@ -497,7 +550,6 @@
     fn add_demand(&mut self, class: usize, units: f64, now: Instant) {
         self.demand = self.decayed(now);
         self.demand[class] += units;
-        self.largest = self.largest.max(units);
         self.updated = now;
     }
 
