--- a/crates/fleet/src/rate_limiter.rs
+++ b/crates/fleet/src/rate_limiter.rs
@@ -131,6 +131,9 @@
     peers: HashMap<InstanceId, ReceivedDemand>,
     /// Number of instances, as last given by the caller.
     instances: usize,
+    /// Peers per peer that reports regularly, updated in
+    /// [`RateLimiter::forget`].
+    peer_scale: Option<f64>,
     /// Units that peers reported as admitted, by customer, since this instance
     /// first received their reports.
     admitted_by_peers: HashMap<CustomerName, f64>,
@@ -197,7 +200,7 @@
     /// Source and count of the admitted units that `level` includes.
     counted: Option<(Source, f64)>,
     /// Level of a bucket with an equal share of the allowance, which applies
-    /// while no total is known. The first request is always admitted.
+    /// while no total is known.
     local_level: f64,
     local_filled: Instant,
     /// The last known total demand, and when it was known.
@@ -223,7 +226,8 @@
         self.instances = instances;
         let class = charge.route_priority.min(ROUTE_PRIORITIES - 1) as usize;
         let account = self.accounts.entry(name.clone());
-        let account = account.or_insert_with(|| Account::new(now));
+        let account = account
+            .or_insert_with(|| Account::new(first_local(allowance), now));
         account.add_demand(class, charge.units, now);
         let total_age = self.totals.as_ref().map(|totals| {
             now.saturating_duration_since(totals.demand.received_at)
@@ -300,7 +304,7 @@
             let own = Values { per_s, by_class, admitted: None };
             sums.entry(name).or_default().add_demand(&own);
         }
-        if self.are_peers_known(now) {
+        if self.known_peer_scale(now).is_some() {
             for (name, values) in &mut sums {
                 values.admitted = Some(self.admitted_here_and_at_peers(name));
             }
@@ -324,7 +328,7 @@
         });
         let is_regular = earlier.is_some();
         if let Some(earlier) = earlier {
-            let scale = self.peer_scale(at);
+            let scale = self.peer_scale.unwrap_or(1.0);
             for (name, values) in &values {
                 let Some(admitted) = values.admitted else { continue };
                 let before = earlier.values.get(name);
@@ -338,12 +342,8 @@
                 *sum.or_default() += added * scale;
             }
         }
-        let received = ReceivedDemand {
-            values,
-            received_at: at,
-            expires_at,
-            is_regular,
-        };
+        let received =
+            ReceivedDemand { values, received_at: at, expires_at, is_regular };
         self.peers.insert(from.clone(), received);
     }
 
@@ -369,7 +369,8 @@
         for customer in customers.iter() {
             let Some(allowance) = customer.allowance else { continue };
             let account = self.accounts.entry(customer.name.clone());
-            account.or_insert_with(|| Account::new(at));
+            account
+                .or_insert_with(|| Account::new(first_local(allowance), at));
             self.sync(&customer.name, allowance, self.instances, at);
         }
     }
@@ -410,6 +411,7 @@
     pub fn forget(&mut self, instances: usize, now: Instant) {
         self.instances = instances;
         self.peers.retain(|_, received| now < received.expires_at);
+        self.peer_scale = self.known_peer_scale(now);
         if self
             .totals
             .as_ref()
@@ -469,20 +471,14 @@
         regular.count()
     }
 
-    /// Returns the number of peers per peer that reports regularly. The others,
-    /// as in a partition, are assumed to admit as much.
-    fn peer_scale(&self, now: Instant) -> f64 {
+    /// Returns the number of peers per peer that reports regularly, if at least
+    /// half of them do. The others, as in a partition, are assumed to admit as
+    /// much.
+    fn known_peer_scale(&self, now: Instant) -> Option<f64> {
         let regular = self.regular_peers(now);
         let peers = self.instances.saturating_sub(1).max(regular);
-        match self.are_peers_known(now) {
-            true => peers as f64 / regular.max(1) as f64,
-            false => 1.0,
-        }
-    }
-
-    /// Returns whether at least half of the peers report regularly.
-    fn are_peers_known(&self, now: Instant) -> bool {
-        self.regular_peers(now) * 2 >= self.instances.saturating_sub(1)
+        let are_known = regular * 2 >= peers;
+        are_known.then(|| peers as f64 / regular.max(1) as f64)
     }
 
     fn admitted_here_and_at_peers(&self, name: &CustomerName) -> f64 {
@@ -506,7 +502,7 @@
             }
             None => {
                 let admitted = self.admitted_here_and_at_peers(name);
-                let is_known = self.are_peers_known(now);
+                let is_known = self.known_peer_scale(now).is_some();
                 (Source::Peers, is_known.then_some(admitted), now)
             }
         }
@@ -515,14 +511,25 @@
 
 /// Returns the capacity of the bucket of all instances.
 fn capacity(allowance: Allowance) -> f64 {
-    let large = match allowance.unit {
-        Unit::Requests => 1.0,
-        Unit::Tokens { .. } => LARGE_REQUEST_TOKENS,
-    };
+    let large = large_request(allowance);
     let capacity = allowance.burst * CAPACITY + large * CAPACITY_REQUESTS;
     capacity.min(allowance.burst)
 }
 
+/// Returns the units of a large request.
+fn large_request(allowance: Allowance) -> f64 {
+    match allowance.unit {
+        Unit::Requests => 1.0,
+        Unit::Tokens { .. } => LARGE_REQUEST_TOKENS,
+    }
+}
+
+/// Returns the first level of the bucket that an instance uses while it knows
+/// no total: two requests, because the totals arrive within half a second.
+fn first_local(allowance: Allowance) -> f64 {
+    (large_request(allowance) * 2.0).min(allowance.burst)
+}
+
 /// Returns the time until a debt is paid back and the bucket holds another
 /// request.
 fn retry_in(level: f64, units: f64, per_s: f64) -> Duration {
@@ -532,7 +539,7 @@
 }
 
 impl Account {
-    fn new(now: Instant) -> Account {
+    fn new(first_local: f64, now: Instant) -> Account {
         Account {
             demand: Classes::default(),
             updated: now,
@@ -541,7 +548,7 @@
             level: None,
             synced: now,
             counted: None,
-            local_level: 1.0,
+            local_level: first_local,
             local_filled: now,
             last_total: None,
         }
@@ -568,7 +575,8 @@
         let time = now.saturating_duration_since(self.local_filled);
         let level = self.local_level + per_s * time.as_secs_f64();
         let debt = per_s * MAX_DEBT_S;
-        self.local_level = level.clamp(-debt, per_s.max(1.0));
+        // Each instance's part of a second may be less than one request.
+        self.local_level = level.clamp(-debt, self.local_level.max(per_s));
         self.local_filled = now;
     }
 
--- a/crates/fleet/tests/allowance_replay.rs
+++ b/crates/fleet/tests/allowance_replay.rs
@@ -237,8 +237,8 @@
     }
 
     fn level(&self, ms: u64) -> f64 {
-        let is_over = self.scenario.fault == Fault::Surge
-            && ms >= WARM_UP_MS + 6_500;
+        let is_over =
+            self.scenario.fault == Fault::Surge && ms >= WARM_UP_MS + 6_500;
         match ms < WARM_UP_MS || is_over {
             true => USUAL.min(self.scenario.level),
             false => self.scenario.level,
