List endpoints once any call reaches the store again

Cause: a watch of endpoints that is sent on a silent path is never answered and is abandoned 5 s after it was sent. The endpoints were listed earlier only if a call for another watched kind failed and then succeeded. Failed and successful renewals of the lease, reads of its record and probes of the store did not count.

Change: when the store becomes reachable again, endpoints are listed, unless a list was begun since the last failed call. A store that stays reachable gets no additional calls.

--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -404,9 +404,16 @@
     /// to the other instances at once.
     pub(crate) fn record_store_success(&self) {
         self.check_store_era();
-        if self.store_reachability.borrow_mut().record_success(Instant::now())
-        {
-            self.notify_notes();
+        let now = Instant::now();
+        if !self.store_reachability.borrow_mut().record_success(now) {
+            return;
+        }
+        self.notify_notes();
+        // A watch that was sent on a silent path is never answered, and is
+        // abandoned 5 s after it was sent. Meanwhile requests would go to
+        // endpoints that have left.
+        if !self.is_listed_since_failure(&self.endpoints_relist_notify) {
+            self.endpoints_relist_notify.notify_waiting();
         }
     }
 
@@ -585,18 +592,20 @@
     /// again: 2,285 lists, three for each instance and kind, when all watches
     /// of 195 instances were cut once.
     pub(crate) fn relist_others(&self, listed: &Rc<Notify>) {
-        let failed = self.store_reachability.borrow().last_failure();
-        let is_known = |notify: &Notify| {
-            failed.is_some_and(|call| notify.was_cleared_since(call.noticed))
-        };
         let all = self.relist_notifies();
         for notify in all.iter().filter(|n| !Rc::ptr_eq(n, listed)) {
-            if !is_known(notify) {
+            if !self.is_listed_since_failure(notify) {
                 notify.notify();
             }
         }
     }
 
+    /// Returns whether a list of a kind was begun after the last failed call.
+    fn is_listed_since_failure(&self, kind: &Notify) -> bool {
+        let failed = self.store_reachability.borrow().last_failure();
+        failed.is_some_and(|call| kind.was_cleared_since(call.noticed))
+    }
+
     fn relist_notifies(&self) -> [&Rc<Notify>; 5] {
         [
             &self.configuration_relist_notify,
