Report departures that were in doubt once they are certain

Cause: an instance that found an entry missing within 4 s of an outage of its own took the entry for lapsed, removed the endpoint after the grace period, and never told the other instances.

Change: such a departure is sent to the other instances if the entry is still missing 2 s plus one pause between watches after the store was reachable again, by when lapsed entries are back.

--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -143,6 +143,19 @@
         true
     }
 
+    /// Marks a departure that was not repeated as one that is from now on.
+    /// Returns it, or none if it is unknown or was repeated before.
+    pub fn confirm(
+        &mut self,
+        id: &EndpointId,
+        now: Instant,
+    ) -> Option<Departure> {
+        let known = self.0.get_mut(id).filter(|known| !known.is_repeated)?;
+        known.is_repeated = true;
+        known.since = now;
+        Some(known.departure(id))
+    }
+
     /// Returns whether an endpoint has left, given the revision and the
     /// incarnation of its entry.
     pub fn has_left(
--- a/crates/fleet/src/store_reachability.rs
+++ b/crates/fleet/src/store_reachability.rs
@@ -135,6 +135,22 @@
             || self.restored_after.is_some_and(is_recent)
     }
 
+    /// Returns how much longer an entry that is missing may come back, if
+    /// entries do so within `return_time` after the store is reachable again
+    /// or a restore was noticed. Returns none while the store is unreachable.
+    pub fn return_time_left(
+        &self,
+        return_time: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        if self.is_unreachable {
+            return None;
+        }
+        let since = self.recovered_at.max(self.restore_noticed_at);
+        let left = |at| return_time.saturating_sub(now - at);
+        Some(since.map_or(Duration::ZERO, left))
+    }
+
     /// Returns until when another instance may rely on a report of an outage
     /// by this instance. A report stays valid for the given time after the
     /// store is reachable again, and without a limit while it is unreachable.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -297,7 +297,8 @@
     /// Removes an endpoint whose entry is gone as of a revision of the store.
     ///
     /// If the entry may only have lapsed in an outage, `is_sure` is false and
-    /// the other instances are not told. Otherwise the instance that waits the
+    /// the other instances are not told before
+    /// [`FleetView::confirm_departure`]. Otherwise the instance that waits the
     /// shortest time would decide for all instances.
     pub fn remove_entry(
         &mut self,
--- a/crates/fleet/src/view/departures.rs
+++ b/crates/fleet/src/view/departures.rs
@@ -29,6 +29,17 @@
         }
     }
 
+    /// Confirms the departure of an endpoint whose entry might have lapsed, so
+    /// that it is sent to the other instances. Does nothing if the entry has
+    /// come back, or if another instance has sent the departure.
+    pub fn confirm_departure(&mut self, id: &EndpointId, now: Instant) {
+        if self.endpoints.contains_key(id) {
+            return;
+        }
+        let confirmed = self.departures.confirm(id, now);
+        self.unsent_departures.extend(confirmed);
+    }
+
     /// Applies a departure that another instance saw. Returns whether it is
     /// new.
     pub fn apply_departure(
--- a/crates/fleet/tests/departure_rules.rs
+++ b/crates/fleet/tests/departure_rules.rs
@@ -97,6 +97,41 @@
     assert!(!is_chosen(&view, now));
 }
 
+/// Guards against a departure that an instance keeps to itself because the
+/// entry might have lapsed: another instance, whose watch was lost, sent
+/// requests to the endpoint for up to 4.6 s after it had left.
+#[test]
+fn a_departure_is_sent_once_it_is_confirmed() {
+    let now = Instant::now();
+    let e1 = "e1".to_owned();
+    let mut view = FleetView::new("z1");
+    view.apply_entry(entry(3, false), now);
+    view.remove_entry(&e1, 5.into(), false, now);
+    let later = now + Duration::from_secs(10);
+    view.confirm_departure(&e1, later);
+    view.confirm_departure(&e1, later);
+    assert_eq!(view.take_unsent_departures(), [departure(5)]);
+    assert_eq!(view.departures(later), [departure(5)]);
+}
+
+#[test]
+fn a_departure_is_not_confirmed_if_the_entry_is_back_or_others_sent_it() {
+    let now = Instant::now();
+    let e1 = "e1".to_owned();
+    let mut view = FleetView::new("z1");
+    view.apply_entry(entry(3, false), now);
+    view.remove_entry(&e1, 5.into(), false, now);
+    view.apply_entry(entry(6, false), now);
+    view.confirm_departure(&e1, now);
+    assert!(view.take_unsent_departures().is_empty());
+    assert!(is_chosen(&view, now));
+
+    view.remove_entry(&e1, 7.into(), false, now);
+    view.apply_departure(&departure(8), now);
+    view.confirm_departure(&e1, now);
+    assert!(view.take_unsent_departures().is_empty());
+}
+
 /// An event about one endpoint's entry, as one instance learns of it.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/fleet/tests/store_reachability_rules.rs
+++ b/crates/fleet/tests/store_reachability_rules.rs
@@ -111,3 +111,23 @@
     assert!(!reachability.was_disturbed_within(window, noticed));
     assert!(reachability.may_lack_writes(noticed));
 }
+
+#[test]
+fn a_missing_entry_may_come_back_for_a_while_after_an_outage_or_a_restore() {
+    let now = Instant::now();
+    let return_time = Duration::from_secs(2);
+    let mut reachability = StoreReachability::default();
+    let left = |reachability: &StoreReachability, at| {
+        reachability.return_time_left(return_time, at)
+    };
+    assert_eq!(left(&reachability, now), Some(Duration::ZERO));
+    reachability.record_failure(unanswered(now, 100));
+    assert_eq!(left(&reachability, now + return_time * 2), None);
+    let back = now + Duration::from_secs(5);
+    reachability.record_success(back);
+    assert_eq!(left(&reachability, back), Some(return_time));
+    let later = back + return_time;
+    assert_eq!(left(&reachability, later), Some(Duration::ZERO));
+    reachability.record_restore(later);
+    assert_eq!(left(&reachability, later), Some(return_time));
+}
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -20,7 +20,10 @@
 use sedgewall_state::id::EndpointId;
 
 use super::{
-    instance::FleetInstance, list_watch::ObjectHandler, notify::Notify, poison,
+    instance::FleetInstance,
+    list_watch::{FRESH_WATCHERS, ObjectHandler},
+    notify::Notify,
+    poison,
 };
 
 /// The timeout of a watch of endpoints. A connection that died silently is
@@ -44,6 +47,14 @@
 /// outage: twice the time that a lapsed entry takes to come back.
 const LAPSE_DOUBT_WINDOW: Duration = Duration::from_secs(4);
 
+/// How long after the end of an outage a lapsed entry is back in the store,
+/// according to the platform's documentation.
+const ENTRY_RETURN_TIME: Duration = Duration::from_millis(2_000);
+
+/// The time from a change of an entry to its arrival here, in addition to the
+/// pause between two watches.
+const WATCH_DELAY: Duration = Duration::from_millis(50);
+
 /// Handles the entries of endpoints.
 pub(crate) struct Endpoints {
     instance: Rc<FleetInstance>,
@@ -57,8 +68,7 @@
     const WATCH_TIMEOUT: Duration = ENDPOINTS_WATCH_TIMEOUT;
 
     fn pause(&self) -> Duration {
-        let peers = self.instance.peers.borrow().len() as u32;
-        ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(MAX_PAUSE)
+        watch_pause(&self.instance)
     }
 
     fn relist_notify(&self) -> Rc<Notify> {
@@ -193,19 +203,61 @@
     }
 }
 
+/// Returns the pause before the next watch of endpoints.
+fn watch_pause(instance: &FleetInstance) -> Duration {
+    let peers = instance.peers.borrow().len() as u32;
+    ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(MAX_PAUSE)
+}
+
 fn remove_endpoint(
-    instance: &FleetInstance,
+    instance: &Rc<FleetInstance>,
     id: &EndpointId,
     revision: Revision,
 ) {
     let now = Instant::now();
     let reachability = instance.store_reachability.borrow();
     let is_sure = !reachability.was_disturbed_within(LAPSE_DOUBT_WINDOW, now);
+    drop(reachability);
     tracing::info!(event = "endpoint_gone", endpoint = id, %revision, is_sure);
     if is_sure {
         poison::endpoint_ended(instance, id);
     }
-    instance.view.borrow_mut().remove_entry(id, revision, is_sure, now);
+    let mut view = instance.view.borrow_mut();
+    let was_leaving =
+        view.get(id).is_none_or(|state| state.endpoint.is_draining);
+    view.remove_entry(id, revision, is_sure, now);
+    drop(view);
+    if !is_sure && !was_leaving {
+        report_once_certain(instance, id);
+    }
+}
+
+/// Tells the other instances of an endpoint whose entry might have lapsed, if
+/// the entry is still missing when all lapsed entries are back. An instance
+/// whose watch of endpoints is lost learns of the departure from this alone.
+/// In a large fleet only the instances that watch for all others report it.
+fn report_once_certain(instance: &Rc<FleetInstance>, id: &EndpointId) {
+    let (instance, id) = (instance.clone(), id.clone());
+    compio::runtime::spawn(async move {
+        loop {
+            let return_time =
+                ENTRY_RETURN_TIME + watch_pause(&instance) + WATCH_DELAY;
+            let reachability = instance.store_reachability.borrow();
+            let left =
+                reachability.return_time_left(return_time, Instant::now());
+            drop(reachability);
+            if left == Some(Duration::ZERO) {
+                break;
+            }
+            compio::time::sleep(left.unwrap_or(return_time)).await;
+        }
+        if instance.rank(0) < FRESH_WATCHERS {
+            let now = Instant::now();
+            instance.view.borrow_mut().confirm_departure(&id, now);
+            broadcast_departures(&instance);
+        }
+    })
+    .detach();
 }
 
 /// Tells all other instances of endpoints that this one has seen leave. Their
