Skip queued requests for an engine's report that are no longer needed

Cause: while an engine does not answer, requests for its report queue up: one is made every 700 ms and takes 800 ms to time out, and a new epoch of the lease makes one at once. The first report that arrives makes the planner plan loads, which are queued behind the remaining requests. The next report does not show these loads, so applying it frees their slots, and other loads are planned for the same slots.

Change: a request for a report is skipped if the engine's contents and its count of orders are already known, or if it belongs to an epoch that this instance no longer holds. A report that arrives under a later epoch is ignored.

The rule on epochs has no test of its own.

--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -111,7 +111,9 @@
                 continue;
             };
             if matches!(first.task, Task::Sync) {
-                self.sync(first, &mut accepted).await;
+                if self.needs_report(epoch, &first.endpoint, &accepted) {
+                    self.sync(epoch, first, &mut accepted).await;
+                }
                 continue;
             }
             for order in batch {
@@ -144,9 +146,39 @@
         self.cancel_load(order);
     }
 
+    /// Returns whether an engine's report is still needed.
+    ///
+    /// While an engine does not answer, requests for its report queue up. Once
+    /// one is answered, loads are planned by it; another report, which does
+    /// not show them yet, would free their slots, and a fourth adapter was
+    /// ordered for three slots.
+    fn needs_report(
+        &self,
+        epoch: Epoch,
+        endpoint: &EndpointId,
+        accepted: &AcceptedOrders,
+    ) -> bool {
+        let view = self.instance.view.borrow();
+        let is_known =
+            view.get(endpoint).is_some_and(|state| state.is_ordered_by_us());
+        self.holds_lease(epoch) && !(is_known && accepted.count.is_some())
+    }
+
+    /// Returns whether this instance holds the lease under an epoch.
+    fn holds_lease(&self, epoch: Epoch) -> bool {
+        let held = self.instance.current_lease(Instant::now());
+        held.is_some_and(|held| held.epoch == epoch)
+    }
+
     /// Asks an engine for a report of what it holds, once the report must show
-    /// the last order.
-    async fn sync(&self, order: &Order, accepted: &mut AcceptedOrders) {
+    /// the last order. A report that arrives under a later epoch is ignored,
+    /// since that epoch requests its own.
+    async fn sync(
+        &self,
+        epoch: Epoch,
+        order: &Order,
+        accepted: &mut AcceptedOrders,
+    ) {
         if self.is_cooling_down(&order.endpoint) {
             return;
         }
@@ -155,6 +187,10 @@
         compio::time::sleep(REPORT_LAG.saturating_sub(since)).await;
         let report = engine::report(&self.instance.pool, order.address).await;
         match report {
+            Ok(_) if !self.holds_lease(epoch) => {
+                let endpoint = &order.endpoint;
+                tracing::info!(event = "report_outdated", endpoint, epoch);
+            }
             Ok(report) if !report.is_busy => {
                 tracing::info!(
                     event = "engine_synced",
