Probe twice before an endpoint counts as alive after a broken run

Cause: the connections of a process that ends may close before its port. A probe that came in between found the endpoint listening, so the crash did not count against the request, which then crashed a fourth endpoint.

Change: an endpoint that was found to listen is probed again 100 ms later and counts as alive only if it still listens. Probes are made only after a run broke off.

--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -27,6 +27,11 @@
 /// a region a connection takes milliseconds.
 const ENDPOINT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The delay before an endpoint that was found to listen is probed again. The
+/// connections of a process that ends may close before its port: a probe found
+/// a port open that refused connections 4 ms later.
+const LISTEN_CONFIRM_DELAY: Duration = Duration::from_millis(100);
+
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED_DIGESTS: usize = 8;
 
@@ -141,8 +146,9 @@
     watch_poison::mark_refuted(instance, digest);
 }
 
-/// Probes whether an endpoint is still there, with one probe at a time for
-/// each endpoint.
+/// Probes whether an endpoint is still there. One first probe runs at a time
+/// for each endpoint; an endpoint counts as alive if a second probe confirms
+/// that it listens.
 fn probe_endpoint(
     instance: &Rc<FleetInstance>,
     id: EndpointId,
@@ -155,9 +161,13 @@
     let incarnation = incarnation_of(&instance, &id);
     compio::runtime::spawn(async move {
         let began = Instant::now();
-        let presence =
-            instance.pool.probe(address, ENDPOINT_PROBE_TIMEOUT).await;
+        let probe = || instance.pool.probe(address, ENDPOINT_PROBE_TIMEOUT);
+        let mut presence = probe().await;
         instance.probed_endpoints.borrow_mut().remove(&id);
+        if presence == ProbeOutcome::Listens {
+            compio::time::sleep(LISTEN_CONFIRM_DELAY).await;
+            presence = probe().await;
+        }
         tracing::info!(
             event = "endpoint_looked_at",
             endpoint = id,
