Release the reachability of the store before a wait

Cause: clippy (await_holding_refcell_ref) warned of a borrow in the task that reports departures in doubt, although the borrow was dropped before the wait. Change: the borrow ends with its statement.

--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -242,10 +242,10 @@
         loop {
             let return_time =
                 ENTRY_RETURN_TIME + watch_pause(&instance) + WATCH_DELAY;
-            let reachability = instance.store_reachability.borrow();
-            let left =
-                reachability.return_time_left(return_time, Instant::now());
-            drop(reachability);
+            let left = instance
+                .store_reachability
+                .borrow()
+                .return_time_left(return_time, Instant::now());
             if left == Some(Duration::ZERO) {
                 break;
             }
