--- a/crates/fleet/src/view/pools.rs
+++ b/crates/fleet/src/view/pools.rs
@@ -52,6 +52,13 @@
             .collect();
     }
 
+    /// Ignores notes on splits of earlier epochs from now on. Called when this
+    /// instance begins to decide as the lease holder, so that a late note of
+    /// its predecessor does not undo its decisions once it has lost the lease.
+    pub fn begin_splits(&mut self, epoch: Epoch) {
+        self.splits_heard = self.splits_heard.max(Some((epoch, 0)));
+    }
+
     /// Sets or removes the split of a service, as this instance decided as the
     /// lease holder.
     pub fn set_split(&mut self, service: &str, split: Option<PoolSplit>) {
--- a/crates/fleet/tests/engine_pools_rules.rs
+++ b/crates/fleet/tests/engine_pools_rules.rs
@@ -376,6 +376,21 @@
     assert_eq!(fraction(&view), None);
 }
 
+/// Guards against a late note of the previous lease holder that undoes the
+/// decisions of an instance which has lost the lease since.
+#[test]
+fn a_late_note_does_not_undo_the_decisions_of_a_former_lease_holder() {
+    let mut view = FleetView::new("z1");
+    view.apply_splits(&[split(0.5)], 3, 10);
+    view.begin_splits(4);
+    assert_eq!(view.split(SERVICE), Some(&split(0.5)));
+    view.set_split(SERVICE, Some(split(0.6)));
+    view.apply_splits(&[split(0.4)], 3, 11);
+    assert_eq!(view.split(SERVICE), Some(&split(0.6)));
+    view.apply_splits(&[split(0.7)], 5, 1);
+    assert_eq!(view.split(SERVICE), Some(&split(0.7)));
+}
+
 /// Guards against requests that wait for a pool without engines, and against
 /// requests that never get to the other pool.
 #[test]
