Engine pools: lower cost per request and per note

Whether all instances read notes on pools was determined several times for each request, over up to 400 instances. It is now determined every 500 ms and when the list of instances changes. Expired stream reports are dropped once a second instead of at each note. The classes of waiting requests are left out of demand reports while an instance of the previous release is present: it would reject the report. The served line states the class of a request to a split service.

--- a/crates/fleet/src/engine_pools.rs
+++ b/crates/fleet/src/engine_pools.rs
@@ -69,6 +69,11 @@
 /// split. Its demand counters start at zero and have a time constant of 3 s.
 const OBSERVATION_TIME: Duration = Duration::from_secs(6);
 
+/// The interval at which reports that are no longer counted are dropped. All
+/// reports are visited, which is too expensive for each of some hundred notes
+/// per second.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The class of a request, by what it does to the engine that runs it.
 #[derive(
     Clone,
@@ -174,6 +179,16 @@
     }
 }
 
+impl RequestClass {
+    /// Returns the name of the class in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            RequestClass::Short => "short",
+            RequestClass::Long => "long",
+        }
+    }
+}
+
 impl PoolReport {
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
@@ -277,6 +292,7 @@
     instances: HashMap<InstanceId, InstanceStreams>,
     /// Streams that ended, by service, in the order in which they were heard.
     ended: HashMap<ServiceName, VecDeque<EndedStreams>>,
+    expired_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -323,6 +339,9 @@
         now: Instant,
     ) {
         let known = self.instances.get(from);
+        if known.is_none() && reports.is_empty() {
+            return;
+        }
         if known.is_some_and(|known| known.sequence >= sequence) {
             return;
         }
@@ -352,11 +371,14 @@
             reports: reports.to_vec(),
         };
         self.instances.insert(from.clone(), streams);
-        self.forget(now);
+        if self.expired_at.is_none_or(|at| now - at >= EXPIRY_INTERVAL) {
+            self.expired_at = Some(now);
+            self.expire(now);
+        }
     }
 
     /// Drops what is no longer counted.
-    fn forget(&mut self, now: Instant) {
+    fn expire(&mut self, now: Instant) {
         for ended in self.ended.values_mut() {
             while ended
                 .front()
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -576,7 +576,9 @@
                 bytes: body.len(),
                 longest_pause: Duration::ZERO,
             };
-            request_log::served(&call, &progress, &target, &delivered);
+            request_log::served(
+                instance, &call, &progress, &target, &delivered,
+            );
             if status.is_success() {
                 poison::run_succeeded(instance, &call);
             }
--- a/crates/sedgewalld/src/fleet/engine_pools.rs
+++ b/crates/sedgewalld/src/fleet/engine_pools.rs
@@ -10,7 +10,7 @@
     },
     route::{RoutingConfiguration, ServiceName},
 };
-use sedgewall_state::id::Epoch;
+use sedgewall_state::id::{EndpointId, Epoch};
 
 use super::{attempt::CallerRequest, instance::FleetInstance};
 
@@ -21,6 +21,18 @@
 /// They are recorded with each of its status notes.
 const OWN_STREAMS_VALID_FOR: Duration = Duration::from_secs(2);
 
+/// How long the services that take part in engine pools are kept before they
+/// are determined again. They are needed for each request, and looking at up
+/// to 400 other instances each time is too expensive for 0.084 of a core.
+const SERVICES_TTL: Duration = Duration::from_millis(500);
+
+/// The services that take part in engine pools.
+#[derive(Default)]
+pub(crate) struct PoolServices {
+    determined_at: Option<Instant>,
+    services: Vec<ServiceName>,
+}
+
 /// The decisions of the current epoch of the lease.
 #[derive(Default)]
 pub(super) struct PoolDecisions {
@@ -41,6 +53,7 @@
     ) {
         if self.epoch != Some(epoch) {
             *self = PoolDecisions { epoch: Some(epoch), ..Self::default() };
+            instance.view.borrow_mut().begin_splits(epoch);
         }
         if self.decided_at.is_some_and(|at| now - at < DECISION_INTERVAL) {
             return;
@@ -103,8 +116,58 @@
     /// It does if a route to the service limits the gap between events, and if
     /// all other instances can read the reports.
     pub(crate) fn reports_pools(&self, service: &str) -> bool {
-        self.routing().is_some_and(|r| r.limits_gap(service))
-            && self.all_peers_read_pools()
+        self.with_pool_services(|known| known.iter().any(|s| s == service))
+    }
+
+    /// Returns whether this instance takes part in engine pools for any
+    /// service.
+    pub(super) fn reports_any_pools(&self) -> bool {
+        self.with_pool_services(|known| !known.is_empty())
+    }
+
+    /// Determines the services that take part in engine pools anew at their
+    /// next use. Call this when the list of instances has changed.
+    pub(super) fn forget_pool_services(&self) {
+        self.pool_services.borrow_mut().determined_at = None;
+    }
+
+    fn with_pool_services<T>(
+        &self,
+        read: impl FnOnce(&[ServiceName]) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut known = self.pool_services.borrow_mut();
+        if known.determined_at.is_none_or(|at| now - at >= SERVICES_TTL) {
+            known.determined_at = Some(now);
+            known.services = self.determine_pool_services();
+        }
+        read(&known.services)
+    }
+
+    fn determine_pool_services(&self) -> Vec<ServiceName> {
+        let Some(routing) = self.routing() else { return Vec::new() };
+        let limited = routing.engines().map(|(service, _)| service);
+        let limited: Vec<ServiceName> = limited
+            .filter(|service| routing.limits_gap(service))
+            .map(ToOwned::to_owned)
+            .collect();
+        match limited.is_empty() || self.all_peers_read_pools() {
+            true => limited,
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns the service of an engine if a request to it counts as a short
+    /// one for engine pools.
+    pub(super) fn short_service(
+        &self,
+        engine: &EndpointId,
+        prompt_tokens: u64,
+    ) -> Option<ServiceName> {
+        let view = self.view.borrow();
+        let service = &view.get(engine)?.endpoint.service;
+        let class = self.reported_class(service, prompt_tokens);
+        (class == Some(RequestClass::Short)).then(|| service.clone())
     }
 
     /// Returns the class of a request if it is reported for engine pools.
--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -4,9 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::{
-    adapter::AdapterKey, engine_pools::RequestClass, route::ServiceName,
-};
+use sedgewall_fleet::{adapter::AdapterKey, route::ServiceName};
 use sedgewall_state::id::EndpointId;
 
 use super::instance::FleetInstance;
@@ -42,17 +40,13 @@
         let mut view = instance.view.borrow_mut();
         let prefill_time = view.prefill_time(endpoint, prompt_tokens);
         let mut load = 0.0;
-        let mut service = None;
         if let Some(state) = view.get_mut(endpoint) {
             load = state.load();
             state.own_work.begin(key, prompt_tokens);
-            service = key.map(|_| state.endpoint.service.clone());
         }
         drop(view);
-        let short_at = service.filter(|service| {
-            let class = instance.reported_class(service, prompt_tokens);
-            class == Some(RequestClass::Short)
-        });
+        let short_at =
+            key.and_then(|_| instance.short_service(endpoint, prompt_tokens));
         if let Some(service) = &short_at {
             instance.stream_counts.borrow_mut().begin(service);
         }
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -40,8 +40,8 @@
 use sedgewall_transport::EndpointPool;
 
 use super::{
-    keys::Keys, notify::Notify, peers::ObservedAddress,
-    watch_poison::PoisonRecords,
+    engine_pools::PoolServices, keys::Keys, notify::Notify,
+    peers::ObservedAddress, watch_poison::PoisonRecords,
 };
 
 /// The number of consecutive notes of the lease holder that may be lost before
@@ -191,6 +191,8 @@
     pub(crate) awaited_adapters: RefCell<HashMap<AdapterKey, AwaitedAdapter>>,
     /// This instance's streams, for the decision on engine pools.
     pub(crate) stream_counts: RefCell<StreamCounts>,
+    /// The services that take part in engine pools.
+    pub(crate) pool_services: RefCell<PoolServices>,
     /// The streams of all instances, as far as their notes reach this one.
     pub(crate) stream_reports: RefCell<StreamReports>,
     /// This instance's share of each customer's allowance.
@@ -337,6 +339,7 @@
             requested_adapters: RefCell::default(),
             awaited_adapters: RefCell::default(),
             stream_counts: RefCell::default(),
+            pool_services: RefCell::default(),
             stream_reports: RefCell::default(),
             rate_limiter: RefCell::default(),
             keys: Keys::new(revoke_within),
@@ -548,8 +551,8 @@
 
     /// Asks the lease holder for an adapter that a request of the given
     /// priority waits for; `class` is its class if the engines are split. The
-    /// holder is asked for the same adapter once per interval: it remembers the adapter, and asking again makes up for a
-    /// lost note.
+    /// holder is asked for the same adapter and class once per interval: it
+    /// remembers them, and asking again makes up for a lost note.
     pub(crate) fn request_adapter(
         &self,
         key: &AdapterKey,
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -624,6 +624,11 @@
         waiting.push((key, awaited.priority));
         classes.waiting.push(awaited.classes);
     }
+    if !instance.reports_any_pools() {
+        // An instance of the previous release may hold the lease. It would
+        // reject the report.
+        classes = ClassDemand::default();
+    }
     let unreachable: Vec<_> =
         instance.unreachable.take().into_iter().collect();
     let observations: Vec<_> = instance
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -160,6 +160,7 @@
         self.is_over = true;
         poison::run_succeeded(&self.instance, &self.call);
         request_log::served(
+            &self.instance,
             &self.call,
             &self.progress,
             &self.target,
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -5,7 +5,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sedgewall_fleet::{adapter::AdapterKey, poison::Loss, view::Target};
+use sedgewall_fleet::{
+    adapter::AdapterKey, engine_pools::RequestClass, poison::Loss,
+    view::Target,
+};
 
 use super::{
     attempt::{AttemptError, CallerRequest},
@@ -95,6 +98,7 @@
 
 /// Logs a request that an endpoint served.
 pub(crate) fn served(
+    instance: &FleetInstance,
     call: &CallerRequest,
     progress: &Progress,
     target: &Target,
@@ -109,6 +113,7 @@
         route = call.route.name,
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
         key = call.metadata.key.as_ref().map(AdapterKey::to_string),
+        class = instance.split_class(call).map(RequestClass::name),
         endpoint = target.id,
         in_flight = target.in_flight,
         unread_tokens = target.unread_tokens,
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -79,6 +79,7 @@
         for object in objects {
             self.apply(&object);
         }
+        self.0.forget_pool_services();
     }
 
     fn handle_change(&self, change: Change) {
@@ -87,6 +88,7 @@
         } else {
             self.apply(&change.object);
         }
+        self.0.forget_pool_services();
     }
 }
 
