The pool for long prompts evicts adapters without long prompts first

Their requests go to the other pool, if an engine of it holds the adapter. The other pool has no such rule: demand does not count short requests by adapter.

--- a/crates/fleet/src/placement/target.rs
+++ b/crates/fleet/src/placement/target.rs
@@ -24,6 +24,11 @@
 /// holder.
 const RECENT_USE: Duration = Duration::from_millis(300);
 
+/// The rate of tokens of long prompts, per second, below which an adapter
+/// counts as one without long prompts. A prompt of 9,190 tokens counts for
+/// 24 s.
+const MIN_LONG_TOKENS: f64 = 1.0;
+
 /// The engine that an adapter is placed on.
 pub(super) struct PlacementTarget {
     pub(super) endpoint: EndpointId,
@@ -172,7 +177,7 @@
             None => NextSlot::None,
             Some(None) => NextSlot::Free,
             Some(Some(victim)) => {
-                let rate_per_s = self.rate(&victim);
+                let rate_per_s = self.rate_at(state, &victim);
                 NextSlot::AfterEvicting(victim, rate_per_s)
             }
         }
@@ -214,8 +219,31 @@
         adapters()
             .filter(|(_, placement)| placement.is_settled(self.now))
             .filter(|(key, _)| !state.uses(key) && !self.may_be_in_use(key))
-            .min_by(|a, b| self.rate(a.0).total_cmp(&self.rate(b.0)))
-            .map(|(key, _)| Some(key.clone()))
+            .map(|(key, _)| (self.rate_at(state, key), key))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, key)| Some(key.clone()))
+    }
+
+    /// Returns the rate of an adapter's requests as far as an engine gets
+    /// them: none if the engine is in the pool for long prompts, the adapter
+    /// has no long prompts, and an engine of the other pool holds it. The
+    /// other pool has no such rule, because demand does not count short
+    /// requests by adapter.
+    fn rate_at(&self, state: &EndpointState, key: &AdapterKey) -> f64 {
+        let is_unused = self
+            .view
+            .pool(self.service, RequestClass::Long)
+            .is_some_and(|pool| {
+                pool.contains(state.id())
+                    && self.demand.get(key).is_none_or(|demand| {
+                        demand.long_tokens_per_s(self.now) < MIN_LONG_TOKENS
+                    })
+                    && self.holders(key).any(|h| !pool.contains(h.id()))
+            });
+        match is_unused {
+            true => 0.0,
+            false => self.rate(key),
+        }
     }
 
     fn may_be_in_use(&self, key: &AdapterKey) -> bool {
--- a/crates/fleet/tests/engine_pools_rules.rs
+++ b/crates/fleet/tests/engine_pools_rules.rs
@@ -530,6 +530,44 @@
     assert!(long.contains(placed[0]));
 }
 
+/// Guards against an adapter with long prompts that is evicted from their pool
+/// although another one there gets no requests, and against the eviction of
+/// the only replica of an adapter.
+#[test]
+fn the_pool_for_long_prompts_evicts_adapters_without_long_prompts() {
+    let now = Instant::now();
+    let (long, short) = one_of_each();
+    let evicted = |of_short: &[u32]| {
+        let both = [long.clone(), short.clone()];
+        let mut view = fleet(&both, &[], now);
+        for (id, adapters) in [(&long, &[1, 2, 3, 4][..]), (&short, of_short)]
+        {
+            view.apply_entry(endpoint(id, "z1", adapters), now);
+            view.apply_report(id, &report(adapters, 0), now);
+        }
+        view.apply_splits(&[split(0.5)], 1, 1);
+        let mut demand = Demand::default();
+        demand.add(&key(1), 30, "z1", now);
+        for n in 2..=4 {
+            demand.add(&key(n), n, "z1", now);
+            demand.add_long_tokens(&key(n), LONG_PROMPT, now);
+        }
+        let later = now + Duration::from_secs(1);
+        demand.add(&key(5), 1, "z1", later);
+        demand.mark_waiting(&key(5), 1);
+        let waiting = WaitingClasses { long: true, short: false };
+        demand.add_waiting_classes(&key(5), waiting);
+        let orders = plan(&mut view, &mut demand, later);
+        let unloads = orders.iter().filter_map(|order| match &order.task {
+            Task::Unload(key) if order.endpoint == long => Some(key.clone()),
+            _ => None,
+        });
+        unloads.collect::<Vec<_>>()
+    };
+    assert_eq!(evicted(&[1]), [key(1)]);
+    assert_eq!(evicted(&[]), [key(2)]);
+}
+
 mod replay {
     //! A replay of the load that pools are for: on each engine 1.8 prompts of
     //! 9,190 tokens and 2 streams of 1.6 s begin per second. Adapters are on
