--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -82,7 +82,7 @@
     status: StatusCode,
     delivered: &request_log::Delivered,
 ) {
-    request_log::served(call, progress, target, delivered);
+    request_log::served(instance, call, progress, target, delivered);
     if status.is_success() {
         poison::run_succeeded(instance, call);
     }
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -44,6 +44,7 @@
 
 use super::{
     buffers::{self, Buffers, CONNECTION_BUFFER},
+    engine_pools::PoolServices,
     keys::Keys,
     notify::Notify,
     peers::ObservedAddress,
@@ -202,6 +203,8 @@
     pub(crate) awaited_adapters: RefCell<HashMap<AdapterKey, AwaitedAdapter>>,
     /// This instance's streams, for the decision on engine pools.
     pub(crate) stream_counts: RefCell<StreamCounts>,
+    /// The services that take part in engine pools.
+    pub(crate) pool_services: RefCell<PoolServices>,
     /// The streams of all instances, as far as their notes reach this one.
     pub(crate) stream_reports: RefCell<StreamReports>,
     /// This instance's share of each customer's allowance.
@@ -364,6 +367,7 @@
             requested_adapters: RefCell::default(),
             awaited_adapters: RefCell::default(),
             stream_counts: RefCell::default(),
+            pool_services: RefCell::default(),
             stream_reports: RefCell::default(),
             rate_limiter: RefCell::default(),
             keys: Keys::new(revoke_within),
@@ -610,8 +614,8 @@
 
     /// Asks the lease holder for an adapter that a request of the given
     /// priority waits for; `class` is its class if the engines are split. The
-    /// holder is asked for the same adapter once per interval: it remembers the adapter, and asking again makes up for a
-    /// lost note.
+    /// holder is asked for the same adapter and class once per interval: it
+    /// remembers them, and asking again makes up for a lost note.
     pub(crate) fn request_adapter(
         &self,
         key: &AdapterKey,
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -251,6 +251,7 @@
             return;
         }
         request_log::served(
+            &self.instance,
             &self.call,
             &self.progress,
             &self.target,
