--- a/crates/fleet/src/rate_limiter.rs
+++ b/crates/fleet/src/rate_limiter.rs
@@ -41,7 +41,7 @@
 
 /// Capacity of the bucket, as a fraction of the allowance's burst. The
 /// remainder covers what is admitted between two reports.
-const CAPACITY: f64 = 0.6;
+const CAPACITY: f64 = 0.5;
 
 /// Capacity of the bucket in addition to [`CAPACITY`], in large requests, up to
 /// the burst. With a smaller bucket, random arrivals of few large requests are
