--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -27,9 +27,11 @@
 };
 use sedgewall_state::id::EndpointId;
 use sedgewall_transport::{PooledResponse, SendError};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     announcements,
+    buffers::Reserved,
     in_flight::InFlightGuard,
     instance::{FleetInstance, ObservedLoad},
     poison,
@@ -46,6 +48,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The reservation for the body, if there is a budget.
+    pub(crate) _body_reserved: Option<Reserved>,
     pub(crate) route: Route,
     /// The configuration by which the request was routed.
     pub(crate) decided_by: ConfigurationStatus,
@@ -174,6 +178,11 @@
     }
 }
 
+/// Returns a number between 0 and 1 derived from the hash of a request id.
+pub(crate) fn hash_fraction(request_id: &str) -> f64 {
+    xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64
+}
+
 /// The bounds of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendLimits {
@@ -226,6 +235,9 @@
         }
     };
     in_flight_guard.response_started();
+    if ended.as_ref().is_err_and(AttemptError::is_not_run) {
+        in_flight_guard.rejected();
+    }
     if ended.is_ok() && call.key().is_some() {
         let tokens = target.unread_tokens + prompt_tokens;
         let mut view = instance.view.borrow_mut();
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    buffers::SLOW_CALLERS,
     caller, catch_up,
     instance::{FleetInstance, Stage},
     keys, leader, lease, list_watch,
@@ -39,10 +40,6 @@
 /// the load balancer has probed readiness twice, one second apart.
 const BALANCER_GRACE: Duration = Duration::from_millis(2_400);
 
-/// The part of the configured grace period (`grace_s`) that is reserved for
-/// ending the process.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
 /// The interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -86,6 +83,7 @@
         operators = %instance.settings.operator_listen,
         notes = %instance.settings.peer_listen,
         store = %store,
+        buffer_budget_bytes = instance.buffers.as_ref().map(|b| b.limit()),
         version = env!("CARGO_PKG_VERSION"),
     );
     let (stopping, stop) = stop_signal();
@@ -106,6 +104,9 @@
     compio::runtime::spawn(notes::run_sender(instance.clone(), sender))
         .detach();
     compio::runtime::spawn(lease::run(instance.clone())).detach();
+    if let Some(buffers) = &instance.buffers {
+        compio::runtime::spawn(buffers.clone().watch_callers()).detach();
+    }
     compio::runtime::spawn(leader::run(instance.clone(), orders)).detach();
     compio::runtime::spawn(serve_callers(instance.clone(), callers, stop))
         .detach();
@@ -153,7 +154,11 @@
     stop: Stop,
 ) {
     let connections = instance.settings.limits.connections;
-    let limits = ServerLimits { connections, header_timeout: IDLE_TIMEOUT };
+    let limits = ServerLimits {
+        connections,
+        header_timeout: IDLE_TIMEOUT,
+        slow_clients: instance.buffers.as_ref().map(|_| SLOW_CALLERS),
+    };
     let handler: Handler = Rc::new(move |request| {
         Box::pin(caller::answer(instance.clone(), request))
     });
@@ -185,7 +190,11 @@
     metrics: PrometheusHandle,
 ) {
     let connections = OPERATOR_CONNECTIONS;
-    let limits = ServerLimits { connections, header_timeout: IDLE_TIMEOUT };
+    let limits = ServerLimits {
+        connections,
+        header_timeout: IDLE_TIMEOUT,
+        slow_clients: None,
+    };
     let handler: Handler = Rc::new(move |request| {
         let response = operator_answer(&instance, &metrics, &request);
         Box::pin(async move { response })
@@ -217,6 +226,10 @@
 fn update_gauges(instance: &FleetInstance) {
     metrics::gauge!("sedgewall_requests_open")
         .set(instance.open_requests.get() as f64);
+    if let Some(buffers) = &instance.buffers {
+        metrics::gauge!("sedgewall_buffered_bytes")
+            .set(buffers.held_bytes() as f64);
+    }
     let resident = process::resident_bytes();
     metrics::gauge!("sedgewall_resident_bytes").set(resident as f64);
     let cpu_s = process::cpu_ms() as f64 / 1_000.0;
@@ -265,10 +278,12 @@
     tracing::info!(event = "stop", open = instance.open_requests.get());
     instance.stage.set(Stage::Leaving);
     instance.leaving_since.set(Some(began));
+    if let Some(queues) = &instance.wait_queues {
+        queues.wake_everyone();
+    }
     compio::time::sleep(BALANCER_GRACE).await;
     drop(stopping);
-    let grace = Duration::from_secs_f64(instance.fleet.grace_s);
-    let end = began + grace.saturating_sub(STOP_MARGIN);
+    let end = began + instance.stop_time();
     let has_duties =
         || instance.open_requests.get() > 0 || instance.held.get().is_some();
     while has_duties() && Instant::now() < end {
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -0,0 +1,114 @@
+//! Delivers an endpoint's response to the caller: a streamed one as it arrives,
+//! any other one whole.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{Response, StatusCode};
+use sedgewall_fleet::{poison::Loss, view::Target};
+use sedgewall_platform::call::caller_response_headers;
+use sedgewall_transport::{LocalBody, SendError};
+
+use super::{
+    attempt::{CallerRequest, GoodAnswer},
+    buffered_delivery,
+    in_flight::OpenRequestGuard,
+    instance::FleetInstance,
+    poison,
+    progress::Progress,
+    refusal::{self, Reason},
+    relay, request_log,
+};
+
+/// Returns the caller's response for an endpoint's response.
+pub(crate) async fn forward(
+    instance: &Rc<FleetInstance>,
+    call: Rc<CallerRequest>,
+    progress: Progress,
+    good: GoodAnswer,
+    target: Target,
+    open: OpenRequestGuard,
+) -> Response<LocalBody> {
+    let status = good.answer.status;
+    let headers = caller_response_headers(&good.answer.headers);
+    if call.route.is_stream && status.is_success() {
+        let stream = relay::stream(
+            instance.clone(),
+            call,
+            progress,
+            good,
+            target,
+            open,
+        );
+        let mut response = Response::new(stream);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        return response;
+    }
+    if let Some(buffers) = &instance.buffers {
+        return buffered_delivery::forward_whole(
+            buffers, instance, call, progress, good, target, open,
+        )
+        .await;
+    }
+    let head_time = call.arrived.elapsed();
+    let whole =
+        compio::time::timeout(call.left(), good.answer.collect()).await;
+    match whole {
+        Ok(Ok(body)) => {
+            let delivered = request_log::Delivered {
+                head_time,
+                bytes: body.len(),
+                longest_pause: Duration::ZERO,
+            };
+            served_whole(
+                instance, &call, &progress, &target, status, &delivered,
+            );
+            let mut response = Response::new(LocalBody::full(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Ok(Err(err)) => lost(instance, &call, &progress, &target, Some(err)),
+        Err(_) => lost(instance, &call, &progress, &target, None),
+    }
+}
+
+/// Records that an endpoint's whole response was read.
+pub(super) fn served_whole(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    status: StatusCode,
+    delivered: &request_log::Delivered,
+) {
+    request_log::served(instance, call, progress, target, delivered);
+    if status.is_success() {
+        poison::run_succeeded(instance, call);
+    }
+}
+
+/// Returns the answer to a request whose response broke off, or did not arrive
+/// in time if there is no error.
+pub(super) fn lost(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &Progress,
+    target: &Target,
+    err: Option<SendError>,
+) -> Response<LocalBody> {
+    let reason = match err {
+        Some(err) => {
+            let cause = err.to_string();
+            poison::run_broken(instance, call, target, &cause);
+            Reason::OutcomeUnknown
+        }
+        None => {
+            poison::run_lost(instance, call, Loss::Broken);
+            Reason::TimedOut
+        }
+    };
+    let retry_in = progress.retry_delay(call);
+    request_log::refused(call, progress, reason, retry_in);
+    refusal::answer(reason, retry_in)
+}
--- a/crates/sedgewalld/src/fleet/in_flight.rs
+++ b/crates/sedgewalld/src/fleet/in_flight.rs
@@ -4,9 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::{
-    adapter::AdapterKey, engine_pools::RequestClass, route::ServiceName,
-};
+use sedgewall_fleet::{adapter::AdapterKey, route::ServiceName};
 use sedgewall_state::id::EndpointId;
 
 use super::instance::FleetInstance;
@@ -30,6 +28,8 @@
     load: f64,
     /// The service, if the request is counted as a short one for engine pools.
     short_at: Option<ServiceName>,
+    /// Whether the endpoint rejected the request or was not reached.
+    is_rejected: bool,
 }
 
 impl InFlightGuard {
@@ -42,17 +42,13 @@
         let mut view = instance.view.borrow_mut();
         let prefill_time = view.prefill_time(endpoint, prompt_tokens);
         let mut load = 0.0;
-        let mut service = None;
         if let Some(state) = view.get_mut(endpoint) {
             load = state.load();
             state.own_work.begin(key, prompt_tokens);
-            service = key.map(|_| state.endpoint.service.clone());
         }
         drop(view);
-        let short_at = service.filter(|service| {
-            let class = instance.reported_class(service, prompt_tokens);
-            class == Some(RequestClass::Short)
-        });
+        let short_at =
+            key.and_then(|_| instance.short_service(endpoint, prompt_tokens));
         if let Some(service) = &short_at {
             instance.stream_counts.borrow_mut().begin(service);
         }
@@ -73,9 +69,18 @@
             began: Instant::now(),
             load,
             short_at,
+            is_rejected: false,
         }
     }
 
+    /// Records that the endpoint rejected the request or was not reached. The
+    /// end of this attempt makes no capacity available, and the requests that
+    /// wait are not woken by it. They would be sent to a full endpoint one
+    /// after the other.
+    pub(crate) fn rejected(&mut self) {
+        self.is_rejected = true;
+    }
+
     /// Records that the response has begun, which means that prefill of the
     /// prompt is done.
     pub(crate) fn response_started(&mut self) {
@@ -101,6 +106,12 @@
             let took = self.began.elapsed();
             view.observe_residence_time(&self.endpoint, self.load, took);
         }
+        if let Some(queues) = &self.instance.wait_queues
+            && !self.is_rejected
+            && let Some(state) = view.get(&self.endpoint)
+        {
+            queues.wake_service(&state.endpoint.service);
+        }
     }
 }
 
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -25,6 +25,7 @@
     poison::PoisonDetector,
     rate_limiter::RateLimiter,
     recent_successes::RecentSuccesses,
+    residence_time::StreamTime,
     retry_budget::{RetryAllowance, RetryBudget},
     route::RoutingConfiguration,
     store_reachability::{CallFailure, StoreReachability},
@@ -32,7 +33,9 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{Store, StoreError, store::StoreEra};
+use sedgewall_platform::{
+    Store, StoreError, contracts::Features, store::StoreEra,
+};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -40,7 +43,12 @@
 use sedgewall_transport::EndpointPool;
 
 use super::{
-    keys::Keys, notify::Notify, peers::ObservedAddress,
+    buffers::{self, Buffers, CONNECTION_BUFFER},
+    engine_pools::PoolServices,
+    keys::Keys,
+    notify::Notify,
+    peers::ObservedAddress,
+    wait_queues::WaitQueues,
     watch_poison::PoisonRecords,
 };
 
@@ -55,6 +63,10 @@
 /// The number of remembered adapter requests above which old ones are dropped.
 const MAX_REMEMBERED_REQUESTS: usize = 512;
 
+/// The part of the configured grace period (`grace_s`) that is reserved for
+/// ending the process.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// The lifecycle stage of an instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -191,6 +203,8 @@
     pub(crate) awaited_adapters: RefCell<HashMap<AdapterKey, AwaitedAdapter>>,
     /// This instance's streams, for the decision on engine pools.
     pub(crate) stream_counts: RefCell<StreamCounts>,
+    /// The services that take part in engine pools.
+    pub(crate) pool_services: RefCell<PoolServices>,
     /// The streams of all instances, as far as their notes reach this one.
     pub(crate) stream_reports: RefCell<StreamReports>,
     /// This instance's share of each customer's allowance.
@@ -212,6 +226,8 @@
     pub(crate) suspicions: RefCell<Suspicions>,
     /// The longest time limit that a caller stated, by route.
     longest_time_limits: RefCell<HashMap<String, Duration>>,
+    /// The duration of streams, by route.
+    stream_times: RefCell<HashMap<String, StreamTime>>,
     /// When the lease holder was last asked for each adapter, by class if the
     /// engines are split.
     last_requested:
@@ -236,6 +252,8 @@
     /// This instance's lease on orders, if it holds it.
     pub(crate) held: Cell<Option<HeldLease>>,
     pub(crate) pool: EndpointPool,
+    /// The bytes held for callers and endpoints, if they have a budget.
+    pub(crate) buffers: Option<Rc<Buffers>>,
     /// Evidence of requests that crash endpoints.
     pub(crate) poison: RefCell<PoisonDetector>,
     /// Requests that succeeded here lately, as hashes with a key of this
@@ -260,6 +278,9 @@
     pub(crate) open_requests: Cell<usize>,
     /// Requests that wait for each adapter.
     adapter_waiters: RefCell<HashMap<AdapterKey, Vec<oneshot::Sender<()>>>>,
+    /// The queues of requests that wait for an endpoint, if waiting is
+    /// ordered.
+    pub(crate) wait_queues: Option<WaitQueues>,
     planner_notify: Notify,
     pub(super) catch_up_notify: Notify,
     notes_notify: Notify,
@@ -318,8 +339,17 @@
             false => RetryBudget::new(allowance),
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
+        let features = Features::of_contracts(&fleet.contracts);
+        let has_queues =
+            fleet.ordered_waiting.unwrap_or(features.has_ordered_waiting);
+        let wait_queues =
+            has_queues.then(|| WaitQueues::new(settings.limits.requests));
         let view = FleetView::new(&settings.zone);
-        let pool = EndpointPool::new();
+        let buffers = buffers::budget_bytes(&fleet).map(Buffers::new);
+        let pool = match buffers {
+            Some(_) => EndpointPool::with_max_buffer(CONNECTION_BUFFER),
+            None => EndpointPool::new(),
+        };
         Rc::new(FleetInstance {
             settings,
             fleet,
@@ -337,6 +367,7 @@
             requested_adapters: RefCell::default(),
             awaited_adapters: RefCell::default(),
             stream_counts: RefCell::default(),
+            pool_services: RefCell::default(),
             stream_reports: RefCell::default(),
             rate_limiter: RefCell::default(),
             keys: Keys::new(revoke_within),
@@ -347,6 +378,7 @@
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             longest_time_limits: RefCell::default(),
+            stream_times: RefCell::default(),
             last_requested: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
@@ -358,6 +390,7 @@
             held: Cell::new(None),
             store: Store::new(EndpointPool::new(), store_address),
             pool,
+            buffers,
             poison: RefCell::default(),
             recent_successes: RefCell::new(RecentSuccesses::new(
                 Instant::now(),
@@ -371,6 +404,7 @@
             peer_pool: EndpointPool::new(),
             open_requests: Cell::new(0),
             adapter_waiters: RefCell::default(),
+            wait_queues,
             planner_notify: Notify::default(),
             catch_up_notify: Notify::default(),
             notes_notify: Notify::default(),
@@ -394,6 +428,12 @@
         })
     }
 
+    /// Returns how long a planned stop may take until it is cut off.
+    pub(crate) fn stop_time(&self) -> Duration {
+        let grace = Duration::from_secs_f64(self.fleet.grace_s);
+        grace.saturating_sub(STOP_MARGIN)
+    }
+
     pub(crate) fn id(&self) -> &InstanceId {
         &self.settings.instance
     }
@@ -434,9 +474,16 @@
     /// to the other instances at once.
     pub(crate) fn record_store_success(&self) {
         self.check_store_era();
-        if self.store_reachability.borrow_mut().record_success(Instant::now())
-        {
-            self.notify_notes();
+        let now = Instant::now();
+        if !self.store_reachability.borrow_mut().record_success(now) {
+            return;
+        }
+        self.notify_notes();
+        // A watch that was sent on a silent path is never answered, and is
+        // abandoned 5 s after it was sent. Meanwhile requests would go to
+        // endpoints that have left.
+        if !self.is_listed_since_failure(&self.endpoints_relist_notify) {
+            self.endpoints_relist_notify.notify_waiting();
         }
     }
 
@@ -540,16 +587,35 @@
         *known
     }
 
-    /// Clears the longest time limits of all routes, because a new
-    /// configuration may change them.
+    /// Clears the longest time limits and the stream times of all routes,
+    /// because a new configuration may change them.
     pub(crate) fn clear_time_limits(&self) {
         self.longest_time_limits.borrow_mut().clear();
+        self.stream_times.borrow_mut().clear();
+    }
+
+    /// Records the time from the headers to the end of a stream of a route.
+    pub(crate) fn observe_stream_time(&self, route: &str, took: Duration) {
+        let mut times = self.stream_times.borrow_mut();
+        match times.get_mut(route) {
+            Some(time) => time.observe(took),
+            None => {
+                let time = times.entry(route.to_owned()).or_default();
+                time.observe(took);
+            }
+        }
+    }
+
+    /// Returns the mean time from the headers to the end of a stream of a
+    /// route, or `None` if none has ended yet.
+    pub(crate) fn mean_stream_time(&self, route: &str) -> Option<Duration> {
+        self.stream_times.borrow().get(route)?.mean()
     }
 
     /// Asks the lease holder for an adapter that a request of the given
     /// priority waits for; `class` is its class if the engines are split. The
-    /// holder is asked for the same adapter once per interval: it remembers the adapter, and asking again makes up for a
-    /// lost note.
+    /// holder is asked for the same adapter and class once per interval: it
+    /// remembers them, and asking again makes up for a lost note.
     pub(crate) fn request_adapter(
         &self,
         key: &AdapterKey,
@@ -607,15 +673,22 @@
             // ended.
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_adapter(key);
+        }
     }
 
-    /// Wakes all requests that wait for an adapter.
+    /// Wakes all requests that wait for an adapter, and the heads of all
+    /// queues.
     pub(crate) fn wake_all(&self) {
         let waiting: Vec<_> =
             self.adapter_waiters.borrow_mut().drain().collect();
         for tx in waiting.into_iter().flat_map(|(_, waiters)| waiters) {
             let _ = tx.send(());
         }
+        if let Some(queues) = &self.wait_queues {
+            queues.wake_all();
+        }
     }
 
     /// Makes all watched kinds be listed again, except the one that was just
@@ -627,18 +700,20 @@
     /// again: 2,285 lists, three for each instance and kind, when all watches
     /// of 195 instances were cut once.
     pub(crate) fn relist_others(&self, listed: &Rc<Notify>) {
-        let failed = self.store_reachability.borrow().last_failure();
-        let is_known = |notify: &Notify| {
-            failed.is_some_and(|call| notify.was_cleared_since(call.noticed))
-        };
         let all = self.relist_notifies();
         for notify in all.iter().filter(|n| !Rc::ptr_eq(n, listed)) {
-            if !is_known(notify) {
+            if !self.is_listed_since_failure(notify) {
                 notify.notify();
             }
         }
     }
 
+    /// Returns whether a list of a kind was begun after the last failed call.
+    fn is_listed_since_failure(&self, kind: &Notify) -> bool {
+        let failed = self.store_reachability.borrow().last_failure();
+        failed.is_some_and(|call| kind.was_cleared_since(call.noticed))
+    }
+
     fn relist_notifies(&self) -> [&Rc<Notify>; 5] {
         [
             &self.configuration_relist_notify,
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -10,6 +10,7 @@
 use sedgewall_clock::{Instant, SuspendDetector};
 use sedgewall_fleet::{
     catch_up::StateSummary,
+    customer::Customers,
     departure::Departure,
     engine_pools::ClassDemand,
     load_times::LoadObservation,
@@ -117,6 +118,9 @@
             apply_pool_report(instance, &status, now);
             announcements::apply_limit_reports(instance, &status, now);
             instance.view.borrow_mut().apply_status(status, now);
+            if let Some(queues) = &instance.wait_queues {
+                queues.note_received(now);
+            }
         }
         Note::Departed(departure) => {
             apply_departure(instance, &departure, now)
@@ -342,7 +346,14 @@
     let demands = status.asked_by_customers.clone();
     let mut rate_limiter = instance.rate_limiter.borrow_mut();
     match status.is_total {
-        true => rate_limiter.record_totals(demands, now, until),
+        true => {
+            let routing = instance.routing();
+            let none = Customers::default();
+            let customers =
+                routing.as_ref().map_or(&none, |routing| &routing.customers);
+            let from = &status.from;
+            rate_limiter.record_totals(from, demands, customers, now, until);
+        }
         false => rate_limiter.record_peer(&status.from, demands, now, until),
     }
 }
@@ -464,10 +475,14 @@
             instance.view.borrow_mut().remove_silent_peers(now);
             instance.view.borrow_mut().forget_departures(now);
             instance.suspicions.borrow_mut().forget(now);
-            instance.rate_limiter.borrow_mut().forget(now);
+            let instances = instance.instance_count();
+            instance.rate_limiter.borrow_mut().forget(instances, now);
             instance.view.borrow_mut().forget_limits(now);
             instance.view.borrow_mut().forget_cooldowns(now);
             instance.forget_saturated(now);
+            if let Some(queues) = &instance.wait_queues {
+                queues.forget(now);
+            }
             instance.catch_up.borrow_mut().forget(now);
             instance.poison.borrow_mut().forget(now);
             watch_poison::update_watcher_role(&instance);
@@ -624,6 +639,11 @@
         waiting.push((key, awaited.priority));
         classes.waiting.push(awaited.classes);
     }
+    if !instance.reports_any_pools() {
+        // An instance of the previous release may hold the lease. It would
+        // reject the report.
+        classes = ClassDemand::default();
+    }
     let unreachable: Vec<_> =
         instance.unreachable.take().into_iter().collect();
     let observations: Vec<_> = instance
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -37,6 +37,8 @@
     BodyTooLong,
     /// The body did not arrive in time, or broke off.
     BodyBroken,
+    /// The body does not fit the budget of buffered bytes.
+    BufferFull,
     /// The adapter is on no engine and will not be loaded in time.
     AdapterAbsent,
     /// All endpoints that could serve the request are full.
@@ -73,6 +75,7 @@
             Reason::OverAllowance(_) => "over_allowance",
             Reason::BodyTooLong => "body_too_long",
             Reason::BodyBroken => "body_broken",
+            Reason::BufferFull => "buffer_full",
             Reason::AdapterAbsent => "adapter_absent",
             Reason::Full => "full",
             Reason::NobodyThere => "nobody_there",
@@ -115,7 +118,10 @@
     /// Returns the delay after which a retry is worthwhile, or none if no
     /// retry is. `longest_delay` suits the caller's time limit and the time
     /// until an endpoint is expected to take the request, if that is known.
-    fn retry_after(self, longest_delay: Duration) -> Option<Duration> {
+    pub(crate) fn retry_after(
+        self,
+        longest_delay: Duration,
+    ) -> Option<Duration> {
         match self {
             // These causes last for seconds: until a load has had its turn, or
             // an outage or a restart is over. Callers retry only once or
@@ -135,6 +141,7 @@
             Reason::CrashesEndpoints(released_in) => Some(released_in),
             // Another instance may be able to serve the request.
             Reason::TooLate
+            | Reason::BufferFull
             | Reason::KeysUnsure
             | Reason::ConfigurationBehind => {
                 Some(longest_delay.min(SHORT_RETRY_DELAY))
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -5,13 +5,16 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sedgewall_fleet::{adapter::AdapterKey, poison::Loss, view::Target};
+use sedgewall_fleet::{
+    adapter::AdapterKey, engine_pools::RequestClass, poison::Loss,
+    view::Target,
+};
 
 use super::{
     attempt::{AttemptError, CallerRequest},
-    caller::Progress,
     instance::FleetInstance,
     poison,
+    progress::Progress,
     refusal::Reason,
 };
 
@@ -95,6 +98,7 @@
 
 /// Logs a request that an endpoint served.
 pub(crate) fn served(
+    instance: &FleetInstance,
     call: &CallerRequest,
     progress: &Progress,
     target: &Target,
@@ -109,6 +113,7 @@
         route = call.route.name,
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
         key = call.metadata.key.as_ref().map(AdapterKey::to_string),
+        class = instance.split_class(call).map(RequestClass::name),
         endpoint = target.id,
         in_flight = target.in_flight,
         unread_tokens = target.unread_tokens,
@@ -155,7 +160,9 @@
     call: &CallerRequest,
     progress: &Progress,
     reason: Reason,
+    retry_in: Duration,
 ) {
+    let retry_in = progress.turn.map(|_| reason.retry_after(retry_in));
     metrics::counter!("sedgewall_refused_total", "reason" => reason.name())
         .increment(1);
     tracing::info!(
@@ -172,5 +179,7 @@
         runs = progress.runs,
         is_later_try = call.is_later_try,
         held_ms = call.arrived.elapsed().as_millis() as u64,
+        queue_position = progress.turn.map(|turn| turn.position),
+        retry_in_ms = retry_in.flatten().map(|d| d.as_millis() as u64),
     );
 }
