--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -226,6 +226,7 @@
             prompt_tokens: 0,
             target_latency: self.load.target,
             may_wait: false,
+            is_late: false,
         };
         let places = &self.places;
         let slots = f64::from(self.load.slots);
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -123,6 +123,7 @@
             prompt_tokens: 600,
             target_latency: Duration::from_millis(600),
             may_wait: false,
+            is_late: false,
         };
         bench.iter(|| black_box(view.choose(black_box(need), now)));
     });
--- a/crates/fleet/src/engine_pools.rs
+++ b/crates/fleet/src/engine_pools.rs
@@ -37,8 +37,10 @@
 /// The limits of the fraction of engines that prefill long prompts.
 pub const FRACTION_LIMITS: (f64, f64) = (0.3, 0.75);
 
-/// The prefill time from which a prompt counts as long.
-pub const LONG_PREFILL: Duration = Duration::from_millis(100);
+/// The number of tokens from which a prompt counts as long. Engines prefill in
+/// chunks of 1,024 to 4,096 tokens, and a prompt of one chunk delays a stream
+/// by one step only.
+pub const LONG_PROMPT_TOKENS: u64 = 4_000;
 
 /// The minimum change of the fraction. Engines that change pools run requests
 /// of both classes for a while and need other adapters.
@@ -90,7 +92,7 @@
 pub enum RequestClass {
     /// The prompt is prefilled within about one step of the running streams.
     Short,
-    /// The prompt takes [`LONG_PREFILL`] or longer to prefill.
+    /// The prompt takes a whole chunk or more to prefill.
     Long,
 }
 
@@ -434,8 +436,8 @@
     pub slots: u32,
     /// The number of adapters that one engine can hold.
     pub adapter_places: usize,
-    /// The number of prompt tokens that are prefilled in [`LONG_PREFILL`];
-    /// `None` before the rate is known.
+    /// The number of prompt tokens from which a prompt is long; `None` if
+    /// it is not known.
     pub long_tokens: Option<u64>,
 }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -325,6 +325,10 @@
     fn add_replicas(&mut self, orders: &mut Vec<Order>) {
         let slots = f64::from(self.group.slots.max(1));
         let is_split = self.view.split(self.service).is_some();
+        let prefill_s_per_token = match is_split {
+            true => self.prefill_s_per_token(),
+            false => 0.0,
+        };
         let mut short = Vec::new();
         for (key, demand) in self.demand.iter() {
             if !self.serves_model(key) || key.adapter.is_none() {
@@ -343,9 +347,10 @@
                 }
                 continue;
             }
-            let by_prefill = (self.prefill_s_per_s(demand)
-                / MAX_REPLICA_PREFILL_SHARE)
-                .ceil();
+            let prefill_s_per_s =
+                demand.long_tokens_per_s(self.now) * prefill_s_per_token;
+            let by_prefill =
+                (prefill_s_per_s / MAX_REPLICA_PREFILL_SHARE).ceil();
             let wanted = [
                 (RequestClass::Short, by_requests),
                 (RequestClass::Long, by_prefill),
@@ -366,13 +371,15 @@
         }
     }
 
-    /// Returns the prefill time of an adapter's long prompts that arrive per
-    /// second, in seconds.
-    fn prefill_s_per_s(&self, demand: &AdapterDemand) -> f64 {
-        let tokens_per_s = demand.long_tokens_per_s(self.now);
-        let time =
-            self.view.service_prefill_time(self.service, tokens_per_s as u64);
-        time.as_secs_f64()
+    /// Returns the time that engines are busy for each token of a long prompt,
+    /// in seconds.
+    fn prefill_s_per_token(&self) -> f64 {
+        let served =
+            self.demand.iter().filter(|(key, _)| self.serves_model(key));
+        let tokens_per_s: f64 =
+            served.map(|(_, d)| d.long_tokens_per_s(self.now)).sum();
+        let time = self.view.prefill_s_per_token(self.service, tokens_per_s);
+        time.unwrap_or_default()
     }
 
     /// Orders one more engine, of the pool for a class, to load an adapter. If
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -73,6 +73,9 @@
     pub target_latency: Duration,
     /// Whether the request may wait for an engine on which it begins sooner.
     pub may_wait: bool,
+    /// Whether the answer will be late wherever the request is sent. Such a
+    /// request takes free slots of a plain service only.
+    pub is_late: bool,
 }
 
 /// The result of a choice.
--- a/crates/fleet/src/view/in_flight.rs
+++ b/crates/fleet/src/view/in_flight.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Returns when this instance last heard of the load that other instances
+    /// put on the endpoints.
+    pub fn load_heard_at(&self) -> Option<Instant> {
+        self.totals.map(|totals| totals.received_at).or(self.learned_at)
+    }
+
     /// Returns whether another instance was heard from lately.
     pub fn is_live_peer(&self, id: &InstanceId, now: Instant) -> bool {
         self.peers.get(id).is_some_and(|load| now < load.valid_until)
--- a/crates/fleet/src/view/load_interpretation.rs
+++ b/crates/fleet/src/view/load_interpretation.rs
@@ -142,6 +142,9 @@
         if load < 1.0 {
             return true;
         }
+        if need.is_late {
+            return false;
+        }
         let residence = self.residence_times.get(need.service);
         let Some(takes) =
             residence.and_then(|residence| residence.predict(load))
--- a/crates/fleet/src/view/pools.rs
+++ b/crates/fleet/src/view/pools.rs
@@ -10,14 +10,11 @@
     adapter::AdapterKey,
     demand::Demand,
     engine_pools::{
-        LONG_PREFILL, PoolInputs, PoolSplit, RequestClass, StreamTotals,
+        LONG_PROMPT_TOKENS, PoolInputs, PoolSplit, RequestClass, StreamTotals,
     },
     route::EngineGroup,
 };
 
-/// The number of tokens for which the prefill rate is computed.
-const RATE_TOKENS: u64 = 1_000_000;
-
 /// The pool of engines for one class of requests.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pool<'a> {
@@ -93,13 +90,32 @@
         if let Some(split) = self.split(service) {
             return split.class_of_prompt(prompt_tokens);
         }
-        match self.service_prefill_time(service, prompt_tokens) >= LONG_PREFILL
-        {
+        match prompt_tokens >= LONG_PROMPT_TOKENS {
             true => RequestClass::Long,
             false => RequestClass::Short,
         }
     }
 
+    /// Returns the time that an engine of a service is busy for each token of
+    /// a long prompt, in seconds, or `None` if no engine prefills one.
+    ///
+    /// By Little's law, the number of engines that prefill long prompts is the
+    /// rate of these tokens times that time. The time to the first event of
+    /// the few requests that one instance sends does not show the prefill
+    /// rate: by it, prompts of 190,000 tokens took 0.1 s.
+    pub(crate) fn prefill_s_per_token(
+        &self,
+        service: &str,
+        long_tokens_per_s: f64,
+    ) -> Option<f64> {
+        let busy = self
+            .of_service(service)
+            .filter(|state| state.unread_tokens() >= LONG_PROMPT_TOKENS)
+            .count();
+        (busy > 0 && long_tokens_per_s > 0.0)
+            .then(|| busy as f64 / long_tokens_per_s)
+    }
+
     /// Returns what the decision on a service's split depends on.
     pub fn pool_inputs(
         &self,
@@ -117,12 +133,10 @@
             served.map(|(_, d)| d.long_tokens_per_s(now)).sum();
         let models = group.models.iter();
         let last_long = models.filter_map(|m| demand.last_long(&m.name)).max();
-        let rate_time = self.service_prefill_time(service, RATE_TOKENS);
-        let s_per_token = rate_time.as_secs_f64() / RATE_TOKENS as f64;
-        let long_tokens = (LONG_PREFILL.as_secs_f64() / s_per_token).ceil();
+        let s_per_token = self.prefill_s_per_token(service, tokens_per_s);
         PoolInputs {
             streams,
-            prefill_s_per_s: tokens_per_s * s_per_token,
+            prefill_s_per_s: tokens_per_s * s_per_token.unwrap_or_default(),
             long_age: last_long.map(|at| now.saturating_duration_since(at)),
             adapters_in_use: self.adapters_in_use(service),
             engines: self
@@ -131,7 +145,7 @@
                 .count(),
             slots: group.slots,
             adapter_places: group.adapter_places(),
-            long_tokens: (!rate_time.is_zero()).then_some(long_tokens as u64),
+            long_tokens: Some(LONG_PROMPT_TOKENS),
         }
     }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -142,5 +142,6 @@
         prompt_tokens: 600,
         target_latency: Duration::from_millis(600),
         may_wait: false,
+        is_late: false,
     }
 }
--- a/crates/sedgewalld/src/fleet/endpoint_choice.rs
+++ b/crates/sedgewalld/src/fleet/endpoint_choice.rs
@@ -32,6 +32,12 @@
     /// Until when the request waits if its answer would be late on every
     /// engine that holds the adapter, and another engine can load it.
     load_wait_end: Instant,
+    /// When the answer can no longer be in time. Late requests are sent only
+    /// while a plain service has free slots, because they would make requests
+    /// late that can still be in time.
+    late_from: Option<Instant>,
+    /// The load information that the last draw was made for.
+    load_heard_at: Option<Instant>,
 }
 
 /// What a search finds.
@@ -86,17 +92,32 @@
             permits: Permits::new(draw),
             draw,
             load_wait_end: now + LOAD_WAIT,
+            late_from: None,
+            load_heard_at: instance.view.borrow().load_heard_at(),
         }
     }
 
     /// Changes the random number by which a plain service admits the request
-    /// and by which its endpoint is chosen.
+    /// and by which its endpoint is chosen, if the load of the endpoints was
+    /// heard of since the last change.
     ///
     /// Admission depends on the load and the number. With the same number for
     /// its whole wait, the head of a queue could keep back requests that the
-    /// service would admit.
+    /// service would admit. With a new number for each look, a request that
+    /// looks often enough is admitted at any load: the endpoints rejected a
+    /// third of what they got.
     pub(crate) fn redraw(&mut self) {
-        self.draw = xxh3_64(&self.draw.to_le_bytes());
+        let heard_at = self.instance.view.borrow().load_heard_at();
+        if self.load_heard_at != heard_at {
+            self.load_heard_at = heard_at;
+            self.draw = xxh3_64(&self.draw.to_le_bytes());
+        }
+    }
+
+    /// Sends the request to a plain service only while it has free slots, from
+    /// this time on.
+    pub(crate) fn set_late_from(&mut self, at: Instant) {
+        self.late_from = Some(at);
     }
 
     /// Ends the wait for an engine on which the answer would begin sooner.
@@ -119,6 +140,7 @@
             prompt_tokens: call.metadata.prompt_tokens,
             target_latency: call.route.target_latency,
             may_wait: now < self.load_wait_end,
+            is_late: self.late_from.is_some_and(|from| now > from),
         };
         let PermittedChoice { choice, limit_ends_in } =
             self.permits.choose(instance, need, now);
--- a/crates/sedgewalld/src/fleet/waiting.rs
+++ b/crates/sedgewalld/src/fleet/waiting.rs
@@ -101,6 +101,7 @@
     let bounds = QueueBounds::of(instance, call);
     let mut search = EndpointSearch::begin(instance, call, began);
     search.end_load_wait(bounds.latest(instance, began));
+    search.set_late_from(bounds.in_time_until());
     let mut place = queues.place(QueueKey {
         service: call.service.clone(),
         adapter: call.key().cloned(),
@@ -224,6 +225,12 @@
         self.request.arrived + left.saturating_sub(self.answer_time)
     }
 
+    /// Returns the latest time at which the request can be sent and still be
+    /// answered within the target.
+    fn in_time_until(&self) -> Instant {
+        self.request.in_time_until(self.target_time)
+    }
+
     /// Returns the latest time at which the request can be sent and still be
     /// answered, before the deadline and before this instance stops.
     fn latest(&self, instance: &FleetInstance, now: Instant) -> Instant {
@@ -276,7 +283,7 @@
             customer: call.customer.as_ref().map(|c| c.name.clone()),
             cost: cost as f64,
             arrived: call.arrived,
-            in_time_until: self.request.in_time_until(self.target_time),
+            in_time_until: self.in_time_until(),
             send_until: until,
         }
     }
