--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -33,9 +33,7 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{
-    Store, StoreError, contracts::Features, store::StoreEra,
-};
+use sedgewall_platform::{Store, StoreError, store::StoreEra};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -339,9 +337,7 @@
             false => RetryBudget::new(allowance),
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
-        let features = Features::of_contracts(&fleet.contracts);
-        let has_queues =
-            fleet.ordered_waiting.unwrap_or(features.has_ordered_waiting);
+        let has_queues = fleet.ordered_waiting.unwrap_or_default();
         let wait_queues =
             has_queues.then(|| WaitQueues::new(settings.limits.requests));
         let view = FleetView::new(&settings.zone);
