--- a/crates/fleet/src/engine_pools.rs
+++ b/crates/fleet/src/engine_pools.rs
@@ -68,7 +68,10 @@
 const SMOOTHING_TIME: Duration = Duration::from_secs(10);
 
 /// How long a new lease holder collects reports of demand before it changes a
-/// split. Its demand counters start at zero and have a time constant of 3 s.
+/// split that it heard of. Its demand counters start at zero and have a time
+/// constant of 3 s. Where nothing is split, delayed streams are reason enough
+/// to begin: after a restart of all instances, waiting cost 8 s without a
+/// split.
 const OBSERVATION_TIME: Duration = Duration::from_secs(6);
 
 /// The interval at which reports that are no longer counted are dropped. All
@@ -505,7 +508,8 @@
         {
             self.last_long = self.last_long.max(at);
         }
-        if now - self.started < OBSERVATION_TIME {
+        let is_observing = now - self.started < OBSERVATION_TIME;
+        if is_observing && self.split.is_some() {
             return None;
         }
         let (long, short) = self.smooth(inputs, now);
--- a/crates/fleet/src/residence_time.rs
+++ b/crates/fleet/src/residence_time.rs
@@ -69,7 +69,7 @@
 
 impl StreamTime {
     /// Adds a stream that took `took`. One that took far longer than the mean
-    /// counts as at most [`MAX_STREAM_FACTOR`] means: its caller may have read
+    /// counts as at most `MAX_STREAM_FACTOR` means: its caller may have read
     /// it slowly.
     pub fn observe(&mut self, took: Duration) {
         let mean = self.0.unwrap_or(took);
