--- a/crates/fleet/src/customer.rs
+++ b/crates/fleet/src/customer.rs
@@ -21,7 +21,7 @@
 
 /// Number of route priorities that are distinguished within one customer's
 /// priority. Ten values are available for both.
-pub(crate) const ROUTE_PRIORITIES: u8 = 3;
+const ROUTE_PRIORITIES: u8 = 3;
 
 /// The lowest priority that endpoints support.
 const LOWEST_PRIORITY: u8 = 9;
--- a/crates/fleet/src/rate_limiter.rs
+++ b/crates/fleet/src/rate_limiter.rs
@@ -1,19 +1,15 @@
 //! A distributed rate limiter for customers, without a store of its own.
 //!
-//! Each instance reports in its notes how much each customer demands of it and
-//! how much it has admitted. From the sums, each instance estimates the level
-//! of one token bucket for all instances: the allowance refills it, and what
-//! any instance admits is taken from it. A negative level is a debt, which
-//! arises from units that were admitted before they were known elsewhere.
+//! Each instance reports in its notes how much each customer demands of it.
+//! While the sum is well below the customer's allowance, nothing is rejected.
+//! Above that, each instance enforces a share of the allowance in proportion
+//! to its share of the demand, with a token bucket whose balance may become
+//! negative: units that were taken before the demand at other instances was
+//! known are paid back from later refills.
 //!
-//! The level and the allowance give a rate that may be admitted now. If the
-//! demand exceeds it, each request is admitted with a probability of that rate
-//! divided by the demand, so that no part of an allowance is too small for a
-//! request. The rate goes to the more urgent routes first.
-//!
-//! The invariants: what all instances admit over time is the allowance, as far
-//! as it is reported; and an instance that receives no reports admits about an
-//! equal share.
+//! The invariants: over time, an instance takes no more than its bucket
+//! provides, whatever it receives; and the shares of instances that receive
+//! each other's notes add up to one.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -21,101 +17,50 @@
 use sedgewall_state::id::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::customer::{
-    Allowance, Customer, CustomerName, Customers, ROUTE_PRIORITIES, Unit,
-};
+use crate::customer::{Allowance, Customer, CustomerName};
 
 /// Time constant of the demand, after which a request counts a third. It is
-/// long enough that the sum over all instances varies little between two
-/// requests of 9,000 tokens.
-const DEMAND_DECAY_TIME: Duration = Duration::from_millis(700);
-
-/// The rate that is admitted beyond the allowance per unit in the bucket, per
-/// second. A lower gain leaves an allowance unused after a surge, until the
-/// estimate of the demand has decayed.
-const SURPLUS_GAIN_PER_S: f64 = 2.0;
-
-/// The rate that is withheld from the allowance per unit of debt, per second.
-/// A higher gain makes the level oscillate if reports are late.
-const DEBT_GAIN_PER_S: f64 = 0.6;
-
-/// Capacity of the bucket, as a fraction of the allowance's burst. The
-/// remainder covers what is admitted between two reports.
-const CAPACITY: f64 = 0.65;
-
-/// Capacity of the bucket in addition to [`CAPACITY`], in large requests, up to
-/// the burst. With a smaller bucket, random arrivals of few large requests are
-/// rejected although their demand is below the allowance.
-const CAPACITY_REQUESTS: f64 = 3.0;
-
-/// Tokens of a large request: the mean of long prompts.
-const LARGE_REQUEST_TOKENS: f64 = 9_000.0;
-
-/// Maximum time between two reports of a peer up to which the difference of
-/// their counts of admitted units is accounted. The level is extrapolated over
-/// longer gaps, so that their units must not be accounted again.
-const MAX_REPORT_GAP: Duration = Duration::from_secs(1);
+/// long enough that an instance that gets one request in some seconds keeps
+/// its share. What a customer takes before it is known to exceed its allowance
+/// is paid back.
+const DEMAND_DECAY_TIME: Duration = Duration::from_millis(2_500);
 
-/// Average age of the admitted units that the lease holder's totals show. The
-/// level is extrapolated over it.
-const REPORT_AGE: Duration = Duration::from_millis(300);
+/// Minimum share of an allowance, as a fraction of an equal share. It applies
+/// to an instance that gets its first request of a customer.
+const MIN_SHARE: f64 = 0.25;
 
-/// How long the last known total is used while no newer one is known. A new
-/// lease holder takes over within this time.
-const LAST_TOTAL_VALID_FOR: Duration = Duration::from_secs(6);
+/// Fraction of an allowance below which no request is rejected. Demand within
+/// limits varies by a fifth within seconds.
+const UNLIMITED_BELOW: f64 = 0.85;
 
-/// Maximum debt, in seconds of the allowance. A larger debt would reject all
-/// requests of a customer whose demand jumped for longer than the time over
-/// which its use is accounted.
-const MAX_DEBT_S: f64 = 8.0;
+/// Fraction of an allowance that the shares distribute. Notes arrive late, and
+/// the shares add up to slightly more than one while demand moves between
+/// instances.
+const DISTRIBUTED_FRACTION: f64 = 0.95;
 
-/// Maximum time until a rejected request may be tried again.
-const MAX_RETRY_S: f64 = 6.0;
-
-/// Separates a customer's name from the kind of a value in
-/// [`CustomerDemand::customer`].
-const KIND_SEPARATOR: char = '\u{1f}';
-
-/// Kind of an entry that holds the units that were admitted so far.
-const ADMITTED: &str = "admitted";
-
-type Classes = [f64; ROUTE_PRIORITIES as usize];
+/// Maximum debt, in seconds of the bucket's refill rate. A larger debt would
+/// reject all requests of a customer whose demand jumped for longer than the
+/// time over which its use is accounted.
+const MAX_DEBT_S: f64 = 6.0;
 
 /// Demand of one customer, at one instance or at all.
-///
-/// Further values are sent as entries of their own, with the name of their
-/// kind appended to the customer's. The previous build rejects a note with
-/// more fields than it knows, but it sums and forwards these entries like
-/// those of customers that it gets no requests of.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CustomerDemand {
-    /// The customer, and the kind of the value if it is not its demand.
+    /// The customer.
     pub customer: CustomerName,
-    /// Units per second; units for the kind `admitted`.
+    /// Units per second.
     pub per_s: f64,
 }
 
-/// A request to charge against an allowance.
-#[derive(Clone, Copy, Debug)]
-pub struct Charge {
-    /// The units that the request counts for.
-    pub units: f64,
-    /// The priority of its route; 0 is the most urgent.
-    pub route_priority: u8,
-    /// A random number between 0 and 1.
-    pub draw: f64,
-}
-
 /// Error of [`RateLimiter::take`]: the allowance is used up. Holds the values
 /// that the decision was based on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitExceeded {
     /// Time until units are available again.
     pub retry_in: Duration,
-    /// Units in the bucket of all instances. If negative, the debt that
-    /// refills pay back first.
+    /// Units in the bucket. If negative, the debt that refills pay back first.
     pub balance: f64,
-    /// Fraction of the requests of this route priority that are admitted.
+    /// This instance's share of the allowance.
     pub share: f64,
     /// The customer's demand at all instances, in units per second, if it is
     /// known.
@@ -124,87 +69,31 @@
     pub total_age: Option<Duration>,
 }
 
-/// Enforces the allowances of all customers.
+/// Enforces this instance's share of the allowances of all customers.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
-    accounts: HashMap<CustomerName, Account>,
+    buckets: HashMap<CustomerName, Bucket>,
     peers: HashMap<InstanceId, ReceivedDemand>,
-    /// Number of instances, as last given by the caller.
-    instances: usize,
-    /// Peers per peer that reports regularly, updated in
-    /// [`RateLimiter::forget`].
-    peer_scale: Option<f64>,
-    /// Units that peers reported as admitted, by customer, since this instance
-    /// first received their reports.
-    admitted_by_peers: HashMap<CustomerName, f64>,
     /// Demand at all instances, as reported by the lease holder.
-    totals: Option<ReceivedTotals>,
+    totals: Option<ReceivedDemand>,
 }
 
 #[derive(Clone, Debug)]
 struct ReceivedDemand {
-    values: HashMap<CustomerName, Values>,
+    demand: Vec<CustomerDemand>,
     received_at: Instant,
     expires_at: Instant,
-    /// Whether the report before this one is recent, so that the difference of
-    /// their counts is accounted.
-    is_regular: bool,
 }
 
 #[derive(Clone, Debug)]
-struct ReceivedTotals {
-    from: InstanceId,
-    demand: ReceivedDemand,
-}
-
-/// What a note states of one customer.
-#[derive(Clone, Copy, Debug, Default)]
-struct Values {
-    per_s: f64,
-    /// Demand by route priority. The least urgent one has the remainder.
-    by_class: Classes,
-    admitted: Option<f64>,
-}
-
-/// What the level of a bucket depends on.
-#[derive(Clone, Copy, Debug)]
-struct BucketState {
-    allowance: Allowance,
-    capacity: f64,
-    /// Demand at all instances, in units per second.
+struct Bucket {
+    /// Recently requested units, with exponential decay.
     demand: f64,
-}
-
-/// Where the admitted units of all instances are known from.
-#[derive(Clone, Debug, PartialEq)]
-enum Source {
-    /// The totals of a lease holder.
-    Holder(InstanceId),
-    /// The reports of the other instances.
-    Peers,
-}
-
-/// State of one customer at this instance.
-#[derive(Clone, Debug)]
-struct Account {
-    /// Recently requested units by route priority, with exponential decay.
-    demand: Classes,
+    /// Units in the bucket. If negative, the debt that refills pay back first.
+    balance: f64,
     updated: Instant,
-    /// Units that were admitted here, less those refunded. Never decreases.
-    admitted: f64,
-    /// Refunded units that are not subtracted yet.
-    refunded: f64,
-    /// Level of the bucket of all instances at `synced`, if it is known.
-    level: Option<f64>,
-    synced: Instant,
-    /// Source and count of the admitted units that `level` includes.
-    counted: Option<(Source, f64)>,
-    /// Level of a bucket with an equal share of the allowance, which applies
-    /// while no total is known.
-    local_level: f64,
-    local_filled: Instant,
-    /// The last known total demand, and when it was known.
-    last_total: Option<(Classes, Instant)>,
+    /// The last known share of this instance.
+    share: Option<f64>,
 }
 
 impl RateLimiter {
@@ -217,100 +106,79 @@
     pub fn take(
         &mut self,
         customer: &Customer,
-        charge: Charge,
+        units: f64,
         instances: usize,
         now: Instant,
     ) -> Result<(), LimitExceeded> {
         let Some(allowance) = customer.allowance else { return Ok(()) };
-        let name = &customer.name;
-        self.instances = instances;
-        let class = charge.route_priority.min(ROUTE_PRIORITIES - 1) as usize;
-        let account = self.accounts.entry(name.clone());
-        let account = account
-            .or_insert_with(|| Account::new(first_local(allowance), now));
-        account.add_demand(class, charge.units, now);
-        let total_age = self.totals.as_ref().map(|totals| {
-            now.saturating_duration_since(totals.demand.received_at)
-        });
-        let known = self.sync(name, allowance, instances, now);
-        let Some(account) = self.accounts.get_mut(name) else {
-            return Ok(());
+        let bucket = self.buckets.entry(customer.name.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        // Excludes this request, which would make the share of an instance
+        // with few requests too large.
+        let own_per_s = bucket.per_s(now);
+        let age = bucket.add_demand(units, now);
+        let known_share = bucket.share;
+        let total_per_s = self.total(&customer.name, own_per_s, now);
+        let equal_share = 1.0 / instances.max(1) as f64;
+        let share = match total_per_s {
+            Some(total) => own_per_s / total.max(1e-9),
+            None => known_share.unwrap_or(equal_share),
         };
-        let equal_share = allowance.per_s / instances.max(1) as f64;
-        account.refill_local(equal_share, now);
-        let Some((bucket, classes)) = known else {
-            let level = account.local_level;
-            if level > 0.0 {
-                account.admit(charge.units);
-                return Ok(());
-            }
-            return Err(LimitExceeded {
-                retry_in: retry_in(level, charge.units, equal_share),
-                balance: level,
-                share: 0.0,
-                total_per_s: None,
-                total_age,
-            });
+        let share = share.clamp(equal_share * MIN_SHARE, 1.0);
+        let is_unlimited = total_per_s
+            .is_some_and(|total| total < allowance.per_s * UNLIMITED_BELOW);
+        let Some(bucket) = self.buckets.get_mut(&customer.name) else {
+            return Ok(());
         };
-        let level = account.level_now(bucket, now);
-        let rate = bucket.allowed_rate(level);
-        let more_urgent: f64 = classes[..class].iter().sum();
-        let fraction = (rate - more_urgent) / classes[class].max(1e-9);
-        let fraction = fraction.clamp(0.0, 1.0);
-        if charge.draw < fraction {
-            account.admit(charge.units);
+        bucket.refill(allowance, share, equal_share, age);
+        if is_unlimited || bucket.balance > 0.0 {
+            let debt = MAX_DEBT_S * rate(allowance, share);
+            bucket.balance = (bucket.balance - units).max(-debt);
             return Ok(());
         }
+        let missing_s = -bucket.balance / rate(allowance, share).max(1e-9);
+        let missing_s = missing_s.clamp(0.0, MAX_DEBT_S);
+        let received = self.totals.as_ref();
         Err(LimitExceeded {
-            retry_in: retry_in(level, charge.units, allowance.per_s),
-            balance: level,
-            share: fraction,
-            total_per_s: Some(bucket.demand),
-            total_age,
+            retry_in: Duration::from_secs_f64(missing_s),
+            balance: bucket.balance,
+            share,
+            total_per_s,
+            total_age: received
+                .map(|h| now.saturating_duration_since(h.received_at)),
         })
     }
 
     /// Returns the units of a request that did not run.
     pub fn refund(&mut self, customer: &Customer, units: f64) {
-        if let Some(account) = self.accounts.get_mut(&customer.name) {
-            account.refunded += units;
+        if let Some(bucket) = self.buckets.get_mut(&customer.name) {
+            bucket.balance += units;
         }
     }
 
     /// Returns the demand of each customer at this instance.
     pub fn local_demand(&self, now: Instant) -> Vec<CustomerDemand> {
-        let accounts = self.accounts.iter();
-        let values = accounts.map(|(name, account)| {
-            let by_class = account.per_s(now);
-            let per_s = by_class.iter().sum();
-            let admitted = Some(account.admitted);
-            (name, Values { per_s, by_class, admitted })
-        });
-        values.flat_map(|(name, values)| values.entries(name)).collect()
+        let demand =
+            self.buckets.iter().map(|(name, bucket)| CustomerDemand {
+                customer: name.clone(),
+                per_s: bucket.per_s(now).round(),
+            });
+        demand.filter(|demand| demand.per_s >= 1.0).collect()
     }
 
     /// Returns the demand of each customer at all instances whose reports are
     /// valid.
     pub fn total_demand(&self, now: Instant) -> Vec<CustomerDemand> {
-        let mut sums: HashMap<&CustomerName, Values> = HashMap::new();
-        for received in self.peers.values().filter(|r| now < r.expires_at) {
-            for (name, values) in &received.values {
-                sums.entry(name).or_default().add_demand(values);
-            }
-        }
-        for (name, account) in &self.accounts {
-            let by_class = account.per_s(now);
-            let per_s = by_class.iter().sum();
-            let own = Values { per_s, by_class, admitted: None };
-            sums.entry(name).or_default().add_demand(&own);
-        }
-        if self.known_peer_scale(now).is_some() {
-            for (name, values) in &mut sums {
-                values.admitted = Some(self.admitted_here_and_at_peers(name));
-            }
+        let mut sums: HashMap<CustomerName, f64> = HashMap::new();
+        let received =
+            self.peers.values().filter(|received| now < received.expires_at);
+        let of_peers = received.flat_map(|received| received.demand.clone());
+        for demand in of_peers.chain(self.local_demand(now)) {
+            *sums.entry(demand.customer).or_default() += demand.per_s;
         }
-        let sums = sums.into_iter();
-        sums.flat_map(|(name, values)| values.entries(name)).collect()
+        sums.into_iter()
+            .map(|(customer, per_s)| CustomerDemand { customer, per_s })
+            .collect()
     }
 
     /// Records the demand at another instance, received at `at` and valid
@@ -322,402 +190,113 @@
         at: Instant,
         expires_at: Instant,
     ) {
-        let values = parse(demand);
-        let earlier = self.peers.get(from).filter(|earlier| {
-            at.saturating_duration_since(earlier.received_at) < MAX_REPORT_GAP
-        });
-        let is_regular = earlier.is_some();
-        if let Some(earlier) = earlier {
-            let scale = self.peer_scale.unwrap_or(1.0);
-            for (name, values) in &values {
-                let Some(admitted) = values.admitted else { continue };
-                let before = earlier.values.get(name);
-                let before = before.and_then(|v| v.admitted).unwrap_or(0.0);
-                // A lower count is that of a restarted instance.
-                let added = match admitted >= before {
-                    true => admitted - before,
-                    false => admitted,
-                };
-                let sum = self.admitted_by_peers.entry(name.clone());
-                *sum.or_default() += added * scale;
-            }
-        }
-        let received =
-            ReceivedDemand { values, received_at: at, expires_at, is_regular };
-        self.peers.insert(from.clone(), received);
+        self.peers.insert(
+            from.clone(),
+            ReceivedDemand { demand, received_at: at, expires_at },
+        );
     }
 
-    /// Records the demand at all instances, as the lease holder `from` reports
-    /// it, and accounts it for each customer in `customers`. Where requests of
-    /// a customer are rare, its level must be known before the first one.
+    /// Records the demand at all instances.
     pub fn record_totals(
         &mut self,
-        from: &InstanceId,
         demand: Vec<CustomerDemand>,
-        customers: &Customers,
         at: Instant,
         expires_at: Instant,
     ) {
-        let values = parse(demand);
-        let demand = ReceivedDemand {
-            values,
-            received_at: at,
-            expires_at,
-            is_regular: true,
-        };
-        self.totals = Some(ReceivedTotals { from: from.clone(), demand });
-        for customer in customers.iter() {
-            let Some(allowance) = customer.allowance else { continue };
-            let account = self.accounts.entry(customer.name.clone());
-            account
-                .or_insert_with(|| Account::new(first_local(allowance), at));
-            self.sync(&customer.name, allowance, self.instances, at);
-        }
-    }
-
-    /// Updates a customer's account to what is known of its requests at all
-    /// instances. Returns the bucket and the demand by route priority, if that
-    /// is known.
-    fn sync(
-        &mut self,
-        name: &CustomerName,
-        allowance: Allowance,
-        instances: usize,
-        now: Instant,
-    ) -> Option<(BucketState, Classes)> {
-        let own = self.accounts.get(name)?.per_s(now);
-        let known = self.total(name, own, instances, now);
-        let (source, admitted, synced) = self.admitted(name, now);
-        let account = self.accounts.get_mut(name)?;
-        if let Some(known) = known {
-            account.last_total = Some((known, now));
-        }
-        let (classes, _) = account.last_total.filter(|(_, at)| {
-            now.saturating_duration_since(*at) < LAST_TOTAL_VALID_FOR
-        })?;
-        let classes: Classes =
-            std::array::from_fn(|at| classes[at].max(own[at]));
-        let bucket = BucketState {
-            allowance,
-            capacity: capacity(allowance),
-            demand: classes.iter().sum(),
-        };
-        account.sync(source, admitted, synced, bucket);
-        Some((bucket, classes))
+        self.totals =
+            Some(ReceivedDemand { demand, received_at: at, expires_at });
     }
 
-    /// Removes expired reports and the accounts of idle customers, and records
-    /// the number of instances.
-    pub fn forget(&mut self, instances: usize, now: Instant) {
-        self.instances = instances;
+    /// Removes expired reports and the buckets of idle customers.
+    pub fn forget(&mut self, now: Instant) {
         self.peers.retain(|_, received| now < received.expires_at);
-        self.peer_scale = self.known_peer_scale(now);
         if self
             .totals
             .as_ref()
-            .is_some_and(|totals| now >= totals.demand.expires_at)
+            .is_some_and(|received| now >= received.expires_at)
         {
             self.totals = None;
         }
-        self.accounts.retain(|_, account| {
-            let used = account.updated.max(account.synced);
-            let idle = now.saturating_duration_since(used);
+        self.buckets.retain(|_, bucket| {
+            let idle = now.saturating_duration_since(bucket.updated);
             idle < Duration::from_secs_f64(MAX_DEBT_S) * 2
         });
     }
 
-    fn live_totals(&self, now: Instant) -> Option<&ReceivedTotals> {
-        let totals = self.totals.as_ref();
-        totals.filter(|totals| now < totals.demand.expires_at)
-    }
-
-    /// Returns the demand of a customer at all instances by route priority, or
-    /// `None` if too few instances have reported it.
+    /// Returns the demand of a customer at all instances, or `None` if no
+    /// other instance's report is valid.
     fn total(
         &self,
         name: &CustomerName,
-        own: Classes,
-        instances: usize,
-        now: Instant,
-    ) -> Option<Classes> {
-        if let Some(totals) = self.live_totals(now) {
-            let values = totals.demand.values.get(name);
-            return Some(values.copied().unwrap_or_default().classes());
-        }
-        let peers = instances.saturating_sub(1);
-        let live = || self.peers.values().filter(|r| now < r.expires_at);
-        if live().count() * 2 < peers {
-            return None;
-        }
-        let mut sum = Values::default();
-        for values in live().filter_map(|r| r.values.get(name)) {
-            sum.add_demand(values);
-        }
-        // Peers that are not heard are assumed to be like the others.
-        let heard = live().count();
-        let scale = peers.max(heard) as f64 / heard.max(1) as f64;
-        let classes = sum.classes();
-        Some(std::array::from_fn(|at| classes[at] * scale + own[at]))
-    }
-
-    /// Returns the number of peers that report regularly.
-    fn regular_peers(&self, now: Instant) -> usize {
-        let regular = self.peers.values().filter(|received| {
-            let age = now.saturating_duration_since(received.received_at);
-            received.is_regular
-                && now < received.expires_at
-                && age < MAX_REPORT_GAP * 2
-        });
-        regular.count()
-    }
-
-    /// Returns the number of peers per peer that reports regularly, if at least
-    /// half of them do. The others, as in a partition, are assumed to admit as
-    /// much.
-    fn known_peer_scale(&self, now: Instant) -> Option<f64> {
-        let regular = self.regular_peers(now);
-        let peers = self.instances.saturating_sub(1).max(regular);
-        let are_known = regular * 2 >= peers;
-        are_known.then(|| peers as f64 / regular.max(1) as f64)
-    }
-
-    fn admitted_here_and_at_peers(&self, name: &CustomerName) -> f64 {
-        let here = self.accounts.get(name).map_or(0.0, |a| a.admitted);
-        here + self.admitted_by_peers.get(name).copied().unwrap_or(0.0)
-    }
-
-    /// Returns the units that are known to be admitted at all instances, the
-    /// source of this count, and when it was received.
-    fn admitted(
-        &self,
-        name: &CustomerName,
+        own_per_s: f64,
         now: Instant,
-    ) -> (Source, Option<f64>, Instant) {
-        match self.live_totals(now) {
-            Some(totals) => {
-                let values = totals.demand.values.get(name);
-                let admitted = values.and_then(|values| values.admitted);
-                let source = Source::Holder(totals.from.clone());
-                (source, admitted, totals.demand.received_at)
-            }
-            None => {
-                let admitted = self.admitted_here_and_at_peers(name);
-                let is_known = self.known_peer_scale(now).is_some();
-                (Source::Peers, is_known.then_some(admitted), now)
-            }
+    ) -> Option<f64> {
+        let of = |received: &ReceivedDemand| {
+            received
+                .demand
+                .iter()
+                .filter(|demand| demand.customer == *name)
+                .map(|demand| demand.per_s)
+                .sum::<f64>()
+        };
+        let totals =
+            self.totals.as_ref().filter(|received| now < received.expires_at);
+        if let Some(totals) = totals {
+            return Some(of(totals).max(own_per_s));
         }
+        let mut live = self
+            .peers
+            .values()
+            .filter(|received| now < received.expires_at)
+            .peekable();
+        live.peek()?;
+        Some(live.map(of).sum::<f64>() + own_per_s)
     }
 }
 
-/// Returns the capacity of the bucket of all instances.
-fn capacity(allowance: Allowance) -> f64 {
-    let large = large_request(allowance);
-    let capacity = allowance.burst * CAPACITY + large * CAPACITY_REQUESTS;
-    capacity.min(allowance.burst)
-}
-
-/// Returns the units of a large request.
-fn large_request(allowance: Allowance) -> f64 {
-    match allowance.unit {
-        Unit::Requests => 1.0,
-        Unit::Tokens { .. } => LARGE_REQUEST_TOKENS,
-    }
-}
-
-/// Returns the first level of the bucket that an instance uses while it knows
-/// no total: two requests, because the totals arrive within half a second.
-fn first_local(allowance: Allowance) -> f64 {
-    (large_request(allowance) * 2.0).min(allowance.burst)
-}
-
-/// Returns the time until a debt is paid back and the bucket holds another
-/// request.
-fn retry_in(level: f64, units: f64, per_s: f64) -> Duration {
-    let missing = (-level).max(0.0) + units;
-    let time_s = (missing / per_s.max(1e-9)).min(MAX_RETRY_S);
-    Duration::from_secs_f64(time_s)
-}
-
-impl Account {
-    fn new(first_local: f64, now: Instant) -> Account {
-        Account {
-            demand: Classes::default(),
-            updated: now,
-            admitted: 0.0,
-            refunded: 0.0,
-            level: None,
-            synced: now,
-            counted: None,
-            local_level: first_local,
-            local_filled: now,
-            last_total: None,
-        }
+impl Bucket {
+    fn new(now: Instant) -> Bucket {
+        Bucket { demand: 0.0, balance: 0.0, updated: now, share: None }
     }
 
-    fn add_demand(&mut self, class: usize, units: f64, now: Instant) {
-        self.demand = self.decayed(now);
-        self.demand[class] += units;
+    /// Adds requested units. Returns the time since the last update.
+    fn add_demand(&mut self, units: f64, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.updated);
+        self.demand = self.decayed(now) + units;
         self.updated = now;
+        age
     }
 
-    fn per_s(&self, now: Instant) -> Classes {
-        let time = DEMAND_DECAY_TIME.as_secs_f64();
-        self.decayed(now).map(|units| units / time)
+    fn per_s(&self, now: Instant) -> f64 {
+        self.decayed(now) / DEMAND_DECAY_TIME.as_secs_f64()
     }
 
-    fn decayed(&self, now: Instant) -> Classes {
+    fn decayed(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated).as_secs_f64();
-        let factor = (-age / DEMAND_DECAY_TIME.as_secs_f64()).exp();
-        self.demand.map(|units| units * factor)
-    }
-
-    fn refill_local(&mut self, per_s: f64, now: Instant) {
-        let time = now.saturating_duration_since(self.local_filled);
-        let level = self.local_level + per_s * time.as_secs_f64();
-        let debt = per_s * MAX_DEBT_S;
-        // Each instance's part of a second may be less than one request.
-        self.local_level = level.clamp(-debt, self.local_level.max(per_s));
-        self.local_filled = now;
-    }
-
-    fn admit(&mut self, units: f64) {
-        self.local_level -= units;
-        let refunded = self.refunded.min(units);
-        self.refunded -= refunded;
-        self.admitted += units - refunded;
+        self.demand * (-age / DEMAND_DECAY_TIME.as_secs_f64()).exp()
     }
 
-    /// Updates the level by the units that were admitted at all instances up to
-    /// `at`. While their count is unknown or its source changes, they are
-    /// estimated from the demand.
-    fn sync(
+    /// Adds the refill of the elapsed time. A new bucket starts with an equal
+    /// share of the burst.
+    fn refill(
         &mut self,
-        source: Source,
-        admitted: Option<f64>,
-        at: Instant,
-        bucket: BucketState,
+        allowance: Allowance,
+        share: f64,
+        equal_share: f64,
+        age: Duration,
     ) {
-        let time = at.saturating_duration_since(self.synced);
-        let before = self.counted.take().filter(|(of, _)| *of == source);
-        let level = self.level.unwrap_or_else(|| bucket.first_level());
-        self.level = Some(match (before, admitted) {
-            (Some((_, before)), Some(admitted)) if admitted >= before => {
-                bucket.account(level, time, admitted - before)
-            }
-            _ => bucket.extrapolate(level, time),
-        });
-        self.synced = self.synced.max(at);
-        self.counted = admitted.map(|admitted| (source, admitted));
-    }
-
-    /// Returns the level of the bucket now.
-    fn level_now(&self, bucket: BucketState, now: Instant) -> f64 {
-        let level = self.level.unwrap_or_else(|| bucket.first_level());
-        if !matches!(self.counted, Some((Source::Holder(_), _))) {
-            return level;
-        }
-        let time = now.saturating_duration_since(self.synced) + REPORT_AGE;
-        bucket.extrapolate(level, time)
-    }
-}
-
-impl BucketState {
-    /// Returns the rate that may be admitted at a level of the bucket.
-    fn allowed_rate(self, level: f64) -> f64 {
-        (self.allowance.per_s + level * gain_per_s(level)).max(0.0)
-    }
-
-    /// Returns the level that is assumed where a customer's requests were not
-    /// accounted so far.
-    fn first_level(self) -> f64 {
-        match self.demand < self.allowance.per_s {
-            true => self.capacity,
-            false => 0.0,
-        }
-    }
-
-    /// Returns the level after some time in which some units were admitted.
-    fn account(self, level: f64, time: Duration, admitted: f64) -> f64 {
-        let refill = self.allowance.per_s * time.as_secs_f64();
-        let debt = self.allowance.per_s * MAX_DEBT_S;
-        (level + refill - admitted).clamp(-debt, self.capacity)
-    }
-
-    /// Returns the level after some time in which the allowed part of the
-    /// demand is admitted.
-    fn extrapolate(self, level: f64, time: Duration) -> f64 {
-        let time_s = time.as_secs_f64();
-        // If the whole demand is admitted, the level changes linearly.
-        // Otherwise, it approaches zero.
-        let linear = level + (self.allowance.per_s - self.demand) * time_s;
-        let limited = level * (-time_s * gain_per_s(level)).exp();
-        linear.max(limited).min(self.capacity)
-    }
-}
-
-fn gain_per_s(level: f64) -> f64 {
-    if level > 0.0 { SURPLUS_GAIN_PER_S } else { DEBT_GAIN_PER_S }
-}
-
-impl Values {
-    fn add_demand(&mut self, other: &Values) {
-        self.per_s += other.per_s;
-        for (sum, per_s) in self.by_class.iter_mut().zip(other.by_class) {
-            *sum += per_s;
-        }
-    }
-
-    /// Returns the demand by route priority. What has no stated priority, such
-    /// as the demand at instances of the previous build, counts as least
-    /// urgent.
-    fn classes(&self) -> Classes {
-        let mut classes = self.by_class;
-        if let Some((last, urgent)) = classes.split_last_mut() {
-            let urgent: f64 = urgent.iter().sum();
-            *last = (self.per_s - urgent).max(0.0);
-        }
-        classes
-    }
-
-    /// Returns the entries of a note that state these values.
-    fn entries(self, name: &str) -> impl Iterator<Item = CustomerDemand> {
-        let name = name.to_owned();
-        let demand = (name.clone(), self.per_s);
-        let classes = self.by_class.into_iter().enumerate();
-        let classes = classes.take(self.by_class.len() - 1);
-        let of_class = name.clone();
-        let classes = classes.map(move |(class, per_s)| {
-            (format!("{of_class}{KIND_SEPARATOR}{class}"), per_s)
-        });
-        let admitted = self.admitted.map(|admitted| {
-            (format!("{name}{KIND_SEPARATOR}{ADMITTED}"), admitted)
-        });
-        let entries = [demand].into_iter().chain(classes).chain(admitted);
-        entries
-            .map(|(customer, value)| CustomerDemand {
-                customer,
-                per_s: value.round(),
-            })
-            .filter(|entry| entry.per_s >= 1.0)
+        let most = allowance.burst * share;
+        let is_new = self.share.replace(share).is_none();
+        let back = rate(allowance, share) * age.as_secs_f64();
+        self.balance = if is_new {
+            allowance.burst * equal_share
+        } else {
+            (self.balance + back).min(most)
+        };
     }
 }
 
-/// Returns the values that a note states, by customer.
-fn parse(entries: Vec<CustomerDemand>) -> HashMap<CustomerName, Values> {
-    let mut all: HashMap<CustomerName, Values> = HashMap::new();
-    for CustomerDemand { customer, per_s } in entries {
-        let Some((name, kind)) = customer.split_once(KIND_SEPARATOR) else {
-            all.entry(customer).or_default().per_s = per_s;
-            continue;
-        };
-        let values = all.entry(name.to_owned()).or_default();
-        if kind == ADMITTED {
-            values.admitted = Some(per_s);
-        } else if let Ok(class) = kind.parse::<usize>()
-            && let Some(of_class) = values.by_class.get_mut(class)
-        {
-            *of_class = per_s;
-        }
-    }
-    all
+/// Returns the refill rate of a share of an allowance, in units per second.
+fn rate(allowance: Allowance, share: f64) -> f64 {
+    allowance.per_s * share * DISTRIBUTED_FRACTION
 }
--- a/crates/fleet/tests/rate_limiter_rules.rs
+++ b/crates/fleet/tests/rate_limiter_rules.rs
@@ -8,7 +8,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     customer::{Allowance, Customer, Unit},
-    rate_limiter::{Charge, RateLimiter},
+    rate_limiter::RateLimiter,
 };
 
 const PER_S: f64 = 50_000.0;
@@ -65,7 +65,7 @@
                 all.iter().map(|s| s.local_demand(now)).collect();
             let until = now + Duration::from_millis(HEARD_EVERY_MS * 6);
             for (n, shares) in all.iter_mut().enumerate() {
-                shares.forget(instances, now);
+                shares.forget(now);
                 for (from, asked) in said.iter().enumerate() {
                     if from != n && !is_cut(n) && !is_cut(from) {
                         let from = format!("i{from}");
@@ -83,9 +83,7 @@
                 continue;
             }
             taken.asked += units;
-            let charge =
-                Charge { units, route_priority: 0, draw: rng.random() };
-            match all[n].take(&customer, charge, instances, now) {
+            match all[n].take(&customer, units, instances, now) {
                 Ok(()) => taken.by_s[(ms / 1_000) as usize] += units,
                 Err(_) => taken.refused += units,
             }
--- a/crates/sedgewalld/src/fleet/admit.rs
+++ b/crates/sedgewalld/src/fleet/admit.rs
@@ -7,7 +7,6 @@
 use sedgewall_fleet::{
     configuration::ConfigurationStatus,
     customer::{Customer, KeyDigest},
-    rate_limiter::Charge,
     route::{Route, RoutingConfiguration},
 };
 
@@ -97,24 +96,16 @@
 }
 
 /// Charges a request against its customer's allowance.
-///
-/// The random number is drawn anew for each try. A number derived from the
-/// request's id would reject the same requests again.
 pub(super) fn charge_allowance(
     instance: &FleetInstance,
     customer: &Customer,
-    route: &Route,
     tokens: u64,
 ) -> Result<(), Reason> {
     let Some(allowance) = customer.allowance else { return Ok(()) };
-    let charge = Charge {
-        units: allowance.unit.count(tokens),
-        route_priority: route.priority,
-        draw: rand::random(),
-    };
+    let units = allowance.unit.count(tokens);
     let (now, instances) = (Instant::now(), instance.instance_count());
     let mut rate_limiter = instance.rate_limiter.borrow_mut();
-    let taken = rate_limiter.take(customer, charge, instances, now);
+    let taken = rate_limiter.take(customer, units, instances, now);
     taken.map_err(Reason::OverAllowance)
 }
 
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -131,12 +131,9 @@
     let metadata = metadata.ok_or_else(|| refuse(Reason::NoRequestId))?;
     let tokens = metadata.prompt_tokens + metadata.answer_tokens;
     if let Some(customer) = &customer {
-        charge_allowance(instance, customer, &route, tokens).map_err(
-            |reason| EarlyRefusal {
-                customer: Some(customer.clone()),
-                ..refuse(reason)
-            },
-        )?;
+        charge_allowance(instance, customer, tokens).map_err(|reason| {
+            EarlyRefusal { customer: Some(customer.clone()), ..refuse(reason) }
+        })?;
     }
     let most = routing.limits.body_bytes;
     let (body, body_reserved) =
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -10,7 +10,6 @@
 use sedgewall_clock::{Instant, SuspendDetector};
 use sedgewall_fleet::{
     catch_up::StateSummary,
-    customer::Customers,
     departure::Departure,
     engine_pools::ClassDemand,
     load_times::LoadObservation,
@@ -346,14 +345,7 @@
     let demands = status.asked_by_customers.clone();
     let mut rate_limiter = instance.rate_limiter.borrow_mut();
     match status.is_total {
-        true => {
-            let routing = instance.routing();
-            let none = Customers::default();
-            let customers =
-                routing.as_ref().map_or(&none, |routing| &routing.customers);
-            let from = &status.from;
-            rate_limiter.record_totals(from, demands, customers, now, until);
-        }
+        true => rate_limiter.record_totals(demands, now, until),
         false => rate_limiter.record_peer(&status.from, demands, now, until),
     }
 }
@@ -475,8 +467,7 @@
             instance.view.borrow_mut().remove_silent_peers(now);
             instance.view.borrow_mut().forget_departures(now);
             instance.suspicions.borrow_mut().forget(now);
-            let instances = instance.instance_count();
-            instance.rate_limiter.borrow_mut().forget(instances, now);
+            instance.rate_limiter.borrow_mut().forget(now);
             instance.view.borrow_mut().forget_limits(now);
             instance.view.borrow_mut().forget_cooldowns(now);
             instance.forget_saturated(now);
