List endpoints when other instances have read a change that the watch did not return

A watch of endpoints that was sent while the path to the store was silent for a moment gets no answer, and no other call of the instance failed, so the watch looked like one without changes until it was abandoned after 5 s. The instance that did find the entry missing was in doubt, after faults of its own path, and told nobody for 3 s.

Each datagram now ends with the newest change of an endpoint's entry that its sender has read, also in doubt. A watch of the newest state that was sent before such a report and is still open 0.5 s after it is lost (log event watch_lost), and endpoints are listed. A report that a list of the newest state does not confirm is ignored from then on, so that no report can make an instance list without end.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod placement;
 pub mod poison;
 pub mod rate_limiter;
+pub mod read_progress;
 pub mod recent_successes;
 pub mod relays;
 pub mod request_digest;
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -24,6 +24,7 @@
     note::{LeaderLease, Note},
     poison::PoisonDetector,
     rate_limiter::RateLimiter,
+    read_progress::ReadProgress,
     recent_successes::RecentSuccesses,
     residence_time::StreamTime,
     retry_budget::{RetryAllowance, RetryBudget},
@@ -305,6 +306,8 @@
     pub(crate) has_seen_restore: Cell<bool>,
     pub(crate) instances_relist_notify: Rc<Notify>,
     pub(crate) endpoints_relist_notify: Rc<Notify>,
+    /// How far this instance has read the entries of endpoints.
+    pub(crate) endpoints_progress: RefCell<ReadProgress>,
     /// Since when other instances have reported newer state than this one has.
     pub(crate) behind_since: Cell<Option<Instant>>,
     /// Counters for the log.
@@ -415,6 +418,7 @@
             has_seen_restore: Cell::new(false),
             instances_relist_notify: Rc::default(),
             endpoints_relist_notify: Rc::default(),
+            endpoints_progress: RefCell::default(),
             behind_since: Cell::new(None),
             counters: NoteCounters::default(),
             renewal: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -13,7 +13,7 @@
 use sedgewall_platform::{
     StoreError,
     config::{CONFIG_KIND, CONFIG_NAME},
-    store::{Change, Freshness, Listing, Revision},
+    store::{Change, Changes, Freshness, Listing, Revision},
 };
 
 use super::{instance::FleetInstance, notify::Notify};
@@ -71,6 +71,12 @@
     fn record_read(&self, _sent: Instant) {}
     /// Records that all changes before `until` are known.
     fn confirm(&self, _until: Instant) {}
+    /// Records that all changes up to a revision are known.
+    fn record_position(&self, _until: Revision, _freshness: Freshness) {}
+    /// Records that a watch is sent.
+    fn begin_watch(&self, _freshness: Freshness) {}
+    /// Records that the watch is no longer open.
+    fn end_watch(&self) {}
     /// Handles a complete list of the objects.
     fn handle_list(&self, listing: Listing);
     /// Handles one change.
@@ -164,6 +170,7 @@
             %revision,
         );
         self.handler.handle_list(listing);
+        self.handler.record_position(revision, freshness);
         self.handler.record_read(sent);
         if freshness == Freshness::Newest {
             self.handler.confirm(sent);
@@ -225,18 +232,10 @@
         };
         self.watch_freshness = freshness;
         let sent = Instant::now();
-        let store = &self.instance.store;
-        let watch = store.watch(F::KIND, since, wait, freshness);
-        let notify = self.handler.relist_notify();
-        let mut watch = pin!(watch.fuse());
-        let mut notified = pin!(notified(&notify).fuse());
-        let changes = select! {
-            watched = watch => {
-                self.instance.check_store_era();
-                watched?
-            }
-            () = notified => return Ok(None),
-        };
+        self.handler.begin_watch(freshness);
+        let ended = self.watch_or_notification(since, wait, freshness).await;
+        self.handler.end_watch();
+        let Some(changes) = ended? else { return Ok(None) };
         log_unreadable(F::KIND, &changes.unreadable);
         // A watch that ends without a change has waited its whole timeout at
         // the store, so the state is known up to its end.
@@ -246,6 +245,7 @@
         for change in changes.changes {
             self.handler.handle_change(change);
         }
+        self.handler.record_position(changes.revision, freshness);
         self.handler.record_read(if has_timed_out {
             sent + wait
         } else {
@@ -261,6 +261,28 @@
         Ok(Some(changes.revision))
     }
 
+    /// Waits for the end of a watch, or for a notification that the kind must
+    /// be listed again.
+    async fn watch_or_notification(
+        &self,
+        since: Revision,
+        wait: Duration,
+        freshness: Freshness,
+    ) -> Result<Option<Changes>, StoreError> {
+        let store = &self.instance.store;
+        let watch = store.watch(F::KIND, since, wait, freshness);
+        let notify = self.handler.relist_notify();
+        let mut watch = pin!(watch.fuse());
+        let mut notified = pin!(notified(&notify).fuse());
+        select! {
+            watched = watch => {
+                self.instance.check_store_era();
+                watched.map(Some)
+            }
+            () = notified => Ok(None),
+        }
+    }
+
     /// Continues from a revision after the handler's pause.
     async fn on_success(&mut self, revision: Revision) {
         self.instance.record_store_success();
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod caller;
 mod catch_up;
 pub(crate) mod daemon;
+mod datagram;
 mod delivery;
 mod endpoint_choice;
 mod engine_pools;
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -20,7 +20,7 @@
 };
 use sedgewall_state::id::InstanceId;
 
-use super::instance::FleetInstance;
+use super::{datagram, instance::FleetInstance};
 
 /// The maximum size of an encoded note: the largest IPv4 datagram, less some
 /// room for its headers.
@@ -50,7 +50,7 @@
         note: &Note,
     ) {
         if let Some(address) = instance.address_of(peer) {
-            self.send_to(address, note);
+            self.send_to(instance, address, note);
         }
     }
 
@@ -58,7 +58,7 @@
     pub(crate) fn broadcast(&self, instance: &FleetInstance, note: &Note) {
         let peers = instance.peers.borrow();
         if peers.len() <= MAX_DIRECT_PEERS {
-            let Some(bytes) = encode(note) else { return };
+            let Some(bytes) = encode(instance, note) else { return };
             if peers.is_empty() {
                 for address in instance.unlisted_addresses() {
                     self.send(address, &bytes);
@@ -77,7 +77,7 @@
             zone_relays(zones, own, |id| view.is_live_peer(id, now), rotation)
         {
             let for_zone = Note::ZoneRelay(note.clone().into());
-            self.send_to(peers[id].address, &for_zone);
+            self.send_to(instance, peers[id].address, &for_zone);
         }
         drop(view);
         self.broadcast_in_zone(instance, note);
@@ -101,7 +101,8 @@
             let Group { index, count } = group;
             let for_group =
                 GroupRelay { index, count, note: note.clone().into() };
-            self.send_to(peers[id].address, &Note::GroupRelay(for_group));
+            let note = Note::GroupRelay(for_group);
+            self.send_to(instance, peers[id].address, &note);
         }
     }
 
@@ -119,7 +120,7 @@
         instance: &FleetInstance,
         relayed: &GroupRelay,
     ) {
-        let Some(bytes) = encode(&relayed.note) else { return };
+        let Some(bytes) = encode(instance, &relayed.note) else { return };
         let group = Group { index: relayed.index, count: relayed.count };
         for (id, peer) in instance.peers.borrow().iter() {
             if peer.zone == instance.settings.zone && group.contains(id) {
@@ -128,15 +129,16 @@
         }
     }
 
-    fn send_to(&self, to: SocketAddr, note: &Note) {
-        if let Some(bytes) = encode(note) {
+    fn send_to(&self, instance: &FleetInstance, to: SocketAddr, note: &Note) {
+        if let Some(bytes) = encode(instance, note) {
             self.send(to, &bytes);
         }
     }
 }
 
-fn encode(note: &Note) -> Option<Vec<u8>> {
-    match rmp_serde::to_vec(note) {
+fn encode(instance: &FleetInstance, note: &Note) -> Option<Vec<u8>> {
+    let endpoints_read = instance.endpoints_progress.borrow().newest_change();
+    match datagram::encode(note, endpoints_read) {
         Ok(bytes) if bytes.len() <= MAX_NOTE_BYTES => Some(bytes),
         Ok(bytes) => {
             let len = bytes.len();
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -22,10 +22,11 @@
 
 use super::{
     announcements,
+    datagram::{self, Datagram},
     instance::{FleetInstance, ObservedLoad, Stage},
     keys, lease_store, list_watch,
     note_sender::{MAX_NOTE_BYTES, NoteSender},
-    poison, watch_poison,
+    poison, watch_endpoints, watch_poison,
 };
 
 /// With many instances, one in this many status notes goes to all instances
@@ -62,8 +63,11 @@
         let BufResult(received, back) = socket.recv_from(buf).await;
         buf = back;
         match received {
-            Ok((len, from)) => match rmp_serde::from_slice(&buf[..len]) {
-                Ok(note) => {
+            Ok((len, from)) => match datagram::decode(&buf[..len]) {
+                Ok(Datagram { note, endpoints_read }) => {
+                    if let Some(change) = endpoints_read {
+                        watch_endpoints::apply_report(&instance, change);
+                    }
                     // The source address of a relayed note is the relay's.
                     // That does no harm, because the relay can serve missing
                     // state as well.
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -5,17 +5,19 @@
 //! The exception is a time after an outage in which lapsed entries come back.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::{endpoint::Endpoint, note::Note};
+use sedgewall_fleet::{
+    endpoint::Endpoint, note::Note, read_progress::WATCH_ANSWER_TIME,
+};
 use sedgewall_platform::{
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
-    store::{Change, Listing, Revision, StoredObject},
+    store::{Change, Freshness, Listing, Revision, StoredObject},
 };
 use sedgewall_state::id::EndpointId;
 
@@ -61,6 +63,8 @@
     /// Endpoints whose entries lapsed and may come back soon, with the
     /// revision at which they were missing.
     lapsed: Rc<RefCell<HashMap<EndpointId, Revision>>>,
+    /// Whether the answer that is being handled lacks a known entry.
+    has_missing: Cell<bool>,
 }
 
 impl ObjectHandler for Endpoints {
@@ -75,6 +79,31 @@
         self.instance.endpoints_relist_notify.clone()
     }
 
+    fn begin_watch(&self, freshness: Freshness) {
+        if freshness == Freshness::Newest {
+            let now = Instant::now();
+            let mut progress = self.instance.endpoints_progress.borrow_mut();
+            if progress.begin_watch(now) {
+                check_watch_later(&self.instance);
+            }
+        }
+    }
+
+    fn end_watch(&self) {
+        self.instance.endpoints_progress.borrow_mut().end_watch();
+    }
+
+    fn record_position(&self, until: Revision, freshness: Freshness) {
+        let mut progress = self.instance.endpoints_progress.borrow_mut();
+        if self.has_missing.take() {
+            progress.record_missing(until);
+        }
+        match freshness {
+            Freshness::Newest => progress.record_newest(until),
+            Freshness::SecondsOld => progress.record_read(until),
+        }
+    }
+
     fn handle_list(&self, listing: Listing) {
         let read: Vec<Endpoint> =
             listing.objects.iter().filter_map(decoded).collect();
@@ -120,7 +149,11 @@
 
 impl Endpoints {
     pub(crate) fn new(instance: &Rc<FleetInstance>) -> Endpoints {
-        Endpoints { instance: instance.clone(), lapsed: Rc::default() }
+        Endpoints {
+            instance: instance.clone(),
+            lapsed: Rc::default(),
+            has_missing: Cell::new(false),
+        }
     }
 
     /// Applies an entry.
@@ -145,6 +178,10 @@
             );
         }
         let known_revision = known.map(|state| state.endpoint.revision);
+        self.instance
+            .endpoints_progress
+            .borrow_mut()
+            .record_change(endpoint.revision);
         let (id, revision) = (endpoint.id.clone(), endpoint.revision);
         let is_draining = endpoint.is_draining;
         let is_applied = view.apply_entry(endpoint, Instant::now());
@@ -167,6 +204,7 @@
     /// delayed: a live endpoint writes its entry again.
     fn entry_missing(&self, id: &EndpointId, revision: Revision) {
         let now = Instant::now();
+        self.has_missing.set(true);
         let reachability = self.instance.store_reachability.borrow();
         let left = reachability.missing_entry_grace(now);
         if left.is_zero() {
@@ -203,6 +241,42 @@
     }
 }
 
+/// Applies another instance's report of the newest change of an endpoint's
+/// entry that it has read. A watch that does not return that change soon is
+/// lost.
+pub(crate) fn apply_report(
+    instance: &Rc<FleetInstance>,
+    newest_change: Revision,
+) {
+    let now = Instant::now();
+    let mut progress = instance.endpoints_progress.borrow_mut();
+    if progress.record_report(newest_change, now) {
+        check_watch_later(instance);
+    }
+}
+
+/// Makes endpoints be listed if the open watch has still not returned a change
+/// that another instance has read, after the time that the store may take to
+/// answer.
+fn check_watch_later(instance: &Rc<FleetInstance>) {
+    let instance = instance.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(WATCH_ANSWER_TIME).await;
+        let progress = instance.endpoints_progress.borrow();
+        let Some(lost) = progress.lost_watch(Instant::now()) else { return };
+        metrics::counter!("sedgewall_store_watches_lost_total").increment(1);
+        tracing::warn!(
+            event = "watch_lost",
+            kind = ENDPOINTS_KIND,
+            open_ms = lost.open_for.as_millis() as u64,
+            read = %lost.read,
+            newest_reported = %lost.newest_reported,
+        );
+        instance.endpoints_relist_notify.notify();
+    })
+    .detach();
+}
+
 /// Returns the pause before the next watch of endpoints.
 fn watch_pause(instance: &FleetInstance) -> Duration {
     let peers = instance.peers.borrow().len() as u32;
