Renew a lapsed lease until another instance can acquire it

Callers waited some 4 s for adapters after an outage of the store: no instance sent orders, and the lease changed its epoch. While no instance reaches the store, the holder keeps its lease. The first report that another instance reaches it ended the lease at once, although that instance must watch the record for a whole time to live before it may acquire the lease, and the holder's own path came back within the 0.2 s between two renewals.

A lapsed holder now gives no orders, and goes on renewing for as long as no other instance can have acquired the lease. The store takes the renewal only if the record is unchanged, so that of a renewal and an acquisition one wins.

a_holder_that_reaches_the_store_last_keeps_its_lease: failed three of three runs before, passes three of three.

--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -310,6 +310,9 @@
     renewal_sent: Option<Instant>,
     /// Since when other instances send the renewals for this one.
     renewed_by_peers_since: Option<Instant>,
+    /// Since when another instance may be able to acquire the lease, so that
+    /// this one gives no orders.
+    lapsed_at: Option<Instant>,
 }
 
 /// Renews the lease until it is lost or this instance leaves. Returns the
@@ -326,23 +329,11 @@
         }
         let is_current = kept.lease.is_current(now)
             || instance.no_instance_can_acquire_lease(now);
-        if !is_current {
-            instance.held.set(None);
-            let epoch = kept.lease.epoch();
-            tracing::warn!(event = "lease_lapsed", epoch);
+        if is_current {
+            hold(instance, &mut kept);
+        } else if is_given_up(instance, &mut kept, now) {
             return None;
         }
-        let before = instance.held.replace(Some(HeldLease {
-            epoch: kept.lease.epoch(),
-            renewal: kept.lease.record().renewal,
-            current_until: kept.renewed + TIME_TO_LIVE,
-            order_from: kept.order_from,
-        }));
-        if before.is_none() {
-            // The other instances can only ask for adapters once they know the
-            // holder.
-            instance.notify_notes();
-        }
         let is_peer_renewal_over = kept
             .renewed_by_peers_since
             .is_some_and(|since| now - since >= MAX_PEER_RENEWAL_TIME);
@@ -369,6 +360,45 @@
     }
 }
 
+/// Records that this instance holds the lease.
+fn hold(instance: &FleetInstance, kept: &mut KeptLease) {
+    let epoch = kept.lease.epoch();
+    if kept.lapsed_at.take().is_some() {
+        tracing::info!(event = "lease_regained", epoch);
+    }
+    let before = instance.held.replace(Some(HeldLease {
+        epoch,
+        renewal: kept.lease.record().renewal,
+        current_until: kept.renewed + TIME_TO_LIVE,
+        order_from: kept.order_from,
+    }));
+    if before.is_none() {
+        // The other instances can only ask for adapters once they know the
+        // holder.
+        instance.notify_notes();
+    }
+}
+
+/// Records that the lease has lapsed, and returns whether to stop renewing it.
+///
+/// A lapsed lease can be renewed until another instance acquires it, which
+/// takes that instance a whole time to live from when it reaches the store.
+/// After an outage, another instance often reaches the store before the
+/// holder does.
+fn is_given_up(
+    instance: &FleetInstance,
+    kept: &mut KeptLease,
+    now: Instant,
+) -> bool {
+    instance.held.set(None);
+    let lapsed_at = *kept.lapsed_at.get_or_insert_with(|| {
+        let epoch = kept.lease.epoch();
+        tracing::warn!(event = "lease_lapsed", epoch);
+        now
+    });
+    now - lapsed_at >= TIME_TO_LIVE + CHALLENGE_MARGIN
+}
+
 /// Returns whether this instance stops so soon that it must release the lease.
 /// No instance gives orders for a turn after a release, so it is done once and
 /// late: instances that are stopped one after the other would otherwise pass
@@ -405,6 +435,7 @@
         order_from,
         renewal_sent: None,
         renewed_by_peers_since: None,
+        lapsed_at: None,
     }
 }
 
@@ -424,13 +455,7 @@
     instance: &FleetInstance,
     kept: KeptLease,
 ) -> Option<KeptLease> {
-    let KeptLease {
-        lease,
-        renewed,
-        order_from,
-        renewal_sent,
-        renewed_by_peers_since,
-    } = kept;
+    let KeptLease { lease, renewal_sent, renewed_by_peers_since, .. } = kept;
     let renewal = lease.renewal();
     let first_sent = renewal_sent.unwrap_or_else(Instant::now);
     let (answer, path) = lease_store::renew(instance, &renewal).await;
@@ -444,14 +469,12 @@
             RenewalPath::Direct => None,
             RenewalPath::Peer => renewed_by_peers_since.or(Some(first_sent)),
         };
-        let renewed = first_sent;
-        let renewal_sent = None;
         return Some(KeptLease {
             lease,
-            renewed,
-            order_from,
-            renewal_sent,
+            renewed: first_sent,
+            renewal_sent: None,
             renewed_by_peers_since,
+            ..kept
         });
     }
     // Makes all instances check whether the store answers them: while the
@@ -459,14 +482,7 @@
     instance.broadcast_queue.borrow_mut().push(Note::ProbeStore);
     instance.notify_notes();
     compio::time::sleep(RENEWAL_RETRY_PAUSE).await;
-    let renewal_sent = Some(first_sent);
-    Some(KeptLease {
-        lease,
-        renewed,
-        order_from,
-        renewal_sent,
-        renewed_by_peers_since,
-    })
+    Some(KeptLease { lease, renewal_sent: Some(first_sent), ..kept })
 }
 
 fn candidate(
