Ask other instances for the freshness of keys when the own watch fails

Callers with keys were rejected by an instance that lost the store, until the store was back, although other instances knew the keys: each time where the instance ranked among the four that watch the configuration for all others. Such an instance asked nobody, because its rank, and not its own watch, decided whether it asks.

It now asks like any other instance once what it knows is so old that the store itself would be read. a_watcher_without_the_store_learns_of_keys_from_others failed on (503 for the first of 30 requests, 4 s after the store was lost) and passes now.

--- a/crates/sedgewalld/src/fleet/keys.rs
+++ b/crates/sedgewalld/src/fleet/keys.rs
@@ -34,7 +34,7 @@
 
 /// The interval at which an instance that asks no other instance checks
 /// whether it must ask one.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The minimum interval between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_millis(600);
@@ -121,12 +121,16 @@
 }
 
 /// Returns the time until the next question, or none if this instance asks
-/// nobody.
+/// nobody. An instance that watches asks the others that do once its own
+/// watch does not keep the keys fresh.
 fn next_question_in(instance: &FleetInstance) -> Option<Duration> {
-    let asks = instance.has_customers() && !instance.keys.is_watching.get();
+    let now = Instant::now();
+    let known = instance.keys.known.get();
+    let is_kept_fresh =
+        instance.keys.is_watching.get() && !known.is_read_due(now);
+    let asks = instance.has_customers() && !is_kept_fresh;
     let poll = instance.keys.poll.borrow();
-    let due = instance.keys.known.get().next_poll_in(&poll, Instant::now());
-    due.filter(|_| asks)
+    known.next_poll_in(&poll, now).filter(|_| asks)
 }
 
 /// Makes the configuration be listed again, including everything that the
