List instances again if an instance is heard for 3 s without being listed

Callers of an instance that had just started waited up to 13 s for adapters that were not loaded, and were refused: it heard nothing of the lease holder, so that it could not ask for adapters. The holder's watch of instances had been lost on a silent path, without any call that failed, so that it did not know the address of the new instance, although it heard its notes (unlisted_heard).

The list shows the new instance 3 s after its first note now, whatever became of the watch; once for each instance that is heard, so that one without an entry does not make others list without end.

--- a/crates/sedgewalld/src/fleet/peers.rs
+++ b/crates/sedgewalld/src/fleet/peers.rs
@@ -20,11 +20,21 @@
 /// each sends a note to all every 2.4 s.
 const ADDRESS_TTL: Duration = Duration::from_secs(5);
 
+/// How long an instance may be heard without being listed before instances are
+/// listed again. The watch of instances pauses for 1.5 s, and its answer may be
+/// some time old; a watch that was lost on the way is abandoned after 13 s.
+const UNLISTED_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The source address of notes from an instance that is not listed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedAddress {
     address: SocketAddr,
+    /// When the first note came.
+    since: Instant,
+    /// When the last note came.
     at: Instant,
+    /// Whether instances were listed again because of this instance.
+    has_relisted: bool,
 }
 
 impl FleetInstance {
@@ -33,12 +43,23 @@
         if self.peers.borrow().contains_key(id) || id == self.id() {
             return;
         }
-        let observed = ObservedAddress { address, at: Instant::now() };
-        let known =
-            self.observed_addresses.borrow_mut().insert(id.clone(), observed);
-        if known.is_none() {
-            tracing::info!(event = "unlisted_heard", from = id, %address);
+        let now = Instant::now();
+        let mut all = self.observed_addresses.borrow_mut();
+        if let Some(known) = all.get_mut(id) {
+            (known.address, known.at) = (address, now);
+            let is_overdue = now - known.since >= UNLISTED_TIMEOUT;
+            if is_overdue && !std::mem::replace(&mut known.has_relisted, true)
+            {
+                tracing::warn!(event = "unlisted_relist", from = id);
+                self.instances_relist_notify.notify();
+            }
+            return;
         }
+        tracing::info!(event = "unlisted_heard", from = id, %address);
+        let since = now;
+        let has_relisted = false;
+        let new = ObservedAddress { address, since, at: now, has_relisted };
+        all.insert(id.clone(), new);
     }
 
     /// Drops the addresses of instances that are listed by now or silent.
