Keep a released request released when others have not heard of it

A request that an operator released was refused again 0.2 s later, by the instance that had just released it: another instance, which had not heard of the release, reported more condemned requests, and the first one fetched them. Instances that do not watch the records list them once a minute only, so that in a fleet of more than four a release was undone for up to a minute, and the record could be written again.

A release is now dated, and a condemnation from before it is not merged. A record from before it that appears in the store is deleted like that of a refuted request. an_earlier_condemnation_does_not_undo_a_release fails without the date (the outcome is Added).

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -156,6 +156,8 @@
     /// Whether the request was condemned before, so that one more crash
     /// condemns it again.
     is_on_probation: bool,
+    /// Time of the last release.
+    released_at: Option<Instant>,
     /// Time of the last successful run.
     cleared_at: Option<Instant>,
     last: Option<Instant>,
@@ -171,6 +173,9 @@
     /// A run has succeeded since the request was condemned. The other
     /// instances must be told.
     Refuted,
+    /// The request was released since it was condemned. The other instance has
+    /// not heard of that yet.
+    Released,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -297,13 +302,15 @@
         had_evidence
     }
 
-    /// Releases a condemned request, so that it is tried again.
+    /// Releases a condemned request, so that it is tried again. An instance
+    /// that has not heard of the release does not condemn it here again.
     pub fn release(&mut self, digest: RequestDigest, now: Instant) {
         if let Some(suspect) = self.suspects.get_mut(&digest)
             && suspect.condemned_at.is_some()
         {
             suspect.clear_evidence();
             suspect.is_on_probation = true;
+            suspect.released_at = Some(now);
             suspect.last = Some(now);
         }
     }
@@ -326,6 +333,9 @@
         if suspect.cleared_at.is_some_and(|cleared| cleared >= at) {
             return MergeOutcome::Refuted;
         }
+        if suspect.released_at.is_some_and(|released| released >= at) {
+            return MergeOutcome::Released;
+        }
         let interruption = Interruption { began: at, broke: at };
         for endpoint in &condemned.endpoints {
             let known = suspect.interruptions.entry(endpoint.clone());
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -7,7 +7,9 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     incarnation::EndpointIncarnation,
-    poison::{CONDEMNED_FOR, Crash, Loss, MergeOutcome, PoisonDetector},
+    poison::{
+        CONDEMNED_FOR, Condemned, Crash, Loss, MergeOutcome, PoisonDetector,
+    },
     request_digest::{RequestDigest, RequestParts},
 };
 
@@ -196,6 +198,29 @@
     assert!(!is_condemned(&poison, of, later + RUNS));
 }
 
+/// Guards against a release that an instance undoes which has not heard of it:
+/// it reports the request as condemned, and the record was written again.
+#[test]
+fn an_earlier_condemnation_does_not_undo_a_release() {
+    let mut poison = PoisonDetector::default();
+    let of = digest(1);
+    let at = crash_in_turn(&mut poison, 0..3, of, Instant::now());
+    let elsewhere = poison.condemned(at).remove(0);
+    let released = at + RUNS;
+    poison.release(of, released);
+    let late = released + TRIES;
+    let ms_ago = elsewhere.ms_ago + (late - at).as_millis() as u64;
+    let elsewhere = Condemned { ms_ago, ..elsewhere };
+    assert_eq!(
+        poison.merge_condemned(&elsewhere, late),
+        MergeOutcome::Released
+    );
+    assert!(!is_condemned(&poison, of, late));
+    // One that is later than the release counts.
+    let new = Condemned { ms_ago: 1, ..elsewhere };
+    assert_eq!(poison.merge_condemned(&new, late), MergeOutcome::Added);
+}
+
 #[test]
 fn retained_evidence_is_bounded() {
     let mut poison = PoisonDetector::default();
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -243,7 +243,7 @@
             condemned_ms_ago = condemned.ms_ago,
             from,
         ),
-        MergeOutcome::AlreadyKnown => {}
+        MergeOutcome::AlreadyKnown | MergeOutcome::Released => {}
         MergeOutcome::Refuted => broadcast_clearance(instance, digest),
     }
     outcome
--- a/crates/sedgewalld/src/fleet/watch_poison.rs
+++ b/crates/sedgewalld/src/fleet/watch_poison.rs
@@ -77,7 +77,8 @@
     revision: Revision,
     /// When the record may be deleted.
     expires_at: Instant,
-    /// Whether a run of the request has succeeded since.
+    /// Whether a run of the request has succeeded since it was condemned, or
+    /// an operator has released it.
     is_refuted: bool,
 }
 
@@ -181,7 +182,10 @@
         let known = KnownRecord {
             revision: object.revision,
             expires_at: Instant::now() + left + EXPIRY_MARGIN,
-            is_refuted: outcome == MergeOutcome::Refuted,
+            is_refuted: matches!(
+                outcome,
+                MergeOutcome::Refuted | MergeOutcome::Released
+            ),
         };
         self.instance.poison_records.borrow_mut().0.insert(digest, known);
         wake_record_keeper(&self.instance);
