List the records of condemned requests if another instance has fewer

A request that an operator had released was refused for 13 s by an instance whose watch of the records was lost on a silent path, and for up to a minute by each instance that does not watch them. Nothing that others report shows a release: their number of condemned requests falls, and only a higher number than the own was looked at.

An instance that has condemned more requests than another one reports, for 2 s, lists the records once.

--- a/crates/fleet/src/catch_up.rs
+++ b/crates/fleet/src/catch_up.rs
@@ -46,6 +46,12 @@
 /// reported by mistake, and that no instance has, expires.
 const SUMMARY_VALID_FOR: Duration = Duration::from_secs(5);
 
+/// How long another instance must have condemned fewer requests before the
+/// records of condemned requests are listed: an operator may have released one,
+/// and the watch that was to bring this may be lost. An instance that has just
+/// started catches up within this time.
+const RELEASE_DELAY: Duration = Duration::from_secs(2);
+
 /// Versions of the state that all instances must have, at one instance.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
@@ -101,6 +107,18 @@
     behind_since: Option<Instant>,
     next_fetch: Option<Instant>,
     avoided: HashMap<InstanceId, Instant>,
+    fewer_condemned: Option<FewerCondemned>,
+}
+
+/// Another instance has condemned fewer requests than this one.
+#[derive(Clone, Copy, Debug)]
+struct FewerCondemned {
+    /// The number of requests that this instance has condemned.
+    own: u64,
+    /// Since when another instance has reported a lower number.
+    since: Instant,
+    /// Whether the records were listed because of that.
+    has_listed: bool,
 }
 
 impl StateSummary {
@@ -139,6 +157,30 @@
         }
     }
 
+    /// Records how many requests another instance has condemned. Returns
+    /// whether the records must be listed, once for each number of this
+    /// instance's own.
+    pub fn record_condemned(
+        &mut self,
+        own: u64,
+        reported: u64,
+        now: Instant,
+    ) -> bool {
+        if reported >= own {
+            return false;
+        }
+        let is_same = self.fewer_condemned.is_some_and(|f| f.own == own);
+        if !is_same {
+            let has_listed = false;
+            let since = now;
+            self.fewer_condemned =
+                Some(FewerCondemned { own, since, has_listed });
+        }
+        let Some(fewer) = &mut self.fewer_condemned else { return false };
+        now - fewer.since >= RELEASE_DELAY
+            && !std::mem::replace(&mut fewer.has_listed, true)
+    }
+
     /// Returns the highest recently reported version of each kind.
     pub fn newest_heard(&self, now: Instant) -> StateSummary {
         let recent = self.peers.values().filter(|peer| peer.is_recent(now));
--- a/crates/fleet/tests/catch_up_rules.rs
+++ b/crates/fleet/tests/catch_up_rules.rs
@@ -116,3 +116,20 @@
     let step = catch_up.step(knows(1), OTHERS, 0, now + ms(1));
     assert!(matches!(step, Step::Wait(_)), "{step:?}");
 }
+
+/// Guards against a request that stays refused after an operator released it:
+/// the record's deletion was on a watch that was lost.
+#[test]
+fn records_are_listed_once_if_another_instance_has_condemned_fewer() {
+    let now = Instant::now();
+    let mut catch_up = CatchUp::default();
+    assert!(!catch_up.record_condemned(2, 1, now));
+    // An instance that has just started has condemned fewer for a moment.
+    assert!(!catch_up.record_condemned(2, 2, now + ms(1_000)));
+    assert!(!catch_up.record_condemned(2, 1, now + ms(1_999)));
+    assert!(catch_up.record_condemned(2, 1, now + ms(2_000)));
+    assert!(!catch_up.record_condemned(2, 1, now + ms(4_000)));
+    // Another number of the own starts a wait of its own.
+    assert!(!catch_up.record_condemned(1, 0, now + ms(4_000)));
+    assert!(catch_up.record_condemned(1, 0, now + ms(6_000)));
+}
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -241,6 +241,19 @@
     let summary = StateSummary { configuration, versions, condemned };
     record_state_summary(instance, &status.from, summary, now);
     let own = instance.state_summary();
+    if instance.catch_up.borrow_mut().record_condemned(
+        own.condemned,
+        condemned,
+        now,
+    ) {
+        tracing::info!(
+            event = "poison_relist",
+            own = own.condemned,
+            reported = condemned,
+            from = status.from,
+        );
+        instance.poison_relist_notify.notify();
+    }
     if !summary.has_more_than(own) {
         return;
     }
