--- a/crates/sedgewall/src/cluster.rs
+++ b/crates/sedgewall/src/cluster.rs
@@ -97,7 +97,10 @@
     let answer = http
         .call(Call::new(method, url), INSTANCE_TIMEOUT)
         .await
-        .map_err(|err| fail(err.to_string()))?;
+        .map_err(|err| CommandError::Unreachable {
+            target: address.to_owned(),
+            cause: err.to_string(),
+        })?;
     match answer.status {
         StatusCode::OK | StatusCode::ACCEPTED => Ok(answer),
         status => {
--- a/crates/sedgewall/src/error.rs
+++ b/crates/sedgewall/src/error.rs
@@ -35,6 +35,13 @@
     /// cannot set up HTTP: {0}
     Http(CallError),
     /// {target}: {cause}
+    Unreachable {
+        /// The address of the instance.
+        target: String,
+        /// Why the instance did not answer.
+        cause: String,
+    },
+    /// {target}: {cause}
     Instance {
         /// The instance, adapter or address that the command was for.
         target: String,
--- a/crates/sedgewall/src/files.rs
+++ b/crates/sedgewall/src/files.rs
@@ -16,12 +16,15 @@
     is_sound: bool,
     adapters_len: usize,
     faults: Vec<FileDiagnostic>,
+    /// Why a configuration without faults cannot be applied.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cause: Option<String>,
 }
 
 /// Validates files. Prints a summary if they are valid, or a JSON report, and
 /// returns the errors otherwise.
 ///
-/// The JSON report is also printed if the files have errors, but not if the
+/// The JSON report is also printed if the files have errors, or if the
 /// configuration exceeds the size limits of the platform's objects.
 pub(crate) fn check(
     files: &Files,
@@ -32,6 +35,7 @@
             is_sound: true,
             adapters_len: config.adapters.len(),
             faults: Vec::new(),
+            cause: None,
         }),
         (Ok(config), Format::Text) => output::line(&format!(
             "valid: {} base models, {} adapters, {} endpoint groups",
@@ -44,9 +48,19 @@
                 is_sound: false,
                 adapters_len: 0,
                 faults: err.diagnostics.clone(),
+                cause: None,
             })?;
             Err(CommandError::Files(err))
         }
+        (Err(CommandError::Config(err)), Format::Json) => {
+            output::json(&CheckReport {
+                is_sound: false,
+                adapters_len: 0,
+                faults: Vec::new(),
+                cause: Some(err.to_string()),
+            })?;
+            Err(CommandError::Config(err))
+        }
         (Err(err), _) => Err(err),
     }
 }
--- a/crates/sedgewall/src/views.rs
+++ b/crates/sedgewall/src/views.rs
@@ -10,6 +10,7 @@
     AdapterExplanation, DRAIN_PATH, EXPLAIN_PATH, InstanceStatus, ShardStatus,
     TIMELINE_PATH,
 };
+use sedgewall_state::RequestId;
 use serde::Serialize;
 
 use crate::{
@@ -129,7 +130,10 @@
 }
 
 fn is_shown(filter: &Filter, event: &Event) -> bool {
-    let request = event.request.map(|id| format!("{id:032x}"));
+    let request = event.request.map(|id| {
+        let hex = format!("{id:032x}");
+        format!("{hex} {}", shortened(id))
+    });
     let kind = kind_name(event);
     let after_ms = filter
         .last_s
@@ -151,14 +155,17 @@
         .unwrap_or_default()
 }
 
+/// Returns the first four digits of a request's id, `~`, and the low 64 bits
+/// of the id.
+fn shortened(id: RequestId) -> String {
+    let hex = format!("{id:032x}");
+    format!("{}~{:x}", &hex[..4], id as u64)
+}
+
 fn event_line(event: &Event) -> String {
-    let request = event.request.map_or(String::new(), |id| {
-        // The first four digits of the id, `~`, and the low 64 bits of the id.
-        // `--request` is compared with the full id, so it finds either part
-        // of this text, but not the whole.
-        let hex = format!("{id:032x}");
-        format!("{}~{:x} ", &hex[..4], id as u64)
-    });
+    let request = event
+        .request
+        .map_or(String::new(), |id| format!("{} ", shortened(id)));
     let stamp = event.stamp;
     let time = format!(
         "{}.{:03}+{}",
@@ -195,18 +202,30 @@
         return timeline(args, &filter).await;
     }
     let path = format!("{EXPLAIN_PATH}?adapter={}", target.adapter_or_request);
+    let mut unreachable = Vec::new();
     for member in cluster::members(args).await? {
         let found: Result<AdapterExplanation, _> =
             cluster::get(&member.address, &path).await;
-        if let Ok(found) = found {
-            return print_explanation(&found, &member.name, args.output);
+        match found {
+            Ok(found) => {
+                return print_explanation(&found, &member.name, args.output);
+            }
+            Err(CommandError::Unreachable { .. }) => {
+                unreachable.push(member.name);
+            }
+            Err(_) => {}
         }
     }
-    Err(CommandError::Instance {
-        target: target.adapter_or_request.clone(),
-        cause: "no instance leads its shard, or the adapter does not exist"
+    let cause = match unreachable.is_empty() {
+        true => "no instance leads its shard, or the adapter does not exist"
             .to_owned(),
-    })
+        false => format!(
+            "no instance that answered leads its shard; no answer from: {}",
+            unreachable.join(", ")
+        ),
+    };
+    let target = target.adapter_or_request.clone();
+    Err(CommandError::Instance { target, cause })
 }
 
 fn print_explanation(
