Requests that may not be repeated use no retries

Where 20 requests that may not be repeated had failed within a short time, callers of repeatable ones got their broken streams back as failed: each failure took a retry from the budget before it was looked at whether the request may be sent again. Found by reading, in the mode with shards.

A retry is taken only for a request that is retried. unrepeatable_requests_use_no_retries: a repeatable stream was cut after three times ten unrepeatable ones before, and goes on at another engine now.

--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -514,6 +514,40 @@
     });
 }
 
+/// Guards against retries that are refused because requests which may not be
+/// repeated have used up the retry budget without being retried.
+#[test]
+fn unrepeatable_requests_use_no_retries() {
+    on_loop(async {
+        let cluster = small("no-retries").await;
+        let restart =
+            EngineFaults { restart_empty: true, ..Default::default() };
+        let model = "lineup-3@1";
+        let headers = [(REPEATABLE, "?0")];
+        // More than the retry budget holds.
+        for _ in 0..3 {
+            let mut streams = Vec::new();
+            for _ in 0..10 {
+                let stream =
+                    Reading::begin(&cluster, "entry-1", model, 300, &headers);
+                streams.push(stream.await);
+            }
+            for stream in &streams {
+                stream.wait(2).await;
+            }
+            cluster.faults(&engine_of(&cluster, model).await, &restart).await;
+            for stream in streams {
+                assert!(!stream.end().await.is_over);
+            }
+        }
+        let stream =
+            Reading::begin(&cluster, "entry-1", model, 300, &[]).await;
+        stream.wait(20).await;
+        cluster.faults(&engine_of(&cluster, model).await, &restart).await;
+        stream.end_whole().await;
+    });
+}
+
 #[test]
 fn an_engine_that_restarts_empty_is_used_again() {
     on_loop(async {
--- a/crates/sedgewalld/src/call.rs
+++ b/crates/sedgewalld/src/call.rs
@@ -410,11 +410,9 @@
     /// to it that the request gets another grant. Returns the problem to
     /// answer with if no retry is allowed.
     ///
-    /// Unless the request's limit on retries is exceeded or the engine rejected
-    /// the request, a retry is taken from this instance's retry budget, even if
-    /// the request may not be sent again. After an unknown outcome the request
-    /// is submitted to the leader again; otherwise the leader gives it another
-    /// grant by itself.
+    /// Each retry is taken from this instance's retry budget. After an unknown
+    /// outcome the request is submitted to the leader again; otherwise the
+    /// leader gives it another grant by itself.
     pub(crate) fn record_failure(
         &mut self,
         call: &ModelCall,
@@ -436,9 +434,10 @@
         };
         self.may_have_run |= end == EndKind::Failed;
         let may_repeat = end != EndKind::Failed || call.is_repeatable;
-        let is_retry_allowed = self.failures <= self.limit
+        let is_retried = may_repeat
+            && self.failures <= self.limit
             && call.instance.requests.borrow_mut().take_retry();
-        if !may_repeat || !is_retry_allowed {
+        if !is_retried {
             shard_request.report_end(EndKind::Failed);
             return Err(self.exhausted_problem(&detail));
         }
