Record unloads on the time line

An operator who looked for the events of an adapter did not see that it had been unloaded: that stood only in the detail of the load that it made room for. Found by reading. The engine's confirmation of such a load records the unload as an event of its own now.

an_unload_is_on_the_time_line: no unload event of two on, both now.

--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -17,7 +17,7 @@
     object_api::{PlatformFaults, PlatformStats},
     plain_service::{ServiceFaults, ServiceStats},
 };
-use sedgewall_coordination::timeline::EventKind;
+use sedgewall_coordination::timeline::{Event, EventKind};
 use sedgewall_protocol::{Problem, RunState};
 use sedgewall_transport::client::{BufferedResponse, Call, StreamingResponse};
 use serde::Serialize;
@@ -624,6 +624,35 @@
     });
 }
 
+/// Guards against a time line that tells of an unload in the detail of a load
+/// only, so that the events of the adapter that went do not show it.
+#[test]
+fn an_unload_is_on_the_time_line() {
+    on_loop(async {
+        let options = EngineOptions { slots: 1, ..EngineOptions::default() };
+        let cluster = small_with("unload", &options).await;
+        for idx in 0..4 {
+            let model = format!("lineup-{idx}@1");
+            let answer = cluster.complete("entry-1", &model, 3, &[]).await;
+            assert_whole(&answer.expect("an answer"), &model, 3);
+        }
+        let events = cluster.timeline().await;
+        let of = |kind: EventKind| {
+            events.iter().filter(move |event| event.kind == kind)
+        };
+        // Two engines with a slot each have loaded four adapters.
+        let unloads: Vec<&Event> = of(EventKind::Unload).collect();
+        assert_eq!(unloads.len(), 2, "{unloads:?}");
+        for unload in unloads {
+            let is_same = |loaded: &&Event| {
+                loaded.subject == unload.subject
+                    && loaded.endpoint == unload.endpoint
+            };
+            assert!(of(EventKind::Loaded).any(|e| is_same(&e)), "{unload:?}");
+        }
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_off_nothing() {
     on_loop(async {
--- a/crates/sedgewalld/src/orders.rs
+++ b/crates/sedgewalld/src/orders.rs
@@ -33,13 +33,13 @@
         };
         let may_send =
             link.checks_fences || leader.lease.is_current(Instant::now());
-        (link, engine_order, may_send, leader.label(order.adapter))
+        let evicted = order.evict.map(|idx| leader.label(idx));
+        let label = leader.label(order.adapter);
+        (link, engine_order, may_send, label, evicted)
     };
-    let (link, engine_order, may_send, label) = prepared;
-    let detail = match &engine_order.unload {
-        Some(evicted) => {
-            format!("replaces {}@{}", evicted.adapter, evicted.version)
-        }
+    let (link, engine_order, may_send, label, evicted) = prepared;
+    let detail = match &evicted {
+        Some(evicted) => format!("replaces {evicted}"),
         None => "into an empty slot".to_owned(),
     };
     instance.record_event(
@@ -59,6 +59,16 @@
             // A newer leader may send orders to this engine by now.
             false => OrderAnswer::Failed(OrderFailure::OldEpoch),
         };
+        if let (Some(evicted), OrderAnswer::Done) = (&evicted, &answer) {
+            let (endpoint, detail) = (&link.endpoint, format!("for {label}"));
+            instance.record_event(
+                EventKind::Unload,
+                None,
+                evicted,
+                endpoint,
+                detail,
+            );
+        }
         finish_load(&instance, &shard_id, epoch, order, &label, &link, answer);
     })
     .detach();
