--- a/crates/fleet/tests/load_times_rules.rs
+++ b/crates/fleet/tests/load_times_rules.rs
@@ -176,7 +176,7 @@
 #[test]
 fn a_store_of_19_loads_at_full_speed_is_estimated() {
     let (full_speed_ms, at_once) =
-        (361.291_299_727_968_03, 18.685_407_602_896_568);
+        (361.291_299_727_968, 18.685_407_602_896_568);
     let outcome = simulate_at_half_rate(full_speed_ms, at_once, 63);
     let early = f64::from(outcome.early) / f64::from(outcome.loads);
     assert!(early < 0.2, "early {early}");
