Refute a report only by a call that was sent after it

Found while reading the change: an answer that was on its way when a report of a newer change came was taken to refute it. Only an answer to a call that was sent after the report counts now.

an_answer_to_an_earlier_call_does_not_refute_a_report fails without this: the report no longer makes the next watch due.

--- a/crates/fleet/src/read_progress.rs
+++ b/crates/fleet/src/read_progress.rs
@@ -7,7 +7,7 @@
 //! the endpoints must be listed.
 //!
 //! This module does no I/O and reads no clock. The invariant: a report that a
-//! list of the newest state did not confirm never makes another list due.
+//! later call for the newest state did not confirm never makes a list due.
 
 use std::time::Duration;
 
@@ -40,7 +40,10 @@
     newest_change: Revision,
     /// The newest change that another instance has reported.
     newest_reported: Revision,
-    /// The newest report that a list of the newest state did not confirm.
+    /// The newest report that had been received when the last call was sent.
+    reported_before_call: Revision,
+    /// The newest report that a later call for the newest state did not
+    /// confirm.
     refuted: Revision,
     /// When the open watch was sent.
     watch_sent: Option<Instant>,
@@ -82,14 +85,20 @@
     /// Records that the newest state was read, of this revision.
     pub fn record_newest(&mut self, until: Revision) {
         self.record_read(until);
-        if self.newest_reported > self.read {
-            self.refuted = self.newest_reported;
+        if self.reported_before_call > self.read {
+            self.refuted = self.refuted.max(self.reported_before_call);
         }
     }
 
+    /// Records that a list is sent.
+    pub fn begin_list(&mut self) {
+        self.reported_before_call = self.newest_reported;
+    }
+
     /// Records that a watch of the newest state is sent. Returns whether a
     /// reported change makes it answer at once, unless it is lost.
     pub fn begin_watch(&mut self, now: Instant) -> bool {
+        self.reported_before_call = self.newest_reported;
         self.watch_sent = Some(now);
         self.update_overdue(now)
     }
--- a/crates/fleet/tests/read_progress_rules.rs
+++ b/crates/fleet/tests/read_progress_rules.rs
@@ -70,12 +70,25 @@
     let now = Instant::now();
     let mut progress = watching(10, now);
     assert!(progress.record_report(at(900), now));
+    progress.begin_list();
     progress.record_newest(at(10));
     progress.begin_watch(now);
     assert!(!progress.record_report(at(900), now));
     assert!(progress.record_report(at(901), now));
 }
 
+/// Guards against a report that is ignored because an answer which was sent
+/// before it does not show the change.
+#[test]
+fn an_answer_to_an_earlier_call_does_not_refute_a_report() {
+    let now = Instant::now();
+    let mut progress = watching(10, now);
+    assert!(progress.record_report(at(12), now));
+    progress.record_newest(at(11));
+    assert!(progress.begin_watch(now));
+    assert!(progress.lost_watch(now + WATCH_ANSWER_TIME).is_some());
+}
+
 /// Guards against instances that find the same entry missing, and make each
 /// other list the endpoints by reports that exceed each other.
 #[test]
--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -73,6 +73,8 @@
     fn confirm(&self, _until: Instant) {}
     /// Records that all changes up to a revision are known.
     fn record_position(&self, _until: Revision, _freshness: Freshness) {}
+    /// Records that a list is sent.
+    fn begin_list(&self) {}
     /// Records that a watch is sent.
     fn begin_watch(&self, _freshness: Freshness) {}
     /// Records that the watch is no longer open.
@@ -159,6 +161,7 @@
         self.handler.relist_notify().clear();
         let freshness = self.next_list_freshness();
         let sent = Instant::now();
+        self.handler.begin_list();
         let listing = self.list_in_latest_era(freshness).await?;
         self.list_freshness_override = None;
         let revision = listing.revision;
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -79,6 +79,10 @@
         self.instance.endpoints_relist_notify.clone()
     }
 
+    fn begin_list(&self) {
+        self.instance.endpoints_progress.borrow_mut().begin_list();
+    }
+
     fn begin_watch(&self, freshness: Freshness) {
         if freshness == Freshness::Newest {
             let now = Instant::now();
