--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -396,7 +396,11 @@
         tracing::warn!(event = "lease_lapsed", epoch);
         now
     });
-    now - lapsed_at >= TIME_TO_LIVE + CHALLENGE_MARGIN
+    let is_given_up = now - lapsed_at >= TIME_TO_LIVE + CHALLENGE_MARGIN;
+    if is_given_up {
+        tracing::info!(event = "lease_given_up", epoch = kept.lease.epoch());
+    }
+    is_given_up
 }
 
 /// Returns whether this instance stops so soon that it must release the lease.
