Log how the end of a response's body is marked

A response without a length and without chunks ends with its connection. The log did not tell such a response from others, so a stream that was cut off by an orderly close could not be told from one whose error was lost. The pool derives the framing from the headers, and served and stream_broken state it. No logic is changed.

--- a/crates/sedgewalld/src/fleet/buffered_delivery.rs
+++ b/crates/sedgewalld/src/fleet/buffered_delivery.rs
@@ -120,6 +120,7 @@
     let status = good.answer.status;
     let mut headers = caller_response_headers(&good.answer.headers);
     let head_time = call.arrived.elapsed();
+    let framing = good.answer.body.framing();
     let reserved = Reserved::open(buffers);
     let mut chunks = VecDeque::new();
     let reading = read_chunks(&reserved, &mut good, &mut chunks);
@@ -129,6 +130,7 @@
         Ok(Ok(IsWhole(true))) => {
             let delivered = request_log::Delivered {
                 head_time,
+                framing,
                 bytes: len,
                 longest_pause: Duration::ZERO,
             };
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -51,12 +51,14 @@
         .await;
     }
     let head_time = call.arrived.elapsed();
+    let framing = good.answer.body.framing();
     let whole =
         compio::time::timeout(call.left(), good.answer.collect()).await;
     match whole {
         Ok(Ok(body)) => {
             let delivered = request_log::Delivered {
                 head_time,
+                framing,
                 bytes: body.len(),
                 longest_pause: Duration::ZERO,
             };
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -275,6 +275,7 @@
             &self.responder,
             &request_log::Delivered {
                 head_time: self.head_time,
+                framing: self.body.framing(),
                 bytes: self.bytes,
                 longest_pause: self.longest_pause,
             },
@@ -378,6 +379,7 @@
             request = self.call.metadata.request_id,
             endpoint = self.responder.endpoint().map(|target| &target.id),
             cause,
+            framing = self.body.framing().name(),
             bytes = self.bytes,
             held_ms = self.call.arrived.elapsed().as_millis() as u64,
         );
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -9,6 +9,7 @@
     adapter::AdapterKey, engine_pools::RequestClass, poison::Loss,
     view::Target,
 };
+use sedgewall_transport::BodyFraming;
 
 use super::{
     attempt::{AttemptError, CallerRequest, Responder},
@@ -104,6 +105,8 @@
 pub(crate) struct Delivered {
     /// The time from the arrival of the request to the response headers.
     pub(crate) head_time: Duration,
+    /// How the endpoint marked the end of the body.
+    pub(crate) framing: BodyFraming,
     pub(crate) bytes: usize,
     /// The longest time without a byte, after the headers.
     pub(crate) longest_pause: Duration,
@@ -151,6 +154,7 @@
         target_ms = call.route.target_latency.as_millis() as u64,
         gap_ms = call.route.gap.map(|gap| gap.as_millis() as u64),
         took_ms = call.arrived.elapsed().as_millis() as u64,
+        framing = delivered.framing.name(),
         bytes = delivered.bytes,
     );
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -21,7 +21,8 @@
     peer::{PeerListener, PeerSender},
     platform_client::{PlatformClient, PlatformError},
     pool::{
-        EndpointPool, PooledBody, PooledResponse, ProbeOutcome, SendError,
+        BodyFraming, EndpointPool, PooledBody, PooledResponse, ProbeOutcome,
+        SendError,
     },
     server::{
         Handler, ServerLimits, SlowClientLimits, Stop, serve, serve_until,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -102,9 +102,22 @@
     pub body: PooledBody,
 }
 
+/// How the end of a response's body is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// By a length that is known before the body, such as `Content-Length`.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection, so that a body which was cut off by an
+    /// orderly close looks complete.
+    UntilClose,
+}
+
 /// The body of a pooled response, read chunk by chunk.
 pub struct PooledBody {
     incoming: Incoming,
+    framing: BodyFraming,
     connection: Option<(SocketAddr, Connection)>,
     idle: Idle,
 }
@@ -247,10 +260,14 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, incoming) = response.into_parts();
+                let framing = match incoming.is_end_stream() {
+                    true => BodyFraming::Length,
+                    false => BodyFraming::of(&head.headers),
+                };
                 let connection = with_keep_alive(connection, &head.headers);
                 let connection = connection.map(|c| (address, c));
                 let idle = self.idle.clone();
-                let body = PooledBody { incoming, connection, idle };
+                let body = PooledBody { incoming, framing, connection, idle };
                 let (status, headers) = (head.status, head.headers);
                 Ok(PooledResponse { status, headers, body })
             }
@@ -351,7 +368,41 @@
     }
 }
 
+impl BodyFraming {
+    /// Returns how the body of a response with these headers ends, if it has
+    /// one.
+    fn of(headers: &HeaderMap) -> BodyFraming {
+        let coding = headers.get_all(header::TRANSFER_ENCODING).iter().last();
+        if let Some(coding) = coding {
+            let coding = coding.to_str().unwrap_or_default();
+            let last = coding.rsplit(',').next().unwrap_or_default();
+            return match last.trim().eq_ignore_ascii_case("chunked") {
+                true => BodyFraming::Chunked,
+                false => BodyFraming::UntilClose,
+            };
+        }
+        match headers.contains_key(header::CONTENT_LENGTH) {
+            true => BodyFraming::Length,
+            false => BodyFraming::UntilClose,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            BodyFraming::Length => "length",
+            BodyFraming::Chunked => "chunked",
+            BodyFraming::UntilClose => "until_close",
+        }
+    }
+}
+
 impl PooledBody {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Returns the next chunk of the body, or `None` after its end.
     ///
     /// # Errors
