Treat a stream that ends inside an event as broken off

Callers got streams that stopped inside an event and were framed as complete. The relay took every end of a body for the end of the stream, sent what its framer still held, and completed the response. A response without a length and without chunks ends with its connection, so that any orderly close, such as that of an engine which crashes, was such an end. It also counted as a success for the health of the engine, and refuted that the request crashes engines.

All streams of events are followed now, also those that are not resumable, whose bytes are not held back. A response that ends inside an event, or whose connection ends before the first event, has failed like one whose connection broke: it is resumed after its last whole event, or aborted without the last chunk, and its engine is probed. Connections whose response ended with them are not pooled.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod route;
 pub mod store_reachability;
 pub mod store_reports;
+pub mod stream_events;
 pub mod suspicion;
 pub mod view;
 pub mod wait_policy;
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -2,15 +2,20 @@
 //!
 //! If its engine fails, a resumable stream continues on another engine after
 //! the last complete event. Any other stream ends where it broke, and never
-//! looks complete.
+//! looks complete. A response that ends inside an event has broken off,
+//! whatever its framing says.
 
 use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
 use sedgewall_clock::Instant;
-use sedgewall_fleet::{event_framer::EventFramer, poison::Loss};
-use sedgewall_transport::{LocalBody, PooledBody, SendError};
+use sedgewall_fleet::{
+    poison::Loss,
+    stream_events::{EarlyEnd, StreamEvents},
+};
+use sedgewall_platform::call::is_event_stream;
+use sedgewall_transport::{BodyFraming, LocalBody, PooledBody, SendError};
 
 use super::{
     attempt::{
@@ -45,7 +50,7 @@
     is_success: bool,
     send_guard: Option<SendGuard>,
     _open: OpenRequestGuard,
-    framer: Option<EventFramer>,
+    events: StreamEvents,
     /// The time from the arrival of the request to the response headers.
     head_time: Duration,
     bytes: usize,
@@ -70,6 +75,8 @@
 /// How a stream failed before its end.
 enum StreamFailure {
     Broken(SendError),
+    /// The response ended, and its stream did not.
+    Early(EarlyEnd),
     Idle,
     DeadlinePassed,
     /// All endpoints of the service have been silent for a while.
@@ -85,10 +92,13 @@
     responder: Responder,
     open: OpenRequestGuard,
 ) -> LocalBody {
-    let framer = call
-        .route
-        .is_resumable
-        .then(|| EventFramer::after(call.metadata.last_event.clone()));
+    let events = match is_event_stream(&good.answer.headers) {
+        true if call.route.is_resumable => {
+            StreamEvents::resumable(call.metadata.last_event.clone())
+        }
+        true => StreamEvents::passed_on(),
+        false => StreamEvents::Opaque,
+    };
     let buffers = instance.buffers.clone();
     let head_time = call.arrived.elapsed();
     let mut relay = StreamRelay::after_chunks(
@@ -100,7 +110,7 @@
         open,
         (head_time, 0),
     );
-    relay.framer = framer;
+    relay.events = events;
     if let Some(buffers) = buffers {
         return buffered_delivery::stream_body(&buffers, relay);
     }
@@ -132,7 +142,7 @@
             body: good.answer.body,
             send_guard: Some(good.guard),
             _open: open,
-            framer: None,
+            events: StreamEvents::Opaque,
             bytes,
             last_bytes: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -164,10 +174,7 @@
             match read {
                 Ok(Some(bytes)) => {
                     self.record_pause();
-                    let whole = match &mut self.framer {
-                        Some(framer) => framer.push(&bytes).into(),
-                        None => bytes,
-                    };
+                    let whole = self.events.push(bytes);
                     if !whole.is_empty() {
                         self.bytes += whole.len();
                         if !self.call.route.is_stream {
@@ -176,7 +183,10 @@
                         return Some(Ok(whole));
                     }
                 }
-                Ok(None) => return self.finish(),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
                 Err(failure) => {
                     self.record_lost_run(&failure);
                     if !self.resume(&failure).await {
@@ -207,7 +217,7 @@
         let within = idle_timeout.min(left);
         let read = compio::time::timeout(within, self.body.next());
         let is_direct = self.responder.endpoint().is_some();
-        let read = match is_direct && self.framer.is_some() {
+        let read = match is_direct && self.events.is_resumable() {
             true => {
                 let service = &self.call.service;
                 unless_silent(&self.instance, service, read).await
@@ -222,7 +232,7 @@
         match read {
             Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
             Ok(Some(Err(err))) => Err(StreamFailure::Broken(err)),
-            Ok(None) => Ok(None),
+            Ok(None) => self.check_end(),
             Err(_) if left <= idle_timeout => {
                 Err(StreamFailure::DeadlinePassed)
             }
@@ -230,6 +240,19 @@
         }
     }
 
+    /// Checks whether the stream may end where its response has ended.
+    fn check_end(&self) -> Result<Option<Bytes>, StreamFailure> {
+        let is_until_close = self.body.framing() == BodyFraming::UntilClose;
+        match self.events.check_end(is_until_close) {
+            Ok(()) => Ok(None),
+            Err(early) => {
+                metrics::counter!("sedgewall_streams_ended_early_total")
+                    .increment(1);
+                Err(StreamFailure::Early(early))
+            }
+        }
+    }
+
     fn idle_timeout(&self) -> Duration {
         let route = &self.call.route;
         if !route.is_stream {
@@ -242,7 +265,7 @@
             .max(gap * IDLE_TIMEOUT_GAPS)
     }
 
-    fn finish(&mut self) -> Option<io::Result<Bytes>> {
+    fn finish(&mut self) {
         self.is_over = true;
         if self.is_success {
             poison::run_succeeded(&self.instance, &self.call);
@@ -259,8 +282,6 @@
         } else {
             self.log_if_served();
         }
-        let rest = self.framer.as_mut().map(EventFramer::take_partial)?;
-        (!rest.is_empty()).then(|| Ok(rest.into()))
     }
 
     /// Logs a complete response as served, once.
@@ -285,7 +306,7 @@
     /// Continues the stream on another engine, if the route and the retry
     /// budget allow it. Returns whether it continues.
     async fn resume(&mut self, failure: &StreamFailure) -> bool {
-        if self.framer.is_none()
+        if !self.events.is_resumable()
             || matches!(failure, StreamFailure::DeadlinePassed)
         {
             return false;
@@ -298,7 +319,7 @@
         if self.progress.runs >= self.call.route.max_attempts {
             return false;
         }
-        let Some(framer) = self.framer.as_mut() else { return false };
+        let Some(framer) = self.events.framer() else { return false };
         framer.discard_partial();
         let last_event = framer.last_id().map(str::to_owned);
         let call = self.call.clone();
@@ -328,20 +349,25 @@
     /// Records the loss of the run, which may be due to a crash of its engine.
     fn record_lost_run(&self, failure: &StreamFailure) {
         let (instance, call) = (&self.instance, &self.call);
-        match (failure, &self.responder) {
-            (StreamFailure::Broken(err), Responder::Endpoint(target)) => {
-                let cause = err.to_string();
+        let cause = match failure {
+            StreamFailure::Broken(err) => err.to_string(),
+            StreamFailure::Early(early) => early.to_string(),
+            StreamFailure::Silent => return,
+            StreamFailure::Idle | StreamFailure::DeadlinePassed => {
+                // The other instance records what its endpoints do.
+                if self.responder.endpoint().is_some() {
+                    poison::run_lost(instance, call, Loss::Broken);
+                }
+                return;
+            }
+        };
+        match &self.responder {
+            Responder::Endpoint(target) => {
                 poison::run_broken(instance, call, target, &cause);
             }
-            (StreamFailure::Broken(err), Responder::Instance(through)) => {
-                let cause = err.to_string();
+            Responder::Instance(through) => {
                 forwarding::body_broken(call, through, &cause);
             }
-            // The other instance records what its endpoints do.
-            (_, Responder::Instance(_)) | (StreamFailure::Silent, _) => {}
-            (StreamFailure::Idle | StreamFailure::DeadlinePassed, _) => {
-                poison::run_lost(instance, call, Loss::Broken);
-            }
         }
     }
 
@@ -360,13 +386,14 @@
 
     fn fail(&mut self, failure: &StreamFailure) -> io::Error {
         self.is_over = true;
-        if self.framer.is_none()
+        if !self.events.is_resumable()
             && !matches!(failure, StreamFailure::DeadlinePassed)
         {
             self.record_failure();
         }
         let cause = match failure {
             StreamFailure::Broken(err) => err.to_string(),
+            StreamFailure::Early(early) => early.to_string(),
             StreamFailure::Idle => {
                 "no bytes within the idle timeout".to_owned()
             }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -372,7 +372,8 @@
     /// Returns how the body of a response with these headers ends, if it has
     /// one.
     fn of(headers: &HeaderMap) -> BodyFraming {
-        let coding = headers.get_all(header::TRANSFER_ENCODING).iter().last();
+        let coding =
+            headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
         if let Some(coding) = coding {
             let coding = coding.to_str().unwrap_or_default();
             let last = coding.rsplit(',').next().unwrap_or_default();
@@ -438,7 +439,8 @@
         let Some((address, connection)) = self.connection.take() else {
             return;
         };
-        if Instant::now() < connection.reusable_until {
+        let is_open = self.framing != BodyFraming::UntilClose;
+        if is_open && Instant::now() < connection.reusable_until {
             let mut idle = self.idle.borrow_mut();
             idle.entry(address).or_default().push(connection);
         }
