Read and log the software version of endpoints, and what a try resumes

The entry of an endpoint states the version of its software, and a caller that resumes a stream names the attempt that brought its first event. Both were dropped, so that no log line showed where a stream began. resumed states both versions, served the version and the attempt that is resumed. The version is not passed on between instances, which of the previous release reject additional fields. No logic is changed.

--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -411,5 +411,6 @@
         remaining: None,
         models: Vec::new(),
         born: None,
+        software_version: None,
     }
 }
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -57,6 +57,7 @@
             remaining: None,
             models: vec![hosted(engine)],
             born: None,
+            software_version: None,
         };
         view.apply_entry(endpoint, now);
         let report = EngineReport {
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints as the platform's store lists them, and the reports of engines.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use sedgewall_state::id::{EndpointId, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -40,6 +40,25 @@
     /// of the previous release does not pass it on.
     #[serde(default)]
     pub born: Option<Incarnation>,
+    /// The version of the endpoint's software, if its own entry was read.
+    /// Instances do not pass it on, because those of the previous release
+    /// reject additional fields.
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
+}
+
+/// The version of the software that an endpoint runs. Versions have no order.
+/// What two versions write in one stream does not fit together.
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct SoftwareVersion(pub String);
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
 }
 
 /// A base model that an engine serves, with its loaded adapters.
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -14,6 +14,7 @@
 use super::{FleetView, OLD_VERSION_GRACE};
 use crate::{
     adapter::{AdapterKey, WeightVersion},
+    endpoint::SoftwareVersion,
     endpoint_state::EndpointState,
     engine_pools::OTHER_POOL_COST,
     latency_regression::LatencyRegression,
@@ -105,7 +106,9 @@
     pub id: EndpointId,
     /// The endpoint's address.
     pub address: SocketAddr,
-    /// The version that the engine must have loaded, if a newer one was
+    /// The version of the endpoint's software, if it is known.
+    pub software_version: Option<SoftwareVersion>,
+    /// The version of the weights that the engine must have loaded, if a newer one was
     /// announced.
     pub expect_version: Option<WeightVersion>,
     /// The known number of requests in flight there before this one.
@@ -236,6 +239,7 @@
         Target {
             id: state.endpoint.id.clone(),
             address: state.endpoint.address,
+            software_version: state.endpoint.software_version.clone(),
             expect_version,
             in_flight: state.in_flight(),
             unread_tokens: state.unread_tokens(),
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -38,6 +38,7 @@
         remaining: None,
         models: vec![hosted(adapters)],
         born: None,
+        software_version: None,
     }
 }
 
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -338,6 +338,8 @@
             request = call.metadata.request_id,
             from = self.responder.id(),
             to = responder.id(),
+            from_version = software_version(&self.responder),
+            to_version = software_version(&responder),
             after_event = last_event,
         );
         self.body = good.answer.body;
@@ -414,6 +416,13 @@
     }
 }
 
+/// Returns the software version of the endpoint, if the request was sent to
+/// one by this instance.
+fn software_version(responder: &Responder) -> Option<String> {
+    let version = &responder.endpoint()?.software_version;
+    version.as_ref().map(ToString::to_string)
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if self.call.route.is_stream {
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -136,6 +136,10 @@
         key = call.metadata.key.as_ref().map(AdapterKey::to_string),
         class = instance.split_class(call).map(RequestClass::name),
         endpoint = target.map(|target| &target.id),
+        software_version = target
+            .and_then(|target| target.software_version.as_ref())
+            .map(tracing::field::display),
+        resumes = call.metadata.resumes,
         through,
         in_flight = target.map(|target| target.in_flight),
         unread_tokens = target.map(|target| target.unread_tokens),
