--- a/crates/bench/src/herd/world.rs
+++ b/crates/bench/src/herd/world.rs
@@ -222,6 +222,7 @@
             service: SERVICE,
             key: None,
             exclude: &asked.tried,
+            software_version: None,
             draw: self.rng.random(),
             prompt_tokens: 0,
             target_latency: self.load.target,
--- a/crates/fleet/benches/decisions.rs
+++ b/crates/fleet/benches/decisions.rs
@@ -120,6 +120,7 @@
             service: SERVICE,
             key: Some(&key),
             exclude: &[],
+            software_version: None,
             draw: 7,
             prompt_tokens: 600,
             target_latency: Duration::from_millis(600),
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     adapter::AdapterKey,
+    endpoint::SoftwareVersion,
     engine_pools::{RequestClass, WaitingClasses},
 };
 
@@ -38,6 +39,9 @@
     adapters: HashMap<AdapterKey, AdapterDemand>,
     /// When a long prompt was last reported for each base model.
     last_long: HashMap<ModelName, Instant>,
+    /// When a resumed stream last waited for an adapter at endpoints of a
+    /// software version.
+    by_version: HashMap<(AdapterKey, SoftwareVersion), Instant>,
 }
 
 /// The demand for one adapter.
@@ -198,6 +202,41 @@
         }
     }
 
+    /// Marks an adapter as one that a resumed stream waits for at endpoints of
+    /// a software version.
+    pub fn mark_waiting_at(
+        &mut self,
+        key: &AdapterKey,
+        version: &SoftwareVersion,
+        now: Instant,
+    ) {
+        self.by_version.retain(|_, at| now - *at < WAIT_VALID_FOR);
+        self.by_version.insert((key.clone(), version.clone()), now);
+    }
+
+    /// Returns the adapters that resumed streams wait for, with the software
+    /// version of the endpoints.
+    pub fn waiting_at(
+        &self,
+        now: Instant,
+    ) -> Vec<(AdapterKey, SoftwareVersion)> {
+        let waiting = self.by_version.iter();
+        waiting
+            .filter(|(_, at)| now - **at < WAIT_VALID_FOR)
+            .map(|(wanted, _)| wanted.clone())
+            .collect()
+    }
+
+    /// Marks an adapter as one that no resumed stream waits for at endpoints
+    /// of a software version.
+    pub fn clear_waiting_at(
+        &mut self,
+        key: &AdapterKey,
+        version: &SoftwareVersion,
+    ) {
+        self.by_version.remove(&(key.clone(), version.clone()));
+    }
+
     /// Returns the demand for an adapter, or `None` if it is not tracked.
     pub fn get(&self, key: &AdapterKey) -> Option<&AdapterDemand> {
         self.adapters.get(key)
--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -189,6 +189,7 @@
         self.removed.clear();
         self.warm.clear();
         self.is_ordered_by_us = false;
+        self.endpoint.software_version = None;
         self.health = Health::default();
         self.weight = 1.0;
         self.saturated_until = None;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod store_reachability;
 pub mod store_reports;
 pub mod stream_events;
+pub mod stream_origins;
 pub mod suspicion;
 pub mod view;
 pub mod wait_policy;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -13,7 +13,7 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     departure::Departure,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, SoftwareVersion},
     engine_pools::{ClassDemand, PoolReport},
     incarnation::Incarnation,
     limit_share::LimitReport,
@@ -21,6 +21,8 @@
     rate_limiter,
     request_digest::RequestDigest,
     revision::Revision,
+    route::ServiceName,
+    stream_origins::{OriginKnowledge, StreamKey, StreamOrigin},
     work::Work,
 };
 
@@ -85,6 +87,22 @@
         /// The version in force at the sender.
         configuration: u64,
     },
+    /// Streams whose first events came through the sender.
+    StreamsBegan(Vec<BegunStreams>),
+    /// Asks where a stream began.
+    OriginQuery(OriginQuery),
+    /// Answers a [`Note::OriginQuery`].
+    OriginAnswer {
+        /// The number of the query.
+        number: u64,
+        /// The instance that answers.
+        from: InstanceId,
+        /// What it knows.
+        knowledge: OriginKnowledge,
+    },
+    /// A resumed stream waits for an adapter at endpoints of one software
+    /// version. Sent to the lease holder.
+    VersionDemand(VersionDemand),
     /// Several notes in one datagram.
     Batch(Vec<Note>),
     /// A note to all instances, relayed by one instance of a group.
@@ -95,6 +113,39 @@
     ZoneRelay(Box<Note>),
 }
 
+/// Streams that began at one software version of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BegunStreams {
+    /// Where the streams began.
+    pub origin: StreamOrigin,
+    /// The streams.
+    pub keys: Vec<StreamKey>,
+}
+
+/// A question where a stream began.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OriginQuery {
+    /// The instance that asks.
+    pub from: InstanceId,
+    /// The number of the query.
+    pub number: u64,
+    /// The stream.
+    pub key: StreamKey,
+    /// The service that the resumed stream is for.
+    pub service: ServiceName,
+}
+
+/// An adapter that a resumed stream waits for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct VersionDemand {
+    /// The instance that the stream waits at.
+    pub from: InstanceId,
+    /// The adapter.
+    pub key: AdapterKey,
+    /// The software version of the endpoints that can serve the stream.
+    pub software_version: SoftwareVersion,
+}
+
 /// A renewal of the lease that another instance sends to the store on behalf
 /// of the holder.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -20,6 +20,7 @@
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     demand::{AdapterDemand, Demand},
+    endpoint::SoftwareVersion,
     endpoint_state::EndpointState,
     engine_headroom::EngineHeadroom,
     engine_pools::{MAX_REPLICA_PREFILL_SHARE, RequestClass},
@@ -124,6 +125,7 @@
                 pass.replace_versions(&mut orders);
                 pass.add_replicas(&mut orders);
             }
+            pass.serve_resumed(&mut orders);
             pass.serve_demand(&mut orders);
         }
         orders
@@ -140,6 +142,25 @@
     }
 }
 
+/// The engines that an adapter may be placed on.
+#[derive(Clone, Copy, Debug, Default)]
+struct PlacementWish<'a> {
+    /// Those of the pool for a class of requests.
+    class: Option<RequestClass>,
+    /// Those of a software version.
+    software_version: Option<&'a SoftwareVersion>,
+}
+
+impl<'a> PlacementWish<'a> {
+    fn of_class(class: Option<RequestClass>) -> PlacementWish<'a> {
+        PlacementWish { class, software_version: None }
+    }
+
+    fn at_version(version: &'a SoftwareVersion) -> PlacementWish<'a> {
+        PlacementWish { class: None, software_version: Some(version) }
+    }
+}
+
 /// One planning pass over the engines of one service.
 struct PlanningPass<'a> {
     planner: &'a mut PlacementPlanner,
@@ -261,7 +282,7 @@
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, key, class) in wanted {
-            if !self.place(&key, class, orders) {
+            if !self.place(&key, PlacementWish::of_class(class), orders) {
                 continue;
             }
             match class {
@@ -271,6 +292,23 @@
         }
     }
 
+    /// Places adapters that resumed streams wait for on engines of the software
+    /// version at which the streams began.
+    fn serve_resumed(&mut self, orders: &mut Vec<Order>) {
+        for (key, version) in self.demand.waiting_at(self.now) {
+            if !self.serves_model(&key) {
+                continue;
+            }
+            let is_held = self.holders(&key).any(|state| {
+                state.endpoint.software_version.as_ref() == Some(&version)
+            });
+            let wanted = PlacementWish::at_version(&version);
+            if is_held || self.place(&key, wanted, orders) {
+                self.demand.clear_waiting_at(&key, &version);
+            }
+        }
+    }
+
     /// Returns the classes of the requests that wait for an adapter; `None`
     /// stands for requests that any engine may serve.
     fn waiting_classes(
@@ -367,7 +405,7 @@
         }
         short.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, key, class) in short {
-            self.place(&key, class, orders);
+            self.place(&key, PlacementWish::of_class(class), orders);
         }
     }
 
@@ -382,13 +420,13 @@
         time.unwrap_or_default()
     }
 
-    /// Orders one more engine, of the pool for a class, to load an adapter. If
+    /// Orders one more engine, of the pool for a class or of a software version, to load an adapter. If
     /// no engine has the adapter and no engine of the pool can take it, one of
     /// the other pool is used. Returns whether an engine was found.
     fn place(
         &mut self,
         key: &AdapterKey,
-        class: Option<RequestClass>,
+        wish: PlacementWish<'_>,
         orders: &mut Vec<Order>,
     ) -> bool {
         let can_start =
@@ -396,12 +434,12 @@
         if !can_start && self.view.warm(key).is_empty() {
             return false;
         }
-        let mut target = self.find_target(key, class);
+        let mut target = self.find_target(key, wish);
         if target.is_none()
-            && class.is_some()
+            && wish.class.is_some()
             && self.holders(key).next().is_none()
         {
-            target = self.find_target(key, None);
+            target = self.find_target(key, PlacementWish::default());
         }
         let Some(target) = target else { return false };
         if !target.is_warm && !can_start {
--- a/crates/fleet/src/placement/target.rs
+++ b/crates/fleet/src/placement/target.rs
@@ -5,7 +5,7 @@
 
 use sedgewall_state::id::EndpointId;
 
-use super::{MAX_UTILIZATION, PlanningPass, SERVICE_TIME_S};
+use super::{MAX_UTILIZATION, PlacementWish, PlanningPass, SERVICE_TIME_S};
 use crate::{
     adapter::AdapterKey,
     endpoint_state::EndpointState,
@@ -66,10 +66,10 @@
     pub(super) fn find_target(
         &mut self,
         key: &AdapterKey,
-        class: Option<RequestClass>,
+        wish: PlacementWish<'_>,
     ) -> Option<PlacementTarget> {
         let engines = self.engines.take().unwrap_or_else(|| self.headrooms());
-        let target = self.cheapest_target(key, class, &engines);
+        let target = self.cheapest_target(key, wish, &engines);
         self.engines = Some(engines);
         target
     }
@@ -77,7 +77,7 @@
     fn cheapest_target(
         &self,
         key: &AdapterKey,
-        class: Option<RequestClass>,
+        wish: PlacementWish<'_>,
         engines: &[EngineHeadroom],
     ) -> Option<PlacementTarget> {
         let zone = self.demand.get(key).map(|d| d.zone.as_str());
@@ -90,7 +90,8 @@
                     && (holds.is_empty() || engine.backlog < BUSY_BACKLOG)
                     && engine.models.contains(&key.model)
                     && !holds.contains(&&engine.endpoint)
-                    && self.is_in_pool(&engine.endpoint, class)
+                    && self.is_in_pool(&engine.endpoint, wish.class)
+                    && self.is_of_version(&engine.endpoint, wish)
             })
         };
         let is_warm =
@@ -137,6 +138,14 @@
         })
     }
 
+    fn is_of_version(&self, id: &EndpointId, wish: PlacementWish<'_>) -> bool {
+        wish.software_version.is_none_or(|version| {
+            let state = self.view.get(id);
+            let known = state.map(|s| s.endpoint.software_version.as_ref());
+            known.flatten() == Some(version)
+        })
+    }
+
     /// Returns the headroom of each usable engine whose contents are known.
     fn headrooms(&self) -> Vec<EngineHeadroom> {
         let takes_more = |s: &&EndpointState| {
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -202,6 +202,11 @@
 }
 
 impl Route {
+    /// Returns whether requests on the route may go to a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.backends.iter().any(|backend| backend.service == service)
+    }
+
     /// Returns the service for a request, given a random number between 0 and
     /// 1 that was drawn for the request.
     pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
--- a/crates/fleet/src/stream_events.rs
+++ b/crates/fleet/src/stream_events.rs
@@ -84,6 +84,15 @@
         }
     }
 
+    /// Returns whether a resumable stream has had an event in the current
+    /// response.
+    pub fn has_event(&self) -> bool {
+        match self {
+            StreamEvents::Resumable(framer) => framer.boundary().has_event(),
+            StreamEvents::PassedOn(_) | StreamEvents::Opaque => false,
+        }
+    }
+
     /// Returns whether the stream may be resumed.
     pub fn is_resumable(&self) -> bool {
         matches!(self, StreamEvents::Resumable(_))
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -16,6 +16,7 @@
 pub mod load_interpretation;
 mod pools;
 mod rooms;
+mod software_versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -32,6 +33,7 @@
 pub use self::in_flight::Totals;
 use self::in_flight::{PeerLoad, ReceivedTotals};
 pub use self::limits::AnsweredRequest;
+use self::software_versions::PastVersions;
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     adapter_index::AdapterIndex,
@@ -98,6 +100,8 @@
     splits: HashMap<ServiceName, PoolSplit>,
     /// The epoch and sequence number of the note that the splits are from.
     splits_heard: Option<(Epoch, u64)>,
+    /// The software versions of endpoints that are gone.
+    past_versions: PastVersions,
     /// When the weights of the endpoints were last updated.
     learned_at: Option<Instant>,
     /// The expected duration of the last load from the weight store.
@@ -128,6 +132,7 @@
             residence_times: HashMap::new(),
             splits: HashMap::new(),
             splits_heard: None,
+            past_versions: PastVersions::default(),
             learned_at: None,
             load_time: Duration::ZERO,
         }
@@ -162,10 +167,11 @@
         let (born, revision) = (endpoint.born, endpoint.revision);
         match self.incarnations.apply_entry(&id, born, revision, now) {
             IncarnationStatus::Current => {}
-            IncarnationStatus::New => self.begin_incarnation(&id),
+            IncarnationStatus::New => self.begin_incarnation(&id, now),
             IncarnationStatus::Ended => return false,
         }
         let born = endpoint.born.or(self.incarnations.born(&id));
+        self.record_software_version(&mut endpoint, now);
         endpoint.is_draining |=
             self.departures.has_left(&id, endpoint.revision, born);
         let is_back = !endpoint.is_draining
@@ -186,6 +192,27 @@
         true
     }
 
+    /// Keeps the known software version of an endpoint whose entry comes from
+    /// another instance, which does not pass it on.
+    fn record_software_version(
+        &mut self,
+        endpoint: &mut Endpoint,
+        now: Instant,
+    ) {
+        self.past_versions.record_known(&endpoint.service, now);
+        let Some(state) = self.endpoints.get(&endpoint.id) else { return };
+        let known = &state.endpoint;
+        if endpoint.software_version.is_none() {
+            endpoint.software_version.clone_from(&known.software_version);
+        }
+        if endpoint.software_version != known.software_version
+            && known.software_version.is_some()
+        {
+            let version = known.software_version.clone();
+            self.past_versions.record_gone(&known.service, version, now);
+        }
+    }
+
     /// Applies entries that another instance knows, without their adapters,
     /// while this instance does not reach the store. Entries of new endpoints
     /// are used, and newer entries of engines whose adapters this instance
@@ -246,7 +273,7 @@
 
     /// Clears the state of an endpoint's previous incarnation. This instance's
     /// requests that are in flight there end one by one.
-    fn begin_incarnation(&mut self, id: &EndpointId) {
+    fn begin_incarnation(&mut self, id: &EndpointId, now: Instant) {
         self.limits.end_incarnation(id);
         self.rooms.end_incarnation(id);
         if let Some(cooldown) = self.lapsed_cooldowns.get_mut(id) {
@@ -256,6 +283,10 @@
         for key in &state.warm {
             self.warm.remove(key, id);
         }
+        let Endpoint { service, software_version, .. } = &state.endpoint;
+        if let Some(version) = software_version.clone() {
+            self.past_versions.record_gone(service, Some(version), now);
+        }
         self.change_placements(id, EndpointState::begin_incarnation);
     }
 
@@ -277,7 +308,7 @@
     ) -> bool {
         match self.incarnations.apply_report(id, report.born, now) {
             IncarnationStatus::Current => {}
-            IncarnationStatus::New => self.begin_incarnation(id),
+            IncarnationStatus::New => self.begin_incarnation(id, now),
             IncarnationStatus::Ended => return false,
         }
         self.change_placements(id, |state| state.apply_report(report, now));
@@ -329,6 +360,9 @@
         };
         self.see_departure(id, revision.max(known), is_sure, now);
         let Some(state) = self.endpoints.remove(id) else { return };
+        let Endpoint { service, software_version, .. } = &state.endpoint;
+        let version = software_version.clone();
+        self.past_versions.record_gone(service, version, now);
         if state.cooldown.is_cooling_down(now) {
             self.lapsed_cooldowns.insert(id.clone(), state.cooldown);
         }
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -44,6 +44,10 @@
 /// slots. Further requests would wait for the end of an entire response.
 const MAX_ENGINE_LOAD: f64 = 1.1;
 
+/// The same for a resumed stream, which can use the engines of one software
+/// version only. These may be few, and new streams fill them as any others.
+const MAX_RESUMED_ENGINE_LOAD: f64 = 1.4;
+
 /// The load beyond which an endpoint of a plain service gets no more requests.
 /// Requests are short there, and three that wait per slot are still in time.
 const MAX_SERVICE_LOAD: f64 = 4.0;
@@ -66,6 +70,9 @@
     pub key: Option<&'a AdapterKey>,
     /// Endpoints that have already rejected the request.
     pub exclude: &'a [EndpointId],
+    /// The software version at which the request's stream began, if it is
+    /// resumed. It may go on at no other.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// A random number that distributes requests over equal endpoints.
     pub draw: u64,
     /// The number of tokens in the request's prompt.
@@ -127,6 +134,9 @@
             state.endpoint.service == need.service
                 && state.is_usable(now)
                 && !need.exclude.contains(state.id())
+                && need.software_version.is_none_or(|version| {
+                    state.endpoint.software_version.as_ref() == Some(version)
+                })
         };
         let Some(key) = need.key else {
             let all = self.of_service(need.service).filter(is_usable);
@@ -207,9 +217,10 @@
         need: Need<'_>,
         now: Instant,
     ) -> Option<Choice> {
-        let max_load = match need.key {
-            Some(_) => MAX_ENGINE_LOAD,
-            None => MAX_SERVICE_LOAD,
+        let max_load = match (need.key, need.software_version) {
+            (Some(_), None) => MAX_ENGINE_LOAD,
+            (Some(_), Some(_)) => MAX_RESUMED_ENGINE_LOAD,
+            (None, _) => MAX_SERVICE_LOAD,
         };
         let full = (state.load() >= max_load).then_some(Choice::Full);
         let Some(key) = need.key else { return full };
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -139,6 +139,7 @@
         service: SERVICE,
         key: Some(key),
         exclude: &[],
+        software_version: None,
         draw: 7,
         prompt_tokens: 600,
         target_latency: Duration::from_millis(600),
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -17,10 +17,12 @@
     adapter::AdapterKey,
     configuration::ConfigurationStatus,
     customer::Customer,
+    endpoint::SoftwareVersion,
     poison::Loss,
     recent_successes::RequestHash,
     request_digest::{RequestDigest, RequestParts},
     route::{Repetition, Route},
+    stream_origins::{StreamKey, StreamOrigin, stream_key},
     view::{AnsweredRequest, Target},
 };
 use sedgewall_platform::{
@@ -67,6 +69,8 @@
     pub(crate) is_later_try: bool,
     /// The customer that the request belongs to, if its route needs a key.
     pub(crate) customer: Option<Rc<Customer>>,
+    /// Where the stream began that the request resumes.
+    pub(crate) resumed: Resumed,
     /// What another instance says of the request, if it was forwarded here.
     pub(crate) forwarded: Option<Forwarded>,
     /// The endpoint to which the request was last sent, and when.
@@ -76,6 +80,17 @@
     pub(crate) digest: OnceCell<RequestDigest>,
 }
 
+/// What is known of the stream that a request resumes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Resumed {
+    /// The request resumes none.
+    None,
+    /// It began here.
+    From(StreamOrigin),
+    /// It began at a software version that is not known.
+    Unknown,
+}
+
 /// The destination and time of a send.
 #[derive(Clone, Debug)]
 pub(crate) struct SentTo {
@@ -155,7 +170,11 @@
     /// An endpoint that the request was sent to.
     Endpoint(Target),
     /// Another instance, through which the request was forwarded.
-    Instance(InstanceId),
+    Instance {
+        id: InstanceId,
+        /// The software version of the endpoint, if that instance states it.
+        software_version: Option<SoftwareVersion>,
+    },
 }
 
 impl Responder {
@@ -163,7 +182,7 @@
     pub(crate) fn endpoint(&self) -> Option<&Target> {
         match self {
             Responder::Endpoint(target) => Some(target),
-            Responder::Instance(_) => None,
+            Responder::Instance { .. } => None,
         }
     }
 
@@ -171,7 +190,17 @@
     pub(crate) fn id(&self) -> &str {
         match self {
             Responder::Endpoint(target) => &target.id,
-            Responder::Instance(instance) => instance,
+            Responder::Instance { id, .. } => id,
+        }
+    }
+
+    /// Returns the software version of the endpoint, if it is known.
+    pub(crate) fn software_version(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Responder::Endpoint(target) => target.software_version.as_ref(),
+            Responder::Instance { software_version, .. } => {
+                software_version.as_ref()
+            }
         }
     }
 }
@@ -182,6 +211,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the key of a stream of this customer that began as the request
+    /// with this id.
+    pub(crate) fn stream_key(&self, request_id: &str) -> StreamKey {
+        let customer = self.customer.as_ref().map(|c| c.name.as_str());
+        stream_key(customer, request_id)
+    }
+
     /// Returns the model or adapter, if an engine serves the request.
     pub(crate) fn key(&self) -> Option<&AdapterKey> {
         self.metadata.key.as_ref().filter(|_| self.is_engine)
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -11,8 +11,12 @@
 use hyper::body::Incoming;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    configuration::ConfigurationStatus, customer::Customer,
-    engine_pools::RequestClass, wait_policy::retry_delay,
+    configuration::ConfigurationStatus,
+    customer::Customer,
+    engine_pools::RequestClass,
+    route::{Route, ServiceName},
+    stream_origins::stream_key,
+    wait_policy::retry_delay,
 };
 use sedgewall_platform::RequestMetadata;
 use sedgewall_transport::LocalBody;
@@ -22,14 +26,14 @@
         AdmissionQuery, Admitted, admit_by_newest, charge_allowance,
         refund_allowance, refund_tokens,
     },
-    attempt::{CallerRequest, hash_fraction},
+    attempt::{CallerRequest, Resumed, hash_fraction},
     delivery,
     forwarding::{self, Forwarded, Path},
     in_flight::OpenRequestGuard,
     instance::{FleetInstance, Stage},
     progress::Progress,
     refusal::{self, Reason},
-    request_body, request_log, retries,
+    request_body, request_log, retries, streams,
 };
 
 /// The time limit of a request whose caller states none.
@@ -111,7 +115,7 @@
 }
 
 async fn read(
-    instance: &FleetInstance,
+    instance: &Rc<FleetInstance>,
     request: Request<Incoming>,
     forwarded: Option<Forwarded>,
     arrived: Instant,
@@ -172,10 +176,22 @@
             time_limit < longest.mul_f64(LATER_TRY_TIME_LIMIT_FRACTION)
         }
     };
-    let service = route
+    let picked = route
         .pick_service(hash_fraction(&metadata.request_id))
         .ok_or_else(|| refuse(Reason::NobodyThere))?
         .clone();
+    let name = customer.as_ref().map(|c| c.name.as_str());
+    let resumed = match forwarded.as_ref().and_then(|f| f.origin.clone()) {
+        Some(origin) => Resumed::From(origin),
+        None => find_resumed(instance, &route, &metadata, name, &picked).await,
+    };
+    let (service, resumed) = match resumed {
+        Resumed::From(origin) if route.has_service(&origin.service) => {
+            (origin.service.clone(), Resumed::From(origin))
+        }
+        Resumed::From(_) => (picked, Resumed::Unknown),
+        other => (picked, other),
+    };
     let is_engine = routing.engine_group(&service).is_some();
     Ok(CallerRequest {
         metadata,
@@ -192,12 +208,34 @@
         deadline,
         is_later_try,
         customer,
+        resumed,
         forwarded,
         sent_to: RefCell::default(),
         digest: OnceCell::new(),
     })
 }
 
+/// Returns where the stream began that a request resumes.
+async fn find_resumed(
+    instance: &Rc<FleetInstance>,
+    route: &Route,
+    metadata: &RequestMetadata,
+    customer: Option<&str>,
+    service: &ServiceName,
+) -> Resumed {
+    if !route.is_resumable || metadata.last_event.is_none() {
+        return Resumed::None;
+    }
+    let began_as = metadata.resumes.as_deref();
+    let key = began_as.map(|id| stream_key(customer, id));
+    let is_only_service = route.backends.iter().all(|b| b.service == *service);
+    let id = &metadata.request_id;
+    let found =
+        streams::find_origin(instance, key, service, is_only_service, id)
+            .await;
+    found.map_or(Resumed::Unknown, Resumed::From)
+}
+
 fn host_of(head: &http::request::Parts) -> String {
     let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
@@ -238,13 +276,19 @@
     let mut watch =
         request_log::UnansweredGuard::begin(instance, call.clone());
     let last_event = call.metadata.last_event.clone();
-    let found = retries::send_with_retries(
-        instance,
-        &call,
-        &mut progress,
-        last_event.as_deref(),
-    );
-    let response = match found.await {
+    let found = match call.resumed {
+        Resumed::Unknown => Err(Reason::StreamVersionUnknown),
+        Resumed::None | Resumed::From(_) => {
+            retries::send_with_retries(
+                instance,
+                &call,
+                &mut progress,
+                last_event.as_deref(),
+            )
+            .await
+        }
+    };
+    let response = match found {
         Ok((good, responder)) => {
             delivery::forward(instance, call, progress, good, responder, open)
                 .await
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -22,7 +22,7 @@
     log_buffer::LogBuffer,
     note_sender, notes,
     orders::OrderQueues,
-    reach,
+    reach, streams,
     watch_configuration::{Configuration, Versions},
     watch_endpoints::Endpoints,
     watch_instances::{Instances, keep_registered},
@@ -102,6 +102,7 @@
         .detach();
     compio::runtime::spawn(keys::keep_fresh(instance.clone(), sender.clone()))
         .detach();
+    compio::runtime::spawn(streams::report_begun(instance.clone())).detach();
     compio::runtime::spawn(notes::run_sender(instance.clone(), sender))
         .detach();
     compio::runtime::spawn(lease::run(instance.clone())).detach();
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -23,14 +23,21 @@
 pub(crate) async fn forward(
     instance: &Rc<FleetInstance>,
     call: Rc<CallerRequest>,
-    progress: Progress,
+    mut progress: Progress,
     good: GoodAnswer,
     responder: Responder,
     open: OpenRequestGuard,
 ) -> Response<LocalBody> {
     let status = good.answer.status;
-    let headers = caller_response_headers(&good.answer.headers);
+    let mut headers = caller_response_headers(&good.answer.headers);
     if call.route.is_stream && status.is_success() {
+        if call.forwarded.is_some()
+            && let Some(version) = responder.software_version()
+        {
+            // The other instance takes the stream to be of this version.
+            forwarding::state_version(&mut headers, version);
+            progress.software_version = Some(version.clone());
+        }
         let stream = relay::stream(
             instance.clone(),
             call,
@@ -108,8 +115,8 @@
                 Responder::Endpoint(target) => {
                     poison::run_broken(instance, call, target, &cause);
                 }
-                Responder::Instance(through) => {
-                    forwarding::body_broken(call, through, &cause);
+                Responder::Instance { id, .. } => {
+                    forwarding::body_broken(call, id, &cause);
                 }
             }
             Reason::OutcomeUnknown
--- a/crates/sedgewalld/src/fleet/endpoint_choice.rs
+++ b/crates/sedgewalld/src/fleet/endpoint_choice.rs
@@ -49,6 +49,8 @@
     Later(Duration),
     /// No endpoint can take the request.
     Nothing(Obstacle),
+    /// No endpoint is left of the software version at which the stream began.
+    NoneOfVersion,
 }
 
 /// Why no endpoint can take a request.
@@ -136,6 +138,7 @@
             service: &call.service,
             key: call.key(),
             exclude: &progress.tried,
+            software_version: progress.software_version.as_ref(),
             draw: self.draw,
             prompt_tokens: call.metadata.prompt_tokens,
             target_latency: call.route.target_latency,
@@ -144,6 +147,14 @@
         };
         let PermittedChoice { choice, limit_ends_in } =
             self.permits.choose(instance, need, now);
+        if let Some(version) = &progress.software_version
+            && !matches!(choice, Choice::Send(_))
+        {
+            let view = instance.view.borrow();
+            if !view.has_software_version(&call.service, version) {
+                return Found::NoneOfVersion;
+            }
+        }
         let mut holder_ready_in = None;
         let (reason, wait_reason) = match choice {
             Choice::Send(target) => return Found::Endpoint(target),
@@ -155,7 +166,7 @@
                     instance.mark_holders_cooling_down(key, now)
                 });
                 holder_ready_in = limit_ends_in.or(cooling_down);
-                request_adapter(instance, call);
+                request_adapter(instance, call, progress);
                 let load_time = instance.view.borrow().load_time();
                 let reason = match holder_ready_in {
                     Some(_) => Reason::EndpointsLimited,
@@ -164,12 +175,12 @@
                 (reason, WaitReason::AdapterNotLoaded { load_time })
             }
             Choice::Full => {
-                request_adapter(instance, call);
+                request_adapter(instance, call, progress);
                 (Reason::Full, WaitReason::NoCapacity)
             }
             Choice::Busy(ready_in) => {
                 if ready_in.is_none() {
-                    request_adapter(instance, call);
+                    request_adapter(instance, call, progress);
                 }
                 let left = self.load_wait_end - now;
                 return Found::Later(ready_in.unwrap_or(left).min(left));
@@ -204,8 +215,15 @@
 }
 
 /// Asks the lease holder to load the request's adapter.
-fn request_adapter(instance: &FleetInstance, call: &CallerRequest) {
+fn request_adapter(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    progress: &Progress,
+) {
     if let Some(key) = call.key() {
+        if let Some(version) = &progress.software_version {
+            return instance.request_adapter_at(key, version);
+        }
         let class = instance.split_class(call);
         instance.request_adapter(key, call.priority(), class);
     }
--- a/crates/sedgewalld/src/fleet/forwarding.rs
+++ b/crates/sedgewalld/src/fleet/forwarding.rs
@@ -19,7 +19,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use sedgewall_clock::Instant;
-use sedgewall_fleet::customer::KeyDigest;
+use sedgewall_fleet::{
+    customer::KeyDigest, endpoint::SoftwareVersion,
+    stream_origins::StreamOrigin,
+};
 use sedgewall_platform::{ResponseMetadata, call::forwarded_request_headers};
 use sedgewall_state::id::InstanceId;
 use sedgewall_transport::{LocalBody, PooledResponse, SendError};
@@ -37,6 +40,10 @@
 /// forwarded requests from other calls between instances.
 const FORWARDED: HeaderName = HeaderName::from_static("sedgewall-forwarded");
 
+/// States the software version of the endpoint whose response it is.
+const VERSION: HeaderName =
+    HeaderName::from_static("sedgewall-software-version");
+
 /// States that the response is a refusal of the other instance.
 const REFUSED: HeaderName = HeaderName::from_static("sedgewall-refused");
 
@@ -69,6 +76,10 @@
     pub(crate) sends: u32,
     /// The number of attempts so far that may have run.
     pub(crate) runs: u32,
+    /// Where the stream began that the request resumes. Left out if it resumes
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 /// A refusal by the other instance, as it states it to this one.
@@ -99,6 +110,8 @@
 pub(crate) struct ForwardedAnswer {
     pub(crate) answer: PooledResponse,
     pub(crate) through: InstanceId,
+    /// The software version of the endpoint, if the other instance states it.
+    pub(crate) software_version: Option<SoftwareVersion>,
     pub(crate) guard: ForwardGuard,
 }
 
@@ -166,6 +179,7 @@
         &self,
         call: &CallerRequest,
         tried: &[InstanceId],
+        is_resumed: bool,
     ) -> Option<(InstanceId, SocketAddr)> {
         let peers = self.peers.borrow();
         let now = Instant::now();
@@ -173,6 +187,8 @@
         let mut ranked: Vec<_> = peers
             .iter()
             .filter(|(id, _)| !tried.contains(id))
+            // Another one would send a resumed stream to any version.
+            .filter(|(_, peer)| peer.tracks_streams || !is_resumed)
             .filter(|(id, _)| self.may_forward_to(id, &call.service))
             .map(|(id, peer)| {
                 let is_own_zone = peer.zone == self.settings.zone;
@@ -207,8 +223,11 @@
 ) -> Result<ForwardedAnswer, ForwardError> {
     let mut tried = Vec::new();
     let mut refused = ForwardError::NoInstance;
+    let is_resumed = progress.software_version.is_some();
     while tried.len() < MAX_INSTANCES {
-        let Some((to, address)) = instance.choose_peer(call, &tried) else {
+        let Some((to, address)) =
+            instance.choose_peer(call, &tried, is_resumed)
+        else {
             break;
         };
         let guard = ForwardGuard::begin(instance, &to);
@@ -232,8 +251,14 @@
                         let is_timeout = false;
                         return Err(ForwardError::Unclear { is_timeout });
                     }
+                    let software_version = take_version(&mut answer.headers);
                     let through = to;
-                    return Ok(ForwardedAnswer { answer, through, guard });
+                    return Ok(ForwardedAnswer {
+                        answer,
+                        through,
+                        software_version,
+                        guard,
+                    });
                 };
                 log_refused(call, &to, &refusal);
                 let reason = refusal.reason();
@@ -276,6 +301,9 @@
         is_counted: progress.is_counted,
         sends: progress.sends,
         runs: progress.runs,
+        origin: progress.software_version.clone().map(|software_version| {
+            StreamOrigin { service: call.service.clone(), software_version }
+        }),
     };
     let mut request = Request::new(call.body.clone().into());
     *request.method_mut() = call.method.clone();
@@ -298,6 +326,20 @@
     headers.remove(FORWARDED);
 }
 
+/// States the software version of the endpoint in a response to another
+/// instance.
+pub(crate) fn state_version(
+    headers: &mut HeaderMap,
+    version: &SoftwareVersion,
+) {
+    insert_json(headers, VERSION, version);
+}
+
+fn take_version(headers: &mut HeaderMap) -> Option<SoftwareVersion> {
+    let value = headers.remove(VERSION)?;
+    serde_json::from_slice(value.as_bytes()).ok()
+}
+
 /// Marks a response to another instance as a refusal.
 pub(crate) fn mark_refused(
     response: &mut Response<LocalBody>,
@@ -316,11 +358,24 @@
     value: &impl Serialize,
 ) {
     let text = serde_json::to_string(value).unwrap_or_default();
+    let text = escape(&text);
     if let Ok(value) = HeaderValue::from_str(&text) {
         headers.insert(name, value);
     }
 }
 
+/// Escapes the characters of a JSON text that a header must not have.
+fn escape(json: &str) -> String {
+    let mut escaped = String::with_capacity(json.len());
+    for unit in json.encode_utf16() {
+        match u8::try_from(unit) {
+            Ok(byte @ b' '..=b'~') => escaped.push(char::from(byte)),
+            _ => escaped.push_str(&format!("\\u{unit:04x}")),
+        }
+    }
+    escaped
+}
+
 /// Returns whether a response is that of an endpoint to this request.
 fn is_endpoint_answer(call: &CallerRequest, answer: &PooledResponse) -> bool {
     let metadata = ResponseMetadata::read(answer.status, &answer.headers);
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -50,6 +50,7 @@
     notify::Notify,
     peers::ObservedAddress,
     reach::{LossReports, SilenceSignals},
+    streams::Streams,
     wait_queues::WaitQueues,
     watch_poison::PoisonRecords,
 };
@@ -92,6 +93,8 @@
     pub(crate) reads_pools: bool,
     /// Whether the instance takes requests that others forward to it.
     pub(crate) takes_forwarded: bool,
+    /// Whether the instance knows where streams began.
+    pub(crate) tracks_streams: bool,
     /// When the other instance's entry was first read here.
     pub(crate) known_since: Instant,
 }
@@ -237,6 +240,8 @@
     pub(crate) loss_reports: LossReports,
     /// Requests that are forwarded to other instances.
     pub(crate) forwards: Forwards,
+    /// Where streams began.
+    pub(crate) streams: Streams,
     /// Engines that could not be reached while others could, to be reported to
     /// the lease holder.
     pub(crate) unreachable: RefCell<BTreeSet<EndpointId>>,
@@ -399,6 +404,7 @@
             silence_signals: SilenceSignals::default(),
             loss_reports: LossReports::default(),
             forwards: Forwards::default(),
+            streams: Streams::default(),
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             longest_time_limits: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -42,6 +42,7 @@
 mod request_body;
 mod request_log;
 mod retries;
+mod streams;
 mod wait_queues;
 mod waiting;
 mod watch_configuration;
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -13,7 +13,10 @@
     departure::Departure,
     engine_pools::ClassDemand,
     load_times::LoadObservation,
-    note::{DemandReport, LeaderLease, LoadObservationReport, Note, Status},
+    note::{
+        DemandReport, LeaderLease, LoadObservationReport, Note, Status,
+        VersionDemand,
+    },
     note_schedule::{NoteSchedule, Pending, Role, Topology},
     room_share::RejectionReport,
     view::Totals,
@@ -27,7 +30,7 @@
     instance::{FleetInstance, ObservedLoad, Stage},
     keys, lease_store, list_watch,
     note_sender::{MAX_NOTE_BYTES, NoteSender},
-    poison, watch_endpoints, watch_poison,
+    poison, streams, watch_endpoints, watch_poison,
 };
 
 /// With many instances, one in this many status notes goes to all instances
@@ -171,6 +174,19 @@
         Note::FreshnessAnswer { number, age_ms, configuration } => {
             keys::apply_answer(instance, number, age_ms, configuration);
         }
+        Note::StreamsBegan(reports) => {
+            instance.streams.apply_report(&reports);
+        }
+        Note::OriginQuery(query) => {
+            let answer = streams::answer(instance, &query);
+            sender.send_to_peer(instance, &query.from, &answer);
+        }
+        Note::OriginAnswer { number, from, knowledge } => {
+            instance.streams.apply_answer(number, from, knowledge);
+        }
+        Note::VersionDemand(demand) => {
+            apply_version_demand(instance, demand, now);
+        }
         Note::DemandReport(report) => {
             apply_demand_report(instance, sender, &report, now)
         }
@@ -370,6 +386,23 @@
     instance.notify_planner();
 }
 
+/// Records that a resumed stream at another instance waits for an adapter.
+fn apply_version_demand(
+    instance: &FleetInstance,
+    demand: VersionDemand,
+    now: Instant,
+) {
+    let VersionDemand { from, key, software_version } = demand;
+    instance.demand.borrow_mut().mark_waiting_at(&key, &software_version, now);
+    instance
+        .awaiting_instances
+        .borrow_mut()
+        .entry(key)
+        .or_default()
+        .insert(from);
+    instance.notify_planner();
+}
+
 /// Records the demand of customers at another instance, or at all instances.
 fn record_customer_demand(
     instance: &FleetInstance,
@@ -510,6 +543,7 @@
             instance.forget_saturated(now);
             instance.loss_reports.forget();
             instance.forwards.forget(now);
+            instance.streams.forget(now);
             if let Some(queues) = &instance.wait_queues {
                 queues.forget(now);
             }
--- a/crates/sedgewalld/src/fleet/progress.rs
+++ b/crates/sedgewalld/src/fleet/progress.rs
@@ -3,16 +3,20 @@
 use std::time::Duration;
 
 use sedgewall_fleet::{
+    endpoint::SoftwareVersion,
     wait_policy::{retry_delay, retry_delay_in_turn},
     wait_queue::ExpectedWait,
 };
 use sedgewall_state::id::EndpointId;
 
-use super::attempt::{CallerRequest, hash_fraction};
+use super::attempt::{CallerRequest, Resumed, hash_fraction};
 
 /// The attempts made so far for one request.
 pub(crate) struct Progress {
     pub(crate) tried: Vec<EndpointId>,
+    /// The software version at which the stream began, once it has. It may go
+    /// on at no other.
+    pub(crate) software_version: Option<SoftwareVersion>,
     pub(crate) sends: u32,
     /// The number of sends whose request may have run.
     pub(crate) runs: u32,
@@ -42,8 +46,13 @@
         let forwarded = call.forwarded.as_ref();
         let sends = forwarded.map_or(0, |forwarded| forwarded.sends);
         let runs = forwarded.map_or(0, |forwarded| forwarded.runs);
+        let software_version = match &call.resumed {
+            Resumed::From(origin) => Some(origin.software_version.clone()),
+            Resumed::None | Resumed::Unknown => None,
+        };
         Progress {
             tried: Vec::new(),
+            software_version,
             sends,
             runs,
             arrivals: 0,
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -48,6 +48,12 @@
     NobodyThere,
     /// This instance reaches no endpoint of the service.
     EndpointsUnreachable,
+    /// The request resumes a stream, and it is not known at which software
+    /// version the stream began.
+    StreamVersionUnknown,
+    /// The request resumes a stream, and no endpoint is left of the software
+    /// version at which the stream began.
+    NoEndpointOfVersion,
     /// The endpoints that could serve the request announce that they take no
     /// more now.
     EndpointsLimited,
@@ -83,6 +89,8 @@
             Reason::Full => "full",
             Reason::NobodyThere => "nobody_there",
             Reason::EndpointsUnreachable => "endpoints_unreachable",
+            Reason::StreamVersionUnknown => "stream_version_unknown",
+            Reason::NoEndpointOfVersion => "no_endpoint_of_version",
             Reason::EndpointsLimited => "endpoints_limited",
             Reason::RetriesSpent => "retries_spent",
             Reason::CrashesEndpoints(_) => "crashes_endpoints",
@@ -110,6 +118,8 @@
             Reason::Full,
             Reason::NobodyThere,
             Reason::EndpointsUnreachable,
+            Reason::StreamVersionUnknown,
+            Reason::NoEndpointOfVersion,
             Reason::EndpointsLimited,
             Reason::RetriesSpent,
             Reason::CrashesEndpoints(retry_after),
@@ -131,6 +141,7 @@
                 | Reason::BufferFull
                 | Reason::NobodyThere
                 | Reason::EndpointsUnreachable
+                | Reason::NoEndpointOfVersion
         )
     }
 
@@ -161,6 +172,21 @@
         }
     }
 
+    /// Returns what the name of the reason does not tell the caller.
+    fn detail(self) -> &'static str {
+        match self {
+            Reason::StreamVersionUnknown => {
+                "it is not known at which software version the stream began; \
+                 it can only go on there"
+            }
+            Reason::NoEndpointOfVersion => {
+                "no endpoint is left of the software version at which the \
+                 stream began"
+            }
+            _ => "",
+        }
+    }
+
     /// Returns the delay after which a retry is worthwhile, or none if no
     /// retry is. `longest_delay` suits the caller's time limit and the time
     /// until an endpoint is expected to take the request, if that is known.
@@ -179,6 +205,7 @@
             | Reason::NobodyThere
             | Reason::EndpointsUnreachable
             | Reason::EndpointsLimited
+            | Reason::NoEndpointOfVersion
             | Reason::RetriesSpent => Some(longest_delay),
             Reason::OverAllowance(denied) => {
                 Some(longest_delay.min(denied.retry_in))
@@ -190,6 +217,7 @@
             Reason::TooLate
             | Reason::BufferFull
             | Reason::KeysUnsure
+            | Reason::StreamVersionUnknown
             | Reason::ConfigurationBehind => {
                 Some(longest_delay.min(SHORT_RETRY_DELAY))
             }
@@ -206,8 +234,12 @@
     longest_delay: Duration,
     is_forwarded: bool,
 ) -> Response<LocalBody> {
-    let mut problem =
-        Problem::new(reason.status(), reason.name(), reason.run_state(), "");
+    let mut problem = Problem::new(
+        reason.status(),
+        reason.name(),
+        reason.run_state(),
+        reason.detail(),
+    );
     let retry_after = reason.retry_after(longest_delay);
     problem.retry_after_ms = retry_after.map(|d| d.as_millis() as u64);
     let mut response = responses::problem(&problem);
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -11,21 +11,25 @@
 use futures_util::stream;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
+    endpoint::SoftwareVersion,
     poison::Loss,
     stream_events::{EarlyEnd, StreamEvents},
+    stream_origins::StreamOrigin,
 };
 use sedgewall_platform::call::is_event_stream;
 use sedgewall_transport::{BodyFraming, LocalBody, PooledBody, SendError};
 
 use super::{
     attempt::{
-        CallerRequest, GoodAnswer, Responder, SendGuard, unless_silent,
+        CallerRequest, GoodAnswer, Responder, Resumed, SendGuard,
+        unless_silent,
     },
     buffered_delivery, forwarding,
     in_flight::OpenRequestGuard,
     instance::FleetInstance,
     poison,
     progress::Progress,
+    refusal::Reason,
     request_log, retries,
 };
 
@@ -51,6 +55,9 @@
     send_guard: Option<SendGuard>,
     _open: OpenRequestGuard,
     events: StreamEvents,
+    /// Whether the stream has begun, so that it may go on only at the software
+    /// version of its first event.
+    has_begun: bool,
     /// The time from the arrival of the request to the response headers.
     head_time: Duration,
     bytes: usize,
@@ -143,6 +150,7 @@
             send_guard: Some(good.guard),
             _open: open,
             events: StreamEvents::Opaque,
+            has_begun: false,
             bytes,
             last_bytes: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -176,6 +184,7 @@
                     self.record_pause();
                     let whole = self.events.push(bytes);
                     if !whole.is_empty() {
+                        self.begin();
                         self.bytes += whole.len();
                         if !self.call.route.is_stream {
                             self.finish_if_complete().await;
@@ -197,6 +206,34 @@
         }
     }
 
+    /// Records where a resumable stream began, once an event of it has come.
+    fn begin(&mut self) {
+        if self.has_begun || !self.events.has_event() {
+            return;
+        }
+        self.has_begun = true;
+        let (instance, call) = (&self.instance, &self.call);
+        if self.progress.software_version.is_none() {
+            self.progress.software_version =
+                known_version(instance, &self.responder);
+        }
+        let Some(version) = self.progress.software_version.clone() else {
+            return;
+        };
+        let began_as = match &call.resumed {
+            Resumed::From(_) => call.metadata.resumes.as_ref(),
+            Resumed::None | Resumed::Unknown => None,
+        };
+        let id = began_as.unwrap_or(&call.metadata.request_id);
+        let origin = StreamOrigin {
+            service: call.service.clone(),
+            software_version: version,
+        };
+        // The other instance reports a stream that came through it.
+        let is_reported = self.responder.endpoint().is_some();
+        instance.streams.record(call.stream_key(id), &origin, is_reported);
+    }
+
     /// Ends a response whose stated length has been read: the connection to
     /// the caller does not ask for more.
     async fn finish_if_complete(&mut self) {
@@ -319,6 +356,10 @@
         if self.progress.runs >= self.call.route.max_attempts {
             return false;
         }
+        if self.has_begun && self.progress.software_version.is_none() {
+            self.log_not_resumed(Reason::StreamVersionUnknown);
+            return false;
+        }
         let Some(framer) = self.events.framer() else { return false };
         framer.discard_partial();
         let last_event = framer.last_id().map(str::to_owned);
@@ -329,7 +370,13 @@
             &mut self.progress,
             last_event.as_deref(),
         );
-        let Ok((good, responder)) = found.await else { return false };
+        let (good, responder) = match found.await {
+            Ok(found) => found,
+            Err(reason) => {
+                self.log_not_resumed(reason);
+                return false;
+            }
+        };
         if !good.answer.status.is_success() {
             return false;
         }
@@ -338,8 +385,12 @@
             request = call.metadata.request_id,
             from = self.responder.id(),
             to = responder.id(),
-            from_version = software_version(&self.responder),
-            to_version = software_version(&responder),
+            software_version = self
+                .progress
+                .software_version
+                .as_ref()
+                .map(tracing::field::display),
+            has_begun = self.has_begun,
             after_event = last_event,
         );
         self.body = good.answer.body;
@@ -348,6 +399,26 @@
         true
     }
 
+    /// Logs why a stream that broke off does not continue here.
+    fn log_not_resumed(&self, reason: Reason) {
+        metrics::counter!(
+            "sedgewall_streams_not_resumed_total", "reason" => reason.name()
+        )
+        .increment(1);
+        tracing::info!(
+            event = "not_resumed",
+            request = self.call.metadata.request_id,
+            reason = reason.name(),
+            service = self.call.service,
+            software_version = self
+                .progress
+                .software_version
+                .as_ref()
+                .map(tracing::field::display),
+            from = self.responder.id(),
+        );
+    }
+
     /// Records the loss of the run, which may be due to a crash of its engine.
     fn record_lost_run(&self, failure: &StreamFailure) {
         let (instance, call) = (&self.instance, &self.call);
@@ -367,8 +438,8 @@
             Responder::Endpoint(target) => {
                 poison::run_broken(instance, call, target, &cause);
             }
-            Responder::Instance(through) => {
-                forwarding::body_broken(call, through, &cause);
+            Responder::Instance { id, .. } => {
+                forwarding::body_broken(call, id, &cause);
             }
         }
     }
@@ -416,11 +487,19 @@
     }
 }
 
-/// Returns the software version of the endpoint, if the request was sent to
-/// one by this instance.
-fn software_version(responder: &Responder) -> Option<String> {
-    let version = &responder.endpoint()?.software_version;
-    version.as_ref().map(ToString::to_string)
+/// Returns the software version at which a stream began. It is not known if
+/// the endpoint has restarted with another one since the request was sent.
+fn known_version(
+    instance: &FleetInstance,
+    responder: &Responder,
+) -> Option<SoftwareVersion> {
+    let version = responder.software_version()?;
+    let view = instance.view.borrow();
+    let state = responder.endpoint().and_then(|target| view.get(&target.id));
+    let is_same = state.is_none_or(|state| {
+        state.endpoint.software_version.as_ref() == Some(version)
+    });
+    is_same.then(|| version.clone())
 }
 
 impl Drop for StreamRelay {
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -123,7 +123,7 @@
     let target = responder.endpoint();
     let through = match responder {
         Responder::Endpoint(_) => None,
-        Responder::Instance(through) => Some(through),
+        Responder::Instance { id, .. } => Some(id),
     };
     metrics::counter!("sedgewall_served_total").increment(1);
     metrics::histogram!("sedgewall_first_byte_seconds")
@@ -136,9 +136,8 @@
         key = call.metadata.key.as_ref().map(AdapterKey::to_string),
         class = instance.split_class(call).map(RequestClass::name),
         endpoint = target.map(|target| &target.id),
-        software_version = target
-            .and_then(|target| target.software_version.as_ref())
-            .map(tracing::field::display),
+        software_version =
+            responder.software_version().map(tracing::field::display),
         resumes = call.metadata.resumes,
         through,
         in_flight = target.map(|target| target.in_flight),
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -131,11 +131,17 @@
     progress.engine_time = began.elapsed();
     let is_timeout = match sent {
         Ok(forwarded) => {
-            let forwarding::ForwardedAnswer { answer, through, guard } =
-                forwarded;
+            let forwarding::ForwardedAnswer {
+                answer,
+                through,
+                software_version,
+                guard,
+            } = forwarded;
             let guard = SendGuard::Instance { _guard: guard };
             let good = GoodAnswer { answer, guard };
-            return Ok(Some((good, Responder::Instance(through))));
+            let id = through;
+            let responder = Responder::Instance { id, software_version };
+            return Ok(Some((good, responder)));
         }
         Err(ForwardError::Refused { reason, .. }) if progress.runs > 0 => {
             return Err(match reason {
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -0,0 +1,396 @@
+//! Where streams began, across instances: tells others of the streams that
+//! begin here, and asks them for those that are resumed here.
+//!
+//! Invariant: a resumed stream is sent to an endpoint only if the software
+//! version of its first event is known.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use sedgewall_clock::Instant;
+use sedgewall_fleet::{
+    adapter::AdapterKey,
+    endpoint::SoftwareVersion,
+    note::{BegunStreams, Note, OriginQuery, VersionDemand},
+    route::ServiceName,
+    stream_origins::{
+        HOLDERS, MAX_ASKED, OriginKnowledge, StreamKey, StreamOrigin,
+        StreamOrigins, decide, holders,
+    },
+};
+use sedgewall_state::id::InstanceId;
+
+use super::{instance::FleetInstance, notify::Notify};
+
+/// How long streams that begin are collected before others are told of them.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+
+/// How long an instance at which no stream begins waits for a notification.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+
+/// The maximum number of streams in one note, so that it fits one packet.
+const MAX_STREAMS_PER_NOTE: usize = 120;
+
+/// How long an instance waits for others to answer where a stream began.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The time after which the instances that have not answered are asked again,
+/// because a datagram may be lost.
+const QUERY_RETRY_DELAY: Duration = Duration::from_millis(60);
+
+/// The maximum number of questions that wait for answers at once.
+const MAX_QUERIES: usize = 1_024;
+
+/// The minimum interval between two requests to the lease holder for the same
+/// adapter at the same software version.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The maximum number of remembered requests for adapters.
+const MAX_REMEMBERED: usize = 512;
+
+/// The streams of this instance and those that it was told of.
+#[derive(Default)]
+pub(crate) struct Streams {
+    origins: RefCell<StreamOrigins>,
+    /// Streams that others have not been told of.
+    unreported: RefCell<Vec<(StreamKey, StreamOrigin)>>,
+    unreported_notify: Notify,
+    queries: RefCell<HashMap<u64, Rc<Query>>>,
+    next_query: Cell<u64>,
+    /// When the lease holder was last asked for an adapter at a version.
+    last_demanded: RefCell<HashMap<(AdapterKey, SoftwareVersion), Instant>>,
+}
+
+/// A question that waits for answers.
+#[derive(Default)]
+struct Query {
+    answers: RefCell<Vec<(InstanceId, OriginKnowledge)>>,
+    notify: Notify,
+}
+
+impl Streams {
+    /// Records where a stream began, and reports it to other instances if
+    /// `is_reported` is set.
+    pub(crate) fn record(
+        &self,
+        key: StreamKey,
+        origin: &StreamOrigin,
+        is_reported: bool,
+    ) {
+        let now = Instant::now();
+        self.origins.borrow_mut().record(key, origin, now);
+        if is_reported {
+            self.unreported.borrow_mut().push((key, origin.clone()));
+            self.unreported_notify.notify();
+        }
+    }
+
+    /// Records streams that another instance reports.
+    pub(crate) fn apply_report(&self, reports: &[BegunStreams]) {
+        let now = Instant::now();
+        let mut origins = self.origins.borrow_mut();
+        for report in reports {
+            for key in &report.keys {
+                origins.record(*key, &report.origin, now);
+            }
+        }
+        let count = reports.iter().map(|report| report.keys.len()).sum();
+        metrics::counter!("sedgewall_stream_reports_received_total")
+            .increment(count_of(count));
+    }
+
+    /// Records the answer of another instance.
+    pub(crate) fn apply_answer(
+        &self,
+        number: u64,
+        from: InstanceId,
+        knowledge: OriginKnowledge,
+    ) {
+        let query = self.queries.borrow().get(&number).cloned();
+        let Some(query) = query else { return };
+        let mut answers = query.answers.borrow_mut();
+        if !answers.iter().any(|(known, _)| *known == from) {
+            answers.push((from, knowledge));
+            query.notify.notify();
+        }
+    }
+
+    /// Forgets streams that have ended for certain.
+    pub(crate) fn forget(&self, now: Instant) {
+        self.origins.borrow_mut().forget(now);
+        metrics::gauge!("sedgewall_stream_origins")
+            .set(self.origins.borrow().len() as f64);
+    }
+}
+
+fn count_of(len: usize) -> u64 {
+    u64::try_from(len).unwrap_or(u64::MAX)
+}
+
+/// Tells other instances of the streams that begin here. Never returns.
+pub(crate) async fn report_begun(instance: Rc<FleetInstance>) {
+    loop {
+        let streams = &instance.streams;
+        if streams.unreported.borrow().is_empty() {
+            streams.unreported_notify.wait(IDLE_WAIT).await;
+            continue;
+        }
+        compio::time::sleep(REPORT_DELAY).await;
+        let begun = streams.unreported.take();
+        let peers = instance.stream_peers();
+        let mut by_holder: BTreeMap<InstanceId, Vec<BegunStreams>> =
+            BTreeMap::new();
+        for (key, origin) in begun {
+            for holder in holders(key, peers.iter(), HOLDERS) {
+                add(by_holder.entry(holder).or_default(), key, &origin);
+            }
+        }
+        let mut queue = instance.unicast_queue.borrow_mut();
+        for (holder, reports) in by_holder {
+            for report in reports {
+                for keys in report.keys.chunks(MAX_STREAMS_PER_NOTE) {
+                    let origin = report.origin.clone();
+                    let part = BegunStreams { origin, keys: keys.to_vec() };
+                    let note = Note::StreamsBegan(vec![part]);
+                    queue.push((holder.clone(), note));
+                }
+            }
+        }
+        drop(queue);
+        instance.notify_notes();
+    }
+}
+
+fn add(
+    reports: &mut Vec<BegunStreams>,
+    key: StreamKey,
+    origin: &StreamOrigin,
+) {
+    match reports.iter_mut().find(|report| report.origin == *origin) {
+        Some(report) => report.keys.push(key),
+        None => reports
+            .push(BegunStreams { origin: origin.clone(), keys: vec![key] }),
+    }
+}
+
+/// Returns where a stream began, or `None` if that is not certain. `service`
+/// is the one that the resumed stream is for, and `is_only_service` tells that
+/// its route has no other.
+pub(crate) async fn find_origin(
+    instance: &Rc<FleetInstance>,
+    key: Option<StreamKey>,
+    service: &ServiceName,
+    is_only_service: bool,
+    request_id: &str,
+) -> Option<StreamOrigin> {
+    let began = Instant::now();
+    let own = own_knowledge(instance, key, service);
+    if let OriginKnowledge::Known(origin) = own {
+        log_found(request_id, Some(&origin), "here", 0, began);
+        return Some(origin);
+    }
+    let peers = instance.stream_peers();
+    let asked = holders(key.unwrap_or_default(), peers.iter(), MAX_ASKED);
+    let mut answers = vec![own];
+    answers
+        .extend(ask(instance, key.unwrap_or_default(), service, &asked).await);
+    let service = Some(service).filter(|_| is_only_service);
+    let origin = decide(&answers, peers.is_empty(), service);
+    let is_known = answers
+        .iter()
+        .any(|answer| matches!(answer, OriginKnowledge::Known(_)));
+    let by = if is_known { "others" } else { "only_version" };
+    log_found(request_id, origin.as_ref(), by, answers.len() - 1, began);
+    origin
+}
+
+fn log_found(
+    request: &str,
+    origin: Option<&StreamOrigin>,
+    by: &'static str,
+    answers: usize,
+    began: Instant,
+) {
+    let by = origin.map_or("nobody", |_| by);
+    metrics::counter!("sedgewall_stream_origins_sought_total", "by" => by)
+        .increment(1);
+    tracing::info!(
+        event = "stream_origin",
+        request,
+        by,
+        service = origin.map(|origin| origin.service.as_str()),
+        software_version =
+            origin.map(|o| tracing::field::display(&o.software_version)),
+        answers,
+        took_ms = began.elapsed().as_millis() as u64,
+    );
+}
+
+fn own_knowledge(
+    instance: &FleetInstance,
+    key: Option<StreamKey>,
+    service: &str,
+) -> OriginKnowledge {
+    let now = Instant::now();
+    let origins = instance.streams.origins.borrow();
+    if let Some(origin) = key.and_then(|key| origins.get(key, now)) {
+        return OriginKnowledge::Known(origin.clone());
+    }
+    if instance.store_reachability.borrow().is_unreachable() {
+        return OriginKnowledge::Nothing;
+    }
+    instance.view.borrow().version_knowledge(service, now)
+}
+
+/// Asks other instances where a stream began. Returns their answers, once one
+/// knows it or all have answered, or at the timeout.
+async fn ask(
+    instance: &Rc<FleetInstance>,
+    key: StreamKey,
+    service: &ServiceName,
+    asked: &[InstanceId],
+) -> Vec<OriginKnowledge> {
+    let streams = &instance.streams;
+    if asked.is_empty() || streams.queries.borrow().len() >= MAX_QUERIES {
+        return Vec::new();
+    }
+    let number = streams.next_query.get();
+    streams.next_query.set(number + 1);
+    let guard = QueryGuard { instance: instance.clone(), number };
+    let query = Rc::new(Query::default());
+    streams.queries.borrow_mut().insert(number, query.clone());
+    let began = Instant::now();
+    let mut sends = 0;
+    loop {
+        let elapsed = began.elapsed();
+        let is_done = {
+            let answers = query.answers.borrow();
+            answers.len() >= asked.len()
+                || answers
+                    .iter()
+                    .any(|(_, a)| matches!(a, OriginKnowledge::Known(_)))
+        };
+        if is_done || elapsed >= QUERY_TIMEOUT {
+            break;
+        }
+        if elapsed >= QUERY_RETRY_DELAY * sends && sends < 2 {
+            sends += 1;
+            send_query(instance, &query, number, key, service, asked);
+        }
+        let next = match sends {
+            1 => QUERY_RETRY_DELAY,
+            _ => QUERY_TIMEOUT,
+        };
+        query.notify.wait(next.saturating_sub(elapsed)).await;
+    }
+    drop(guard);
+    let answers = query.answers.borrow();
+    answers.iter().map(|(_, knowledge)| knowledge.clone()).collect()
+}
+
+/// Ends a query when its caller leaves, too.
+struct QueryGuard {
+    instance: Rc<FleetInstance>,
+    number: u64,
+}
+
+impl Drop for QueryGuard {
+    fn drop(&mut self) {
+        let streams = &self.instance.streams;
+        streams.queries.borrow_mut().remove(&self.number);
+    }
+}
+
+fn send_query(
+    instance: &FleetInstance,
+    query: &Query,
+    number: u64,
+    key: StreamKey,
+    service: &ServiceName,
+    asked: &[InstanceId],
+) {
+    let answers = query.answers.borrow();
+    let mut queue = instance.unicast_queue.borrow_mut();
+    for to in asked {
+        if answers.iter().any(|(known, _)| known == to) {
+            continue;
+        }
+        let query = OriginQuery {
+            from: instance.id().clone(),
+            number,
+            key,
+            service: service.clone(),
+        };
+        queue.push((to.clone(), Note::OriginQuery(query)));
+    }
+    drop(queue);
+    instance.notify_notes();
+}
+
+/// Returns the answer to a question of another instance.
+pub(crate) fn answer(instance: &FleetInstance, query: &OriginQuery) -> Note {
+    Note::OriginAnswer {
+        number: query.number,
+        from: instance.id().clone(),
+        knowledge: own_knowledge(instance, Some(query.key), &query.service),
+    }
+}
+
+impl FleetInstance {
+    /// Returns the other instances that are alive and know of streams.
+    fn stream_peers(&self) -> Vec<InstanceId> {
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        let view = self.view.borrow();
+        let live = peers.iter().filter(|(id, peer)| {
+            peer.tracks_streams && view.is_live_peer(id, now)
+        });
+        live.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Asks the lease holder to load an adapter at endpoints of a software
+    /// version, unless it was asked a moment ago.
+    pub(crate) fn request_adapter_at(
+        &self,
+        key: &AdapterKey,
+        version: &SoftwareVersion,
+    ) {
+        let now = Instant::now();
+        let wanted = (key.clone(), version.clone());
+        let mut last = self.streams.last_demanded.borrow_mut();
+        if last.get(&wanted).is_some_and(|at| now - *at < DEMAND_INTERVAL) {
+            return;
+        }
+        if last.len() > MAX_REMEMBERED {
+            last.retain(|_, at| now - *at < DEMAND_INTERVAL);
+        }
+        last.insert(wanted, now);
+        drop(last);
+        if self.held.get().is_some() {
+            let mut demand = self.demand.borrow_mut();
+            demand.mark_waiting_at(key, version, now);
+            drop(demand);
+            return self.notify_planner();
+        }
+        let Some(leader) = self.live_leader(now) else { return };
+        let demand = VersionDemand {
+            from: self.id().clone(),
+            key: key.clone(),
+            software_version: version.clone(),
+        };
+        let tracks_streams = self
+            .peers
+            .borrow()
+            .get(&leader.instance)
+            .is_some_and(|peer| peer.tracks_streams);
+        if tracks_streams {
+            let note = Note::VersionDemand(demand);
+            self.unicast_queue.borrow_mut().push((leader.instance, note));
+            self.notify_notes();
+        }
+    }
+}
--- a/crates/sedgewalld/src/fleet/waiting.rs
+++ b/crates/sedgewalld/src/fleet/waiting.rs
@@ -79,6 +79,7 @@
                 continue;
             }
             Found::Nothing(obstacle) => obstacle,
+            Found::NoneOfVersion => return Err(Reason::NoEndpointOfVersion),
         };
         let until = waiting_request.wait_until(obstacle.wait_reason, now);
         if now >= until {
@@ -150,6 +151,9 @@
                     may_look = true;
                     pause = within;
                 }
+                Found::NoneOfVersion => {
+                    return Err(Reason::NoEndpointOfVersion);
+                }
                 Found::Nothing(found) => {
                     until = until.min(bounds.until(&found, now));
                     place.record_obstacle(found);
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -179,6 +179,10 @@
                 is_draining = endpoint.is_draining,
                 adapters = adapter_count(&endpoint),
                 revision = %endpoint.revision,
+                software_version = endpoint
+                    .software_version
+                    .as_ref()
+                    .map(tracing::field::display),
             );
         }
         let known_revision = known.map(|state| state.endpoint.revision);
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -52,6 +52,10 @@
     /// Instances of the previous release do not.
     #[serde(default)]
     takes_forwarded: bool,
+    /// Whether the instance knows where streams began. Instances of the
+    /// previous release do not, and cannot read notes on that.
+    #[serde(default)]
+    tracks_streams: bool,
 }
 
 /// Handles the entries of the other instances.
@@ -111,6 +115,7 @@
                     cpu_percent: entry.cpu_percent,
                     reads_pools: entry.reads_pools,
                     takes_forwarded: entry.takes_forwarded,
+                    tracks_streams: entry.tracks_streams,
                     known_since: known
                         .map_or_else(Instant::now, |peer| peer.known_since),
                 };
@@ -142,6 +147,7 @@
         cpu_percent: instance.cpu_percent(),
         reads_pools: true,
         takes_forwarded: true,
+        tracks_streams: true,
     };
     let Ok(spec) = serde_json::to_value(&entry) else { return };
     // An instance that restarts at the same address finds its entry in the
