Let other requests first while a resumed stream waits for its version

With ordered waiting, only the first request of a queue looks for an endpoint. A resumed stream that waits for an endpoint of its software version kept back new requests, which any version could serve. It lets others first now, like a request that waits for a limit.

--- a/crates/sedgewalld/src/fleet/waiting.rs
+++ b/crates/sedgewalld/src/fleet/waiting.rs
@@ -157,10 +157,12 @@
                 Found::Nothing(found) => {
                     until = until.min(bounds.until(&found, now));
                     place.record_obstacle(found);
-                    // A draw against a limit, or the endpoints that rejected
-                    // this request, do not keep other requests back.
+                    // A draw against a limit, the endpoints that rejected this
+                    // request, or the software version of its stream do not
+                    // keep other requests back.
                     lets_others_first = found.limit_ends_in.is_some()
-                        || !progress.tried.is_empty();
+                        || !progress.tried.is_empty()
+                        || progress.software_version.is_some();
                     let ready_in =
                         found.available_in().or(found.holder_ready_in);
                     pause = ready_in.unwrap_or(pause);
