--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -420,9 +420,10 @@
         time.unwrap_or_default()
     }
 
-    /// Orders one more engine, of the pool for a class or of a software version, to load an adapter. If
-    /// no engine has the adapter and no engine of the pool can take it, one of
-    /// the other pool is used. Returns whether an engine was found.
+    /// Orders one more engine, of the pool for a class or of a software
+    /// version, to load an adapter. If no engine has the adapter and no engine
+    /// of the pool can take it, one of the other pool is used. Returns whether
+    /// an engine was found.
     fn place(
         &mut self,
         key: &AdapterKey,
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -115,8 +115,8 @@
     pub address: SocketAddr,
     /// The version of the endpoint's software, if it is known.
     pub software_version: Option<SoftwareVersion>,
-    /// The version of the weights that the engine must have loaded, if a newer one was
-    /// announced.
+    /// The version of the weights that the engine must have loaded, if a newer
+    /// one was announced.
     pub expect_version: Option<WeightVersion>,
     /// The known number of requests in flight there before this one.
     pub in_flight: u32,
