Tests: placement and choice by software version

An adapter is placed on an engine of the version that a resumed stream waits for, and a resumed stream uses no endpoint of another or an unknown version. Both rules had process tests alone.

--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -12,6 +12,7 @@
 use sedgewall_fleet::{
     adapter::AdapterKey,
     demand::Demand,
+    endpoint::{Endpoint, SoftwareVersion},
     load_rate_limiter::LoadRateLimiter,
     load_times::LoadTimes,
     order::{Order, Task},
@@ -70,6 +71,32 @@
         .collect()
 }
 
+/// The adapter is held by an engine of another version, and other engines are
+/// emptier.
+#[test]
+fn an_adapter_is_placed_at_the_version_of_a_resumed_stream() {
+    let now = Instant::now();
+    let version = |text: &str| SoftwareVersion(text.to_owned());
+    let mut view = FleetView::new("z1");
+    for (id, text, adapters) in
+        [("e1", "v1", vec![2]), ("e2", "v2", vec![1]), ("e3", "v2", vec![])]
+    {
+        let software_version = Some(version(text));
+        let entry =
+            Endpoint { software_version, ..endpoint(id, "z1", &adapters) };
+        view.apply_entry(entry, now);
+        view.apply_report(&id.to_owned(), &report(&adapters, 0), now);
+    }
+    let mut demand = Demand::default();
+    demand.mark_waiting_at(&key(1), &version("v1"), now);
+    demand.mark_waiting_at(&key(1), &version("v3"), now);
+    let mut planner = planner(1, now);
+    let orders = plan(&mut planner, &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), [("e1", key(1))]);
+    let orders = plan(&mut planner, &mut view, &mut demand, now);
+    assert_eq!(loads(&orders), []);
+}
+
 #[test]
 fn an_engine_gets_no_order_before_it_has_reported() {
     let now = Instant::now();
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -12,7 +12,7 @@
 use sedgewall_fleet::{
     adapter::AdapterKey,
     departure::Departure,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, SoftwareVersion},
     note::{Placed, Removed, Status},
     view::{Choice, FleetView, Need},
 };
@@ -536,3 +536,40 @@
     assert_eq!(newer.len(), 256);
     assert!(view.entries_since(view.newest_revision()).is_empty());
 }
+
+/// A resumed stream uses no endpoint of another or an unknown version, and a
+/// few more places than new streams get.
+#[test]
+fn a_resumed_stream_is_sent_to_its_software_version_only() {
+    let now = Instant::now();
+    let key = key(1);
+    let version = |text: &str| SoftwareVersion(text.to_owned());
+    let mut view = FleetView::new("z1");
+    for (id, software_version) in
+        [("e1", Some("v1")), ("e2", Some("v2")), ("e3", None)]
+    {
+        let software_version = software_version.map(version);
+        let entry = Endpoint { software_version, ..endpoint(id, "z1", &[1]) };
+        view.apply_entry(entry, now);
+    }
+    let one = version("v1");
+    let resumed = Need { software_version: Some(&one), ..need(&key) };
+    for draw in 0..50 {
+        let need = Need { draw, ..resumed };
+        let Choice::Send(target) = view.choose(need, now) else {
+            panic!("no endpoint")
+        };
+        assert_eq!(target.id, "e1");
+        assert_eq!(target.software_version, Some(one.clone()));
+    }
+    let gone = version("v0");
+    let none = Need { software_version: Some(&gone), ..need(&key) };
+    assert_eq!(view.choose(none, now), Choice::NoEndpoint);
+    let slots = view.get(&"e1".to_owned()).expect("e1").endpoint.slots;
+    let full = requests(slots * 6 / 5);
+    view.apply_status(status("i2", vec![("e1".to_owned(), full)]), now);
+    assert!(matches!(view.choose(resumed, now), Choice::Send(_)));
+    let exclude = ["e2".to_owned(), "e3".to_owned()];
+    let new = Need { exclude: &exclude, ..need(&key) };
+    assert_eq!(view.choose(new, now), Choice::Full);
+}
