--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -90,7 +90,9 @@
         digest = %call.digest(),
         path = call.uri.path(),
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
+        parts = part_names(call),
         endpoint = target.id,
+        sent_ms_ago = sent_ms_ago(call),
         cause,
         held_ms = call.arrived.elapsed().as_millis() as u64,
     );
@@ -320,6 +322,19 @@
     EndpointIncarnation { id: id.clone(), born }
 }
 
+/// Returns the ids of the prompt's parts that other requests may have too, or
+/// `None` if there are none.
+fn part_names(call: &CallerRequest) -> Option<String> {
+    let (_own, shared) = call.metadata.prompt_parts.split_last()?;
+    let names: Vec<&str> = shared.iter().map(|(id, _)| id.as_str()).collect();
+    (!names.is_empty()).then(|| names.join(" "))
+}
+
+fn sent_ms_ago(call: &CallerRequest) -> Option<u64> {
+    let sent_to = call.sent_to.borrow();
+    sent_to.as_ref().map(|sent| sent.at.elapsed().as_millis() as u64)
+}
+
 fn endpoint_names(endpoints: &[EndpointIncarnation]) -> String {
     let ids: Vec<&str> = endpoints.iter().map(|e| e.id.as_str()).collect();
     ids.join(" ")
