--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod engine_headroom;
 pub mod engine_pools;
 pub mod event_framer;
+pub mod features;
 pub mod health;
 pub mod incarnation;
 pub mod latency_regression;
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -1,30 +1,38 @@
 //! Detects poison requests: requests that crash the endpoints that run them.
 //!
 //! A poison request crashes each endpoint that starts to run it, together with
-//! everything else that runs there, and is retried with another id, at any
-//! instance. So each instance records which of its runs broke off when their
-//! endpoint ended, and reports them to all others; this module decides from
-//! what all instances saw.
+//! everything else that runs there. It is retried with another id, at any
+//! instance, or other requests that share a part of its prompt do the same. So
+//! each instance records which of its runs broke off when their endpoint ended,
+//! and reports them to all others; this module decides from what all instances
+//! saw which feature of requests the crashes have in common, and condemns it.
 //!
 //! The invariants: a connection that was reset by an endpoint that lives on
-//! does not count; endpoints that end at the same time count as one cause; and
-//! a run that succeeds clears its request of all evidence.
+//! does not count; endpoints that end at the same time count as one cause; a
+//! run that succeeds clears its features of all evidence from before it was
+//! sent; and instances with the same reports reach the same verdicts, in
+//! whatever order the reports arrive.
+
+mod condemned;
+mod evidence;
+mod explanation;
 
 use std::{collections::HashMap, time::Duration};
 
 use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
-use crate::{incarnation::EndpointIncarnation, request_digest::RequestDigest};
-
-/// Number of endpoints that must have ended while they ran a request before it
-/// is condemned. The requirements allow a request to crash three endpoints.
-const CRASHES_TO_CONDEMN: usize = 3;
-
-/// Number of separate times at which these endpoints must have ended. A power
-/// failure ends all endpoints of a rack at once. A harmless request that many
-/// callers send was then running on several of them.
-const SEPARATE_CRASHES_TO_CONDEMN: usize = 2;
+use self::{
+    condemned::Condemnations,
+    evidence::Evidence,
+    explanation::{Explanations, Standing},
+};
+use crate::{
+    features::{Feature, Features},
+    incarnation::EndpointIncarnation,
+    recent_successes::RecentSuccesses,
+    request_digest::RequestDigest,
+};
 
 /// How long a run that broke off is retained until the end of its endpoint is
 /// known. A dead endpoint leaves the platform's list after three heartbeats of
@@ -57,12 +65,13 @@
 /// note fits in two packets.
 const MAX_RUNS_PER_NOTE: usize = 64;
 
-/// Maximum number of suspected requests; the oldest is evicted first. A crash
-/// interrupts all requests on its endpoint, about 32. The table takes 1 MB.
-const MAX_SUSPECTS: usize = 4_096;
+/// How long other instances have to report what they know of a feature before
+/// it is condemned for good. Meanwhile, requests with it are already refused.
+pub const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 
-/// Maximum number of condemned requests; the oldest is evicted first.
-const MAX_CONDEMNED: usize = 1_024;
+/// How long a condemned feature depends on the evidence. Reports that may show
+/// another cause of the crashes arrive within this time.
+const SETTLING_TIME: Duration = Duration::from_secs(10);
 
 /// An endpoint that ended, and the runs of one instance that it interrupted.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -84,26 +93,58 @@
     pub broke_ms_ago: u64,
 }
 
-/// A condemned request, as instances send it to each other.
+/// The features of an interrupted run, which accompany a [`CrashedRun`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Condemned {
+pub struct RunFeatures {
     /// The digest of the request.
     pub digest: RequestDigest,
-    /// Time since the request was condemned, in milliseconds.
+    /// The features that the request shares with others, from the narrowest to
+    /// the broadest.
+    pub shared: Vec<Feature>,
+}
+
+/// A success with a feature, as instances report it to each other.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReportedSuccess {
+    /// The feature.
+    pub feature: Feature,
+    /// Time since the successful request was sent, in milliseconds.
+    pub began_ms_ago: u64,
+}
+
+/// What accompanies reports of crashes and successes. Instances of earlier
+/// releases neither send nor read it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ReportDetails {
+    /// The features of the interrupted runs.
+    pub runs: Vec<RunFeatures>,
+    /// The latest successes with features of these runs, and with those that
+    /// are reported as successful.
+    pub successes: Vec<ReportedSuccess>,
+}
+
+/// A condemned feature, as instances send it to each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Condemned {
+    /// The feature: the digest of a request, or of a part of prompts.
+    pub digest: Feature,
+    /// Time since the feature was condemned, in milliseconds.
     pub ms_ago: u64,
-    /// The endpoints that ended while they ran the request.
+    /// The endpoints that ended while they ran requests with it.
     pub endpoints: Vec<EndpointIncarnation>,
 }
 
-/// Why a request is not sent to any endpoint.
+/// Why requests with a feature are not sent to any endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
-    /// The endpoints that ended while they ran the request.
+    /// The endpoints that ended while they ran such requests.
     pub endpoints: Vec<EndpointIncarnation>,
-    /// Time since the request was condemned.
+    /// Time since the feature was condemned.
     pub condemned_ago: Duration,
-    /// Time until the request is tried again.
+    /// Time until such requests are tried again.
     pub released_in: Duration,
+    /// Whether other instances have had the time to refute the verdict.
+    pub is_confirmed: bool,
 }
 
 /// How a run was lost.
@@ -123,18 +164,24 @@
     broken: HashMap<EndpointIncarnation, Vec<BrokenRun>>,
     /// Endpoints that ended recently.
     ended: HashMap<EndpointIncarnation, Instant>,
-    suspects: HashMap<RequestDigest, Suspect>,
+    evidence: Evidence,
+    /// What is known of the features in the evidence, apart from it.
+    known: HashMap<Feature, Known>,
+    condemned: Condemnations,
+    /// Successful requests of this instance, and the parts of their prompts.
+    successes: Successes,
+    /// What accompanies the report that is being handled.
+    details: ReportDetails,
     /// Interrupted runs of this instance that its notes report again.
     recent_interruptions:
         Vec<(EndpointIncarnation, Interruption, RequestDigest)>,
-    /// Requests that were condemned since the last call of
-    /// [`PoisonDetector::take_newly_condemned`].
-    newly_condemned: Vec<RequestDigest>,
+    /// Features whose successes the other instances must be told.
+    untold: Vec<Feature>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct BrokenRun {
-    digest: RequestDigest,
+    features: Features,
     began: Instant,
     broke: Instant,
     loss: Loss,
@@ -147,55 +194,59 @@
     broke: Instant,
 }
 
+/// Requests that succeeded recently. Whole requests are apart from what they
+/// share, because most requests are sent once.
 #[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Keyed by endpoint, so that a repeated report counts once. Crashes from
-    /// before a successful run are retained but no longer count.
-    interruptions: HashMap<EndpointIncarnation, (Interruption, Evidence)>,
-    condemned_at: Option<Instant>,
-    /// Whether the request was condemned before, so that one more crash
+struct Successes {
+    requests: RecentSuccesses,
+    shared: RecentSuccesses,
+}
+
+/// What is known of a feature, apart from crashes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// When the latest successful request with the feature was sent.
+    succeeded: Option<Instant>,
+    /// The same, as far as all instances have been told.
+    told: Option<Instant>,
+    /// When an instance last reported a success, without its time, or the
+    /// feature was released.
+    cleared_at: Option<Instant>,
+    released_at: Option<Instant>,
+    /// Whether the feature was condemned before, so that one more crash
     /// condemns it again.
     is_on_probation: bool,
-    /// Time of the last release.
-    released_at: Option<Instant>,
-    /// Time of the last successful run.
-    cleared_at: Option<Instant>,
     last: Option<Instant>,
 }
 
-/// Result of merging a condemned request of another instance.
+/// Result of merging a condemned feature of another instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MergeOutcome {
-    /// The request is now condemned here too.
+    /// The feature is now condemned here too.
     Added,
-    /// The request was already condemned here, or no longer is.
+    /// The feature was already condemned here, or no longer is.
     AlreadyKnown,
-    /// A run has succeeded since the request was condemned. The other
+    /// A run has succeeded since the feature was condemned. The other
     /// instances must be told.
     Refuted,
-    /// The request was released since it was condemned. The other instance has
+    /// The feature was released since it was condemned. The other instance has
     /// not heard of that yet.
     Released,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Evidence {
-    Valid,
-    Cleared,
-}
-
 impl PoisonDetector {
     /// Records that a run was lost at an endpoint. If the endpoint is known to
     /// have ended, returns the crash to report to the other instances.
     pub fn record_lost_run(
         &mut self,
         endpoint: &EndpointIncarnation,
-        digest: RequestDigest,
+        features: impl Into<Features>,
         began: Instant,
         loss: Loss,
         now: Instant,
     ) -> Option<Crash> {
-        let run = BrokenRun { digest, began, broke: now, loss };
+        let features = features.into();
+        let run = BrokenRun { features, began, broke: now, loss };
         self.broken.entry(endpoint.clone()).or_default().push(run);
         match self.ended.contains_key(endpoint) {
             true => self.endpoint_ended(endpoint, now),
@@ -214,16 +265,23 @@
         let broken = self.broken.remove(endpoint)?;
         let mut crash = Crash { endpoint: endpoint.clone(), runs: Vec::new() };
         for run in broken.into_iter().filter(|run| run.is_fresh(now)) {
-            let interruption =
-                Interruption { began: run.began, broke: run.broke };
-            self.add_evidence(endpoint, run.digest, interruption, now);
+            let BrokenRun { features, began, broke, .. } = run;
+            self.evidence.add(endpoint, &features, began, broke);
+            // The successes with these features accompany the report.
+            for feature in features.iter() {
+                let known = self.known_mut(feature, now);
+                known.told = known.told.max(known.succeeded);
+            }
+            let interruption = Interruption { began, broke };
+            let digest = features.request;
             self.recent_interruptions.push((
                 endpoint.clone(),
                 interruption,
-                run.digest,
+                digest,
             ));
-            crash.runs.push(interruption.report(run.digest, now));
+            crash.runs.push(interruption.report(digest, now));
         }
+        self.update(now);
         (!crash.runs.is_empty()).then_some(crash)
     }
 
@@ -242,6 +300,48 @@
         }
     }
 
+    /// Records what accompanies the reports that are handled next.
+    pub fn record_details(&mut self, details: ReportDetails) {
+        self.details = details;
+    }
+
+    /// Returns what must accompany the report of a crash. A report that is only
+    /// relayed may not have been handled yet.
+    pub fn crash_details(&self, crash: &Crash, now: Instant) -> ReportDetails {
+        let mut details = ReportDetails::default();
+        for CrashedRun { digest, .. } in &crash.runs {
+            let mut shared =
+                self.evidence.shared_features(&crash.endpoint, *digest);
+            let reported = &self.details.runs;
+            let reported = reported.iter().find(|r| r.digest == *digest);
+            if let (true, Some(reported)) = (shared.is_empty(), reported) {
+                shared = &reported.shared;
+            }
+            details.add_successes(self, &[*digest], now);
+            if shared.is_empty() {
+                continue;
+            }
+            details.add_successes(self, shared, now);
+            let (digest, shared) = (*digest, shared.to_vec());
+            if !details.runs.iter().any(|run| run.digest == digest) {
+                details.runs.push(RunFeatures { digest, shared });
+            }
+        }
+        details
+    }
+
+    /// Returns what must accompany the report that a request with a feature
+    /// succeeded.
+    pub fn success_details(
+        &self,
+        feature: Feature,
+        now: Instant,
+    ) -> ReportDetails {
+        let mut details = ReportDetails::default();
+        details.add_successes(self, &[feature], now);
+        details
+    }
+
     /// Records a crash that another instance reports. Returns the crash to
     /// report to the other instances if it interrupted runs of this instance.
     pub fn record_crash(
@@ -253,69 +353,197 @@
             let time = Duration::from_millis(ms);
             now.checked_sub(time).unwrap_or(now)
         };
+        let details = std::mem::take(&mut self.details);
+        let mut is_new = false;
         for run in &crash.runs {
-            let began = ago(run.began_ms_ago);
-            let interruption =
-                Interruption { began, broke: ago(run.broke_ms_ago) };
-            self.add_evidence(&crash.endpoint, run.digest, interruption, now);
+            let CrashedRun { digest, began_ms_ago, broke_ms_ago } = *run;
+            let reported = details.runs.iter().find(|r| r.digest == digest);
+            let shared = reported.map_or(Vec::new(), |r| r.shared.clone());
+            let features = Features { request: digest, shared };
+            let (began, broke) = (ago(began_ms_ago), ago(broke_ms_ago));
+            is_new |=
+                self.evidence.add(&crash.endpoint, &features, began, broke);
+        }
+        if is_new {
+            for success in &details.successes {
+                let began = ago(success.began_ms_ago);
+                self.known_mut(success.feature, now).record_told(began);
+            }
+            for run in &crash.runs {
+                self.find_untold(&crash.endpoint, run.digest, now);
+            }
+            self.update(now);
         }
+        self.details = details;
         self.endpoint_ended(&crash.endpoint, now)
     }
 
-    /// Returns why a request must not be sent, or `None` if it may be.
-    pub fn verdict(
-        &self,
+    /// Notes the features of a reported run that requests of this instance
+    /// clear of the evidence of earlier crashes, unless others have told that
+    /// too.
+    fn find_untold(
+        &mut self,
+        endpoint: &EndpointIncarnation,
         digest: RequestDigest,
         now: Instant,
-    ) -> Option<Verdict> {
-        let suspect = self.suspects.get(&digest)?;
-        let condemned_ago =
-            now.saturating_duration_since(suspect.condemned_at?);
-        let released_in = CONDEMNED_FOR.checked_sub(condemned_ago)?;
+    ) {
+        let shared = self.evidence.shared_features(endpoint, digest);
+        let features = Features { request: digest, shared: shared.to_vec() };
+        for feature in features.iter() {
+            let Known { succeeded, told, .. } = *self.known_mut(feature, now);
+            let Some(succeeded) = succeeded else { continue };
+            let clears_more = self.evidence.breaks(feature).any(|broke| {
+                broke <= succeeded && told.is_none_or(|told| broke > told)
+            });
+            // Other instances hold the feature responsible for one crash
+            // fewer than are needed if they know any success.
+            let is_first = told.is_none()
+                && self.evidence.breaks(feature).nth(1).is_some();
+            if clears_more || is_first {
+                self.known_mut(feature, now).told = Some(succeeded);
+                self.untold.push(feature);
+            }
+        }
+    }
+
+    /// Returns why a feature is condemned, or `None` if it is not.
+    pub fn verdict(&self, feature: Feature, now: Instant) -> Option<Verdict> {
+        let condemned = self.condemned.get(feature)?;
+        let ago = now.saturating_duration_since(condemned.at);
+        let is_confirmed = condemned.is_confirmed(now);
+        let lasts = match is_confirmed {
+            true => CONDEMNED_FOR,
+            false => CONFIRMATION_TIME,
+        };
+        let endpoints = match condemned.endpoints.is_empty() {
+            true => self.evidence.endpoints(feature),
+            false => condemned.endpoints.clone(),
+        };
         Some(Verdict {
-            endpoints: suspect.endpoints(),
-            condemned_ago,
-            released_in,
+            endpoints,
+            condemned_ago: ago,
+            released_in: lasts.checked_sub(ago)?,
+            is_confirmed,
         })
     }
 
-    /// Returns whether there is evidence against any request. Otherwise
-    /// callers of this module need not compute digests.
+    /// Returns the narrowest condemned feature of a request, and why it is
+    /// condemned.
+    pub fn find_condemned(
+        &self,
+        features: &Features,
+        now: Instant,
+    ) -> Option<(Feature, Verdict)> {
+        features
+            .iter()
+            .find_map(|feature| Some((feature, self.verdict(feature, now)?)))
+    }
+
+    /// Returns whether any feature is condemned. Otherwise callers of this
+    /// module need not compute the features of a request that is sent.
+    pub fn has_condemned(&self) -> bool {
+        !self.condemned.is_empty()
+    }
+
+    /// Returns whether there is evidence against any request.
     pub fn has_suspects(&self) -> bool {
-        !self.suspects.is_empty()
+        !self.evidence.is_empty() || !self.condemned.is_empty()
+    }
+
+    /// Returns whether a feature occurred in a crash and no request with it is
+    /// known to have succeeded, ever or since.
+    pub fn is_suspected(&self, feature: Feature) -> bool {
+        let standing = self.standing(feature);
+        !standing.has_succeeded
+            && self.evidence.breaks(feature).any(|broke| {
+                standing.counts_from.is_none_or(|from| broke > from)
+            })
+    }
+
+    /// Records that a request of this instance succeeded. Returns whether it
+    /// cleared a condemned feature; [`PoisonDetector::take_untold`] then
+    /// returns it.
+    pub fn record_success(
+        &mut self,
+        features: &Features,
+        began: Instant,
+        now: Instant,
+    ) -> bool {
+        self.successes.requests.record(features.request, began, now);
+        for feature in &features.shared {
+            self.successes.shared.record(*feature, began, now);
+        }
+        if !self.has_suspects() {
+            return false;
+        }
+        let (mut has_cleared, mut is_changed) = (false, false);
+        for feature in features.iter() {
+            let Some(known) = self.known.get_mut(&feature) else { continue };
+            known.succeeded = known.succeeded.max(Some(began));
+            is_changed = true;
+            let condemned = self.condemned.get(feature);
+            if condemned.is_some_and(|condemned| {
+                self.evidence.breaks(feature).all(|broke| broke <= began)
+                    && (!condemned.is_merged() || condemned.at <= began)
+            }) {
+                known.told = Some(began);
+                known.cleared_at = Some(now);
+                self.condemned.remove(feature);
+                self.untold.push(feature);
+                has_cleared = true;
+            }
+        }
+        if is_changed {
+            self.update(now);
+        }
+        has_cleared
     }
 
-    /// Records that a run of a request succeeded, here or at another instance.
-    /// Returns whether there was evidence against the request.
-    pub fn clear(&mut self, digest: RequestDigest, now: Instant) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&digest) else {
+    /// Records that another instance reports a success with a feature. Returns
+    /// whether there was evidence against the feature.
+    pub fn clear(&mut self, feature: Feature, now: Instant) -> bool {
+        let reported = self
+            .details
+            .successes
+            .iter()
+            .find(|success| success.feature == feature)
+            .map(|success| Duration::from_millis(success.began_ms_ago));
+        let began = reported.and_then(|ago| now.checked_sub(ago));
+        let is_condemned = self.condemned.get(feature).is_some();
+        let standing = self.standing(feature);
+        let had_evidence = is_condemned
+            || standing.is_on_probation
+            || self.evidence.breaks(feature).any(|broke| {
+                standing.counts_from.is_none_or(|from| broke > from)
+            });
+        if !self.known.contains_key(&feature) && !had_evidence {
             return false;
-        };
-        let had_evidence = suspect.condemned_at.is_some()
-            || suspect.is_on_probation
-            || suspect
-                .interruptions
-                .values()
-                .any(|(_, evidence)| *evidence == Evidence::Valid);
-        suspect.clear_evidence();
-        suspect.cleared_at = Some(now);
+        }
+        let known = self.known_mut(feature, now);
+        known.is_on_probation = false;
+        match began.filter(|_| !is_condemned) {
+            Some(began) => known.record_told(began),
+            None => known.cleared_at = Some(now),
+        }
+        self.condemned.remove(feature);
+        self.update(now);
         had_evidence
     }
 
-    /// Releases a condemned request, so that it is tried again. An instance
-    /// that has not heard of the release does not condemn it here again.
-    pub fn release(&mut self, digest: RequestDigest, now: Instant) {
-        if let Some(suspect) = self.suspects.get_mut(&digest)
-            && suspect.condemned_at.is_some()
-        {
-            suspect.clear_evidence();
-            suspect.is_on_probation = true;
-            suspect.released_at = Some(now);
-            suspect.last = Some(now);
+    /// Releases a condemned feature, so that requests with it are tried again.
+    /// An instance that has not heard of the release does not condemn it here
+    /// again.
+    pub fn release(&mut self, feature: Feature, now: Instant) {
+        if self.condemned.remove(feature) {
+            let known = self.known_mut(feature, now);
+            known.is_on_probation = true;
+            known.cleared_at = Some(now);
+            known.released_at = Some(now);
+            self.update(now);
         }
     }
 
-    /// Merges a request that another instance has condemned.
+    /// Merges a feature that another instance has condemned.
     pub fn merge_condemned(
         &mut self,
         condemned: &Condemned,
@@ -326,50 +554,54 @@
             return MergeOutcome::AlreadyKnown;
         }
         let at = now.checked_sub(ago).unwrap_or(now);
-        let suspect = self.suspects.entry(condemned.digest).or_default();
-        if suspect.condemned_at.is_some() {
+        let feature = condemned.digest;
+        let known = *self.known_mut(feature, now);
+        if self.condemned.is_confirmed(feature, now) {
             return MergeOutcome::AlreadyKnown;
         }
-        if suspect.cleared_at.is_some_and(|cleared| cleared >= at) {
-            return MergeOutcome::Refuted;
-        }
-        if suspect.released_at.is_some_and(|released| released >= at) {
+        if known.released_at.is_some_and(|released| released >= at) {
             return MergeOutcome::Released;
         }
-        let interruption = Interruption { began: at, broke: at };
-        for endpoint in &condemned.endpoints {
-            let known = suspect.interruptions.entry(endpoint.clone());
-            known.or_insert((interruption, Evidence::Valid));
+        let cleared = known.succeeded.max(known.cleared_at);
+        if cleared.is_some_and(|cleared| cleared >= at) {
+            return MergeOutcome::Refuted;
         }
-        suspect.condemned_at = Some(at);
-        suspect.last = Some(now);
-        self.enforce_limits(condemned.digest);
+        self.condemned.merge(feature, at, condemned.endpoints.clone());
+        self.update(now);
         MergeOutcome::Added
     }
 
-    /// Returns all condemned requests.
+    /// Returns all condemned features.
     pub fn condemned(&self, now: Instant) -> Vec<Condemned> {
-        let condemned =
-            self.suspects.iter().filter_map(|(digest, suspect)| {
-                let at = suspect.condemned_at?;
-                let ms_ago =
-                    now.saturating_duration_since(at).as_millis() as u64;
-                let endpoints = suspect.endpoints();
-                Some(Condemned { digest: *digest, ms_ago, endpoints })
-            });
+        let confirmed = self.condemned.confirmed(now);
+        let condemned = confirmed.filter_map(|(digest, at)| {
+            let ms_ago = now.saturating_duration_since(at).as_millis() as u64;
+            let endpoints = self.verdict(digest, now)?.endpoints;
+            Some(Condemned { digest, ms_ago, endpoints })
+        });
         condemned.collect()
     }
 
-    /// Returns the number of condemned requests.
-    pub fn condemned_len(&self) -> usize {
-        let all = self.suspects.values();
-        all.filter(|suspect| suspect.condemned_at.is_some()).count()
+    /// Returns the number of condemned features.
+    pub fn condemned_len(&self, now: Instant) -> usize {
+        self.condemned.confirmed(now).count()
     }
 
-    /// Returns the requests that were condemned from evidence since the last
+    /// Returns the features that were condemned from evidence since the last
     /// call.
-    pub fn take_newly_condemned(&mut self) -> Vec<RequestDigest> {
-        std::mem::take(&mut self.newly_condemned)
+    pub fn take_newly_condemned(&mut self, now: Instant) -> Vec<Feature> {
+        self.condemned.take_new(now)
+    }
+
+    /// Returns whether a feature was found responsible for crashes and is not
+    /// confirmed yet.
+    pub fn has_unconfirmed(&self, now: Instant) -> bool {
+        self.condemned.has_unconfirmed(now)
+    }
+
+    /// Returns the features whose successes the other instances must be told.
+    pub fn take_untold(&mut self) -> Vec<Feature> {
+        std::mem::take(&mut self.untold)
     }
 
     /// Returns the recent crashes of this instance's runs, newest first, which
@@ -391,7 +623,7 @@
         crashes
     }
 
-    /// Removes expired evidence and releases requests that have been condemned
+    /// Removes expired evidence and releases features that have been condemned
     /// for [`CONDEMNED_FOR`].
     pub fn forget(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
@@ -403,69 +635,130 @@
         self.recent_interruptions.retain(|(_, interruption, _)| {
             age(interruption.broke) < CRASH_REPEATED_FOR
         });
-        let over: Vec<RequestDigest> = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| {
-                let at = suspect.condemned_at;
-                at.is_some_and(|at| age(at) >= CONDEMNED_FOR)
-            })
-            .map(|(digest, _)| *digest)
-            .collect();
-        for digest in over {
-            self.release(digest, now);
+        for feature in self.condemned.expired(now) {
+            self.release(feature, now);
         }
-        self.suspects.retain(|_, suspect| {
-            suspect.interruptions.retain(|_, (interruption, _)| {
-                age(interruption.broke) < CRASH_VALID_FOR
-            });
-            suspect.condemned_at.is_some()
-                || suspect.last.is_some_and(|last| age(last) < CRASH_VALID_FOR)
+        self.settle(now);
+        self.evidence.forget(now);
+        let in_evidence = self.evidence.features();
+        self.known.retain(|feature, known| {
+            let is_recent =
+                known.last.is_some_and(|last| age(last) < CRASH_VALID_FOR);
+            in_evidence.contains(feature)
+                || is_recent
+                    && (known.cleared_at.is_some()
+                        || known.released_at.is_some())
         });
     }
 
-    fn add_evidence(
-        &mut self,
-        endpoint: &EndpointIncarnation,
-        digest: RequestDigest,
-        interruption: Interruption,
-        now: Instant,
-    ) {
-        let suspect = self.suspects.entry(digest).or_default();
-        suspect.last = Some(now);
-        let known = suspect.interruptions.entry(endpoint.clone());
-        known.or_insert((interruption, Evidence::Valid));
-        if suspect.condemned_at.is_none() && suspect.has_enough_evidence(now) {
-            suspect.condemned_at = Some(now);
-            self.newly_condemned.push(digest);
+    /// Keeps features that were condemned a while ago, whatever becomes of the
+    /// evidence, which is then no longer needed.
+    fn settle(&mut self, now: Instant) {
+        for feature in self.condemned.unsettled(now) {
+            let endpoints = self.evidence.endpoints(feature);
+            self.condemned.settle(feature, endpoints);
+            self.evidence.remove_feature(feature);
         }
-        self.enforce_limits(digest);
     }
 
-    /// Evicts the oldest requests beyond the limits, except the given one.
-    fn enforce_limits(&mut self, kept: RequestDigest) {
-        self.evict_oldest(kept, MAX_CONDEMNED, true);
-        self.evict_oldest(kept, MAX_SUSPECTS, false);
+    /// Finds out which features explain the crashes that are known now.
+    fn update(&mut self, now: Instant) {
+        self.settle(now);
+        let standing = |feature| self.standing(feature);
+        let is_known = |feature| self.condemned.is_settled(feature);
+        let explanations = Explanations::new(&self.evidence, &standing);
+        let found = explanations.find(&is_known);
+        let retracted = self.condemned.replace(&found, now);
+        // Other instances may have been told of these.
+        for feature in retracted {
+            self.known_mut(feature, now).released_at = Some(now);
+            self.untold.push(feature);
+        }
+    }
+
+    fn standing(&self, feature: Feature) -> Standing {
+        let known = self.known.get(&feature).copied().unwrap_or_default();
+        let succeeded = known.succeeded.max(known.told);
+        Standing {
+            counts_from: succeeded.max(known.cleared_at),
+            has_succeeded: succeeded.is_some(),
+            is_on_probation: known.is_on_probation,
+        }
     }
 
-    fn evict_oldest(
+    /// Returns what is known of a feature. The success of a request here is
+    /// kept for as long as the feature is in the evidence.
+    fn known_mut(&mut self, feature: Feature, now: Instant) -> &mut Known {
+        let succeeded = self.successes.last_began(feature);
+        let known = self.known.entry(feature).or_default();
+        known.succeeded = known.succeeded.max(succeeded);
+        known.last = Some(now);
+        known
+    }
+}
+
+impl ReportDetails {
+    fn add_successes(
         &mut self,
-        kept: RequestDigest,
-        limit: usize,
-        is_condemned: bool,
+        detector: &PoisonDetector,
+        features: &[Feature],
+        now: Instant,
     ) {
-        let is_counted =
-            |suspect: &Suspect| suspect.condemned_at.is_some() == is_condemned;
-        let all = self.suspects.iter().filter(|(_, s)| is_counted(s));
-        if self.suspects.len() <= limit || all.clone().count() <= limit {
-            return;
+        for feature in features {
+            let is_same = |s: &&ReportedSuccess| s.feature == *feature;
+            if self.successes.iter().any(|s| is_same(&s)) {
+                continue;
+            }
+            let known = detector.known.get(feature);
+            let began = known.and_then(|k| k.succeeded.max(k.told));
+            let success = match began {
+                Some(began) => {
+                    let ago = now.saturating_duration_since(began);
+                    let began_ms_ago = ago.as_millis() as u64;
+                    Some(ReportedSuccess { feature: *feature, began_ms_ago })
+                }
+                None => {
+                    detector.details.successes.iter().find(is_same).copied()
+                }
+            };
+            self.successes.extend(success);
+        }
+    }
+
+    /// Adds other details to these.
+    pub fn extend(&mut self, other: ReportDetails) {
+        let ReportDetails { runs, successes } = other;
+        for run in runs {
+            if !self.runs.iter().any(|known| known.digest == run.digest) {
+                self.runs.push(run);
+            }
         }
-        let others = all.filter(|(digest, _)| **digest != kept);
-        let oldest = others.min_by_key(|(_, suspect)| suspect.last);
-        if let Some(digest) = oldest.map(|(digest, _)| *digest) {
-            self.suspects.remove(&digest);
+        for success in successes {
+            let is_same =
+                |known: &ReportedSuccess| known.feature == success.feature;
+            if !self.successes.iter().any(is_same) {
+                self.successes.push(success);
+            }
         }
     }
+
+    /// Returns whether nothing accompanies the report.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty() && self.successes.is_empty()
+    }
+}
+
+impl Known {
+    fn record_told(&mut self, began: Instant) {
+        self.told = self.told.max(Some(began));
+    }
+}
+
+impl Successes {
+    fn last_began(&self, feature: Feature) -> Option<Instant> {
+        let request = self.requests.last_began(feature);
+        request.max(self.shared.last_began(feature))
+    }
 }
 
 impl BrokenRun {
@@ -490,49 +783,3 @@
         }
     }
 }
-
-impl Suspect {
-    fn endpoints(&self) -> Vec<EndpointIncarnation> {
-        let mut endpoints: Vec<_> =
-            self.interruptions.keys().cloned().collect();
-        endpoints.sort_unstable();
-        endpoints
-    }
-
-    fn clear_evidence(&mut self) {
-        for (_, evidence) in self.interruptions.values_mut() {
-            *evidence = Evidence::Cleared;
-        }
-        self.condemned_at = None;
-        self.is_on_probation = false;
-    }
-
-    /// Returns whether enough endpoints ended while they ran the request, and
-    /// not all at the same time: runs that overlap may have ended for one
-    /// cause.
-    fn has_enough_evidence(&self, now: Instant) -> bool {
-        let mut interruptions: Vec<Interruption> = self
-            .interruptions
-            .values()
-            .filter(|(interruption, evidence)| {
-                let age = now.saturating_duration_since(interruption.broke);
-                *evidence == Evidence::Valid && age < CRASH_VALID_FOR
-            })
-            .map(|(interruption, _)| *interruption)
-            .collect();
-        if self.is_on_probation {
-            return !interruptions.is_empty();
-        }
-        interruptions.sort_unstable_by_key(|interruption| interruption.broke);
-        let mut separate_crashes = 0;
-        let mut last: Option<Instant> = None;
-        for interruption in &interruptions {
-            if last.is_none_or(|last| interruption.began >= last) {
-                separate_crashes += 1;
-                last = Some(interruption.broke);
-            }
-        }
-        interruptions.len() >= CRASHES_TO_CONDEMN
-            && separate_crashes >= SEPARATE_CRASHES_TO_CONDEMN
-    }
-}
--- /dev/null
+++ b/crates/fleet/src/poison/evidence.rs
@@ -0,0 +1,198 @@
+//! Crashes of endpoints, and the runs that they interrupted.
+//!
+//! The invariants: what is kept does not depend on the order in which reports
+//! arrive, nor on how often they do; and its size is bounded.
+
+use std::collections::{HashMap, HashSet};
+
+use sedgewall_clock::Instant;
+
+use super::CRASH_VALID_FOR;
+use crate::{
+    features::{Feature, Features},
+    incarnation::EndpointIncarnation,
+    request_digest::RequestDigest,
+};
+
+/// Maximum number of interrupted runs that are kept; those of the oldest crash
+/// are evicted first. A crash interrupts all runs on its endpoint, about 32.
+/// They take 1 MB.
+const MAX_RUNS: usize = 4_096;
+
+/// Maximum number of runs of one crash.
+const MAX_RUNS_PER_CRASH: usize = 256;
+
+/// Crashes of endpoints.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evidence {
+    crashes: HashMap<EndpointIncarnation, CrashRecord>,
+    runs_len: usize,
+}
+
+/// A crash, and the runs that it interrupted at all instances.
+#[derive(Clone, Debug)]
+pub(super) struct CrashRecord {
+    /// When the first run broke off.
+    at: Instant,
+    pub(super) runs: HashMap<RequestDigest, RunRecord>,
+}
+
+/// The interrupted runs of one request on one endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct RunRecord {
+    /// When the last of them was sent.
+    pub(super) began: Instant,
+    /// When the last of them broke off.
+    pub(super) broke: Instant,
+    /// The features that the request shares with others, from the narrowest to
+    /// the broadest.
+    pub(super) shared: Vec<Feature>,
+}
+
+impl Evidence {
+    /// Adds an interrupted run. Returns whether that is new.
+    pub(super) fn add(
+        &mut self,
+        endpoint: &EndpointIncarnation,
+        features: &Features,
+        began: Instant,
+        broke: Instant,
+    ) -> bool {
+        let crash =
+            self.crashes.entry(endpoint.clone()).or_insert_with(|| {
+                CrashRecord { at: broke, runs: HashMap::new() }
+            });
+        crash.at = crash.at.min(broke);
+        let len = crash.runs.len();
+        let Features { request, shared } = features;
+        if let Some(run) = crash.runs.get_mut(request) {
+            let is_later = broke > run.broke || began > run.began;
+            let has_features = run.shared.is_empty() && !shared.is_empty();
+            run.began = run.began.max(began);
+            run.broke = run.broke.max(broke);
+            if has_features {
+                run.shared = shared.clone();
+            }
+            return is_later || has_features;
+        }
+        if len >= MAX_RUNS_PER_CRASH {
+            return false;
+        }
+        let shared = shared.clone();
+        crash.runs.insert(*request, RunRecord { began, broke, shared });
+        self.runs_len += 1;
+        self.evict(endpoint);
+        true
+    }
+
+    /// Evicts the oldest crashes beyond the limit, except the given one.
+    fn evict(&mut self, kept: &EndpointIncarnation) {
+        while self.runs_len > MAX_RUNS {
+            let others = self.crashes.iter().filter(|(id, _)| *id != kept);
+            let oldest = others.min_by_key(|(_, crash)| crash.at);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, endpoint: &EndpointIncarnation) {
+        if let Some(crash) = self.crashes.remove(endpoint) {
+            self.runs_len -= crash.runs.len();
+        }
+    }
+
+    /// Drops crashes that are too old to count.
+    pub(super) fn forget(&mut self, now: Instant) {
+        let is_old = |crash: &CrashRecord| {
+            now.saturating_duration_since(crash.at) >= CRASH_VALID_FOR
+        };
+        let crashes = self.crashes.iter();
+        let old: Vec<EndpointIncarnation> = crashes
+            .filter(|(_, crash)| is_old(crash))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in old {
+            self.remove(&id);
+        }
+    }
+
+    /// Drops the crashes under a feature.
+    pub(super) fn remove_feature(&mut self, feature: Feature) {
+        for endpoint in self.endpoints(feature) {
+            self.remove(&endpoint);
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    pub(super) fn crashes(&self) -> impl Iterator<Item = &CrashRecord> {
+        self.crashes.values()
+    }
+
+    /// Returns the features that a request had on an endpoint that crashed.
+    pub(super) fn shared_features(
+        &self,
+        endpoint: &EndpointIncarnation,
+        request: RequestDigest,
+    ) -> &[Feature] {
+        let crash = self.crashes.get(endpoint);
+        let run = crash.and_then(|crash| crash.runs.get(&request));
+        run.map_or(&[], |run| run.shared.as_slice())
+    }
+
+    /// Returns the endpoints that crashed under a feature.
+    pub(super) fn endpoints(
+        &self,
+        feature: Feature,
+    ) -> Vec<EndpointIncarnation> {
+        let crashes = self.crashes.iter();
+        let mut endpoints: Vec<EndpointIncarnation> = crashes
+            .filter(|(_, crash)| crash.has(feature))
+            .map(|(id, _)| id.clone())
+            .collect();
+        endpoints.sort_unstable();
+        endpoints
+    }
+
+    /// Returns all features that occur in any crash.
+    pub(super) fn features(&self) -> HashSet<Feature> {
+        let runs = self.crashes.values().flat_map(|crash| &crash.runs);
+        runs.flat_map(|(request, run)| run.features(*request)).collect()
+    }
+
+    /// Returns when the runs with a feature broke off.
+    pub(super) fn breaks(
+        &self,
+        feature: Feature,
+    ) -> impl Iterator<Item = Instant> {
+        let crashes = self.crashes.values();
+        crashes.filter_map(move |crash| crash.last_break(feature))
+    }
+}
+
+impl CrashRecord {
+    fn has(&self, feature: Feature) -> bool {
+        self.last_break(feature).is_some()
+    }
+
+    /// Returns when the last run with a feature broke off.
+    fn last_break(&self, feature: Feature) -> Option<Instant> {
+        let runs = self.runs.iter().filter(|(request, run)| {
+            **request == feature || run.shared.contains(&feature)
+        });
+        runs.map(|(_, run)| run.broke).max()
+    }
+}
+
+impl RunRecord {
+    /// Returns the features of the run of a request, from the narrowest to the
+    /// broadest.
+    pub(super) fn features(
+        &self,
+        request: RequestDigest,
+    ) -> impl Iterator<Item = Feature> + '_ {
+        std::iter::once(request).chain(self.shared.iter().copied())
+    }
+}
--- a/crates/fleet/src/recent_successes.rs
+++ b/crates/fleet/src/recent_successes.rs
@@ -1,56 +1,47 @@
 //! Requests that were recently executed with success.
 //!
-//! Many callers may send identical requests, so that some of their executions
-//! are in progress at any endpoint that crashes. A recent success of the same
-//! request shows that the request is not the cause of the crash.
+//! Requests with some feature in common may be in progress at any endpoint that
+//! crashes. A recent success with the same feature tells that the feature is
+//! not, or was not then, the cause of the crash.
 
-use std::{collections::HashSet, mem, time::Duration};
+use std::{collections::HashMap, mem, time::Duration};
 
 use sedgewall_clock::Instant;
 
+use crate::features::Feature;
+
 /// The minimum time for which a success is remembered; the maximum is twice
 /// this.
 const PERIOD: Duration = Duration::from_secs(120);
 
-/// The maximum number of requests that are remembered per period, which holds
-/// all of them at 66 per second. Two periods take 0.5 MB.
+/// The maximum number of features that are remembered per period, which holds
+/// all of them at 66 new ones per second. Two periods take 0.7 MB.
 const MAX_PER_PERIOD: usize = 8_192;
 
-/// A hash of a request. It is keyed per process, so that callers cannot
-/// construct collisions.
-pub type RequestHash = u64;
-
 /// Recent successes, in two consecutive periods.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RecentSuccesses {
-    newer: HashSet<RequestHash>,
-    older: HashSet<RequestHash>,
-    newer_since: Instant,
+    newer: HashMap<Feature, Instant>,
+    older: HashMap<Feature, Instant>,
+    newer_since: Option<Instant>,
 }
 
 impl RecentSuccesses {
-    /// Returns an empty set whose first period starts now.
-    pub fn new(now: Instant) -> RecentSuccesses {
-        RecentSuccesses {
-            newer: HashSet::new(),
-            older: HashSet::new(),
-            newer_since: now,
-        }
-    }
-
-    /// Records a success of a request.
-    pub fn record(&mut self, hash: RequestHash, now: Instant) {
-        if self.newer.len() >= MAX_PER_PERIOD
-            || now - self.newer_since >= PERIOD
-        {
+    /// Records a success with a feature, of a request that was sent at
+    /// `began`.
+    pub fn record(&mut self, feature: Feature, began: Instant, now: Instant) {
+        let since = *self.newer_since.get_or_insert(now);
+        if self.newer.len() >= MAX_PER_PERIOD || now - since >= PERIOD {
             self.older = mem::take(&mut self.newer);
-            self.newer_since = now;
+            self.newer_since = Some(now);
         }
-        self.newer.insert(hash);
+        let known = self.newer.entry(feature).or_insert(began);
+        *known = (*known).max(began);
     }
 
-    /// Returns whether a request succeeded recently.
-    pub fn contains(&self, hash: RequestHash) -> bool {
-        self.newer.contains(&hash) || self.older.contains(&hash)
+    /// Returns when the latest recent success with a feature was sent.
+    pub fn last_began(&self, feature: Feature) -> Option<Instant> {
+        let newer = self.newer.get(&feature).copied();
+        newer.max(self.older.get(&feature).copied())
     }
 }
--- a/crates/fleet/src/request_digest.rs
+++ b/crates/fleet/src/request_digest.rs
@@ -50,8 +50,13 @@
             hasher.update(text);
         }
         hasher.update(body);
+        RequestDigest::truncate(&hasher.finalize())
+    }
+
+    /// Returns the first bytes of a SHA-256 digest.
+    pub(crate) fn truncate(whole: &[u8]) -> RequestDigest {
         let mut digest = [0; LEN];
-        digest.copy_from_slice(&hasher.finalize()[..LEN]);
+        digest.copy_from_slice(&whole[..LEN]);
         RequestDigest(digest)
     }
 
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -80,7 +80,7 @@
     let at = crash_in_turn(&mut poison, 2..3, of, at);
     let verdict = poison.verdict(of, at).expect("a verdict");
     assert_eq!(verdict.endpoints, [life(0), life(1), life(2)]);
-    assert_eq!(poison.take_newly_condemned(), [of]);
+    assert_eq!(poison.take_newly_condemned(at), [of]);
     assert!(!is_condemned(&poison, digest(2), at));
 }
 
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -3,7 +3,6 @@
 
 use std::{
     cell::{OnceCell, RefCell},
-    hash::{BuildHasher, RandomState},
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -18,8 +17,8 @@
     configuration::ConfigurationStatus,
     customer::Customer,
     endpoint::SoftwareVersion,
+    features::{Feature, Features, Prompt, part_feature},
     poison::Loss,
-    recent_successes::RequestHash,
     request_digest::{RequestDigest, RequestParts},
     route::{Repetition, Route},
     stream_origins::{StreamKey, StreamOrigin, stream_key},
@@ -75,9 +74,9 @@
     pub(crate) forwarded: Option<Forwarded>,
     /// The endpoint to which the request was last sent, and when.
     pub(crate) sent_to: RefCell<Option<SentTo>>,
-    /// The digest of the request, computed on first use, because few requests
-    /// need one.
-    pub(crate) digest: OnceCell<RequestDigest>,
+    /// What the request may have in common with others that crash endpoints,
+    /// computed on first use.
+    pub(crate) features: OnceCell<Features>,
 }
 
 /// What is known of the stream that a request resumes.
@@ -225,14 +224,37 @@
 
     /// Returns a digest that all tries of this request have in common.
     pub(crate) fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| RequestDigest::of(self.parts()))
+        self.features().request
     }
 
-    /// Returns a hash of the same parts as the digest that is cheap enough to
-    /// compute for each request.
-    pub(crate) fn hash(&self, key: &RandomState) -> RequestHash {
-        let RequestParts { customer, method, host, path, body } = self.parts();
-        key.hash_one((customer, method, host, path, body))
+    /// Returns what the request may have in common with others that crash
+    /// endpoints.
+    pub(crate) fn features(&self) -> &Features {
+        self.features.get_or_init(|| {
+            let digest = RequestDigest::of(self.parts());
+            let parts = &self.metadata.prompt_parts;
+            let parts: Vec<&str> =
+                parts.iter().map(|(id, _)| id.as_str()).collect();
+            let prompt = Prompt {
+                service: &self.service,
+                customer: self.customer.as_ref().map(|c| c.name.as_str()),
+                parts: &parts,
+            };
+            Features::new(digest, prompt)
+        })
+    }
+
+    /// Returns the id of the part of the prompt that a feature stands for, or
+    /// `None` if it stands for the whole request.
+    pub(crate) fn part_of(&self, feature: Feature) -> Option<&str> {
+        let customer = self.customer.as_ref().map(|c| c.name.as_str());
+        let parts = self.metadata.prompt_parts.iter();
+        let mut ids = parts.map(|(id, _)| id.as_str());
+        ids.find(|id| {
+            [customer, None].into_iter().any(|customer| {
+                part_feature(&self.service, customer, id) == feature
+            })
+        })
     }
 
     fn parts(&self) -> RequestParts<'_> {
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -211,7 +211,7 @@
         resumed,
         forwarded,
         sent_to: RefCell::default(),
-        digest: OnceCell::new(),
+        features: OnceCell::new(),
     })
 }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -22,7 +22,7 @@
     log_buffer::LogBuffer,
     note_sender, notes,
     orders::OrderQueues,
-    reach, streams,
+    poison, reach, streams,
     watch_configuration::{Configuration, Versions},
     watch_endpoints::Endpoints,
     watch_instances::{Instances, keep_registered},
@@ -134,6 +134,7 @@
     list_watch::spawn(instance, Versions(instance.clone()));
     list_watch::spawn(instance, Instances(instance.clone()));
     list_watch::spawn(instance, PoisonRequests::new(instance));
+    compio::runtime::spawn(poison::confirm(instance.clone())).detach();
     compio::runtime::spawn(watch_poison::keep_records(instance.clone()))
         .detach();
     compio::runtime::spawn(keep_registered(instance.clone())).detach();
--- a/crates/sedgewalld/src/fleet/datagram.rs
+++ b/crates/sedgewalld/src/fleet/datagram.rs
@@ -2,15 +2,17 @@
 //!
 //! A datagram is a note in MessagePack, followed by the newest change of an
 //! endpoint's entry that its sender has read, the services whose endpoints are
-//! out of the sender's reach, and the rejections by brittle endpoints that it
-//! knows. The last two are left out while there are none. Instances of earlier releases ignore what
-//! follows the values that they know. A later release may append further ones.
+//! out of the sender's reach, the rejections by brittle endpoints that it
+//! knows, and details of the crashes and successes in the note. Of the last
+//! three, those after which there is nothing are left out. Instances of earlier
+//! releases ignore what follows the values that they know. A later release may
+//! append further ones.
 
 use std::collections::BTreeSet;
 
 use sedgewall_fleet::{
-    note::Note, revision::Revision, room_share::RejectionReport,
-    route::ServiceName,
+    note::Note, poison::ReportDetails, revision::Revision,
+    room_share::RejectionReport, route::ServiceName,
 };
 use serde::Deserialize;
 
@@ -25,6 +27,8 @@
     pub(crate) lost_services: Vec<ServiceName>,
     /// Recent rejections by brittle endpoints.
     pub(crate) rejections: Vec<RejectionReport>,
+    /// Details of the crashes and successes in the note.
+    pub(crate) poison_details: ReportDetails,
 }
 
 /// Encodes a datagram.
@@ -33,13 +37,18 @@
     endpoints_read: Revision,
     lost_services: &BTreeSet<ServiceName>,
     rejections: &[RejectionReport],
+    poison_details: &ReportDetails,
 ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = rmp_serde::to_vec(note)?;
     rmp_serde::encode::write(&mut bytes, &endpoints_read)?;
-    if !lost_services.is_empty() || !rejections.is_empty() {
+    let has_details = !poison_details.is_empty();
+    if !lost_services.is_empty() || !rejections.is_empty() || has_details {
         rmp_serde::encode::write(&mut bytes, lost_services)?;
         rmp_serde::encode::write(&mut bytes, rejections)?;
     }
+    if has_details {
+        rmp_serde::encode::write(&mut bytes, poison_details)?;
+    }
     Ok(bytes)
 }
 
@@ -52,5 +61,13 @@
     let endpoints_read = Revision::deserialize(&mut decoder).ok();
     let lost_services = Vec::deserialize(&mut decoder).unwrap_or_default();
     let rejections = Vec::deserialize(&mut decoder).unwrap_or_default();
-    Ok(Datagram { note, endpoints_read, lost_services, rejections })
+    let poison_details =
+        ReportDetails::deserialize(&mut decoder).unwrap_or_default();
+    Ok(Datagram {
+        note,
+        endpoints_read,
+        lost_services,
+        rejections,
+        poison_details,
+    })
 }
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -4,7 +4,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
-    hash::RandomState,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -26,7 +25,6 @@
     poison::PoisonDetector,
     rate_limiter::RateLimiter,
     read_progress::ReadProgress,
-    recent_successes::RecentSuccesses,
     residence_time::StreamTime,
     retry_budget::{RetryAllowance, RetryBudget},
     route::RoutingConfiguration,
@@ -279,16 +277,13 @@
     pub(crate) buffers: Option<Rc<Buffers>>,
     /// Evidence of requests that crash endpoints.
     pub(crate) poison: RefCell<PoisonDetector>,
-    /// Requests that succeeded here lately, as hashes with a key of this
-    /// process.
-    pub(crate) recent_successes: RefCell<RecentSuccesses>,
-    /// The key of the hashes in `recent_successes`.
-    pub(crate) hash_key: RandomState,
     /// The records of condemned requests in the store.
     pub(crate) poison_records: RefCell<PoisonRecords>,
     /// Notified when records may have to be written or deleted.
     pub(crate) poison_records_notify: Notify,
     pub(crate) poison_relist_notify: Rc<Notify>,
+    /// Notified when a feature was found responsible for crashes.
+    pub(crate) poison_confirm_notify: Notify,
     /// Whether this instance is one of those that watch the records of
     /// condemned requests for all instances.
     pub(crate) is_poison_watcher: Cell<bool>,
@@ -422,13 +417,10 @@
             pool,
             buffers,
             poison: RefCell::default(),
-            recent_successes: RefCell::new(RecentSuccesses::new(
-                Instant::now(),
-            )),
-            hash_key: RandomState::new(),
             poison_records: RefCell::default(),
             poison_records_notify: Notify::default(),
             poison_relist_notify: Rc::default(),
+            poison_confirm_notify: Notify::default(),
             is_poison_watcher: Cell::new(true),
             probed_endpoints: RefCell::default(),
             peer_pool: EndpointPool::new(),
--- a/crates/sedgewalld/src/fleet/knowledge.rs
+++ b/crates/sedgewalld/src/fleet/knowledge.rs
@@ -50,7 +50,8 @@
         StateSummary {
             configuration: self.configuration_version().unwrap_or(0),
             versions: self.view.borrow().versions_announced(),
-            condemned: self.poison.borrow().condemned_len() as u64,
+            condemned: self.poison.borrow().condemned_len(Instant::now())
+                as u64,
         }
     }
 
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -20,7 +20,7 @@
 };
 use sedgewall_state::id::InstanceId;
 
-use super::{datagram, instance::FleetInstance};
+use super::{datagram, instance::FleetInstance, poison};
 
 /// The maximum size of an encoded note: the largest IPv4 datagram, less some
 /// room for its headers.
@@ -140,7 +140,15 @@
     let endpoints_read = instance.endpoints_progress.borrow().newest_change();
     let lost_services = instance.reach.borrow().lost_services();
     let rejections = instance.view.borrow().rejection_reports(Instant::now());
-    match datagram::encode(note, endpoints_read, &lost_services, &rejections) {
+    let poison_details = poison::details(instance, note);
+    let encoded = datagram::encode(
+        note,
+        endpoints_read,
+        &lost_services,
+        &rejections,
+        &poison_details,
+    );
+    match encoded {
         Ok(bytes) if bytes.len() <= MAX_NOTE_BYTES => Some(bytes),
         Ok(bytes) => {
             let len = bytes.len();
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -74,7 +74,11 @@
                         endpoints_read,
                         lost_services,
                         rejections,
+                        poison_details,
                     } = datagram;
+                    let mut detector = instance.poison.borrow_mut();
+                    detector.record_details(poison_details);
+                    drop(detector);
                     apply_rejections(&instance, &rejections);
                     instance.loss_reports.record(from, lost_services);
                     if let Some(change) = endpoints_read {
@@ -679,7 +683,7 @@
         is_total,
         is_part,
         crashes: instance.poison.borrow().recent_crashes(now),
-        condemned: instance.poison.borrow().condemned_len() as u64,
+        condemned: instance.poison.borrow().condemned_len(now) as u64,
         limits: instance.view.borrow().limit_reports(is_total, now),
         pools: instance.pool_report(sequence, leads.is_some(), now),
     }
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -9,9 +9,13 @@
 
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
+    features::Feature,
     incarnation::EndpointIncarnation,
     note::Note,
-    poison::{Condemned, Crash, Loss, MergeOutcome, Verdict},
+    poison::{
+        CONFIRMATION_TIME, Condemned, Crash, Loss, MergeOutcome,
+        ReportDetails, Verdict,
+    },
     request_digest::RequestDigest,
     view::Target,
 };
@@ -37,41 +41,50 @@
 /// shortly after the other, so that others still accept connections.
 const REFUSAL_CONFIRM_DELAY: Duration = Duration::from_millis(100);
 
+/// How long the task that confirms condemned features waits for a notification.
+const CONFIRM_IDLE_WAIT: Duration = Duration::from_secs(60);
+
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED_DIGESTS: usize = 8;
 
-/// Returns an error if a request must not be sent because it is known to crash
-/// endpoints.
+/// Returns an error if a request must not be sent because it has a feature that
+/// is known to crash endpoints.
 pub(crate) fn check(
     instance: &FleetInstance,
     call: &CallerRequest,
     runs: u32,
 ) -> Result<(), Reason> {
-    let poison = instance.poison.borrow();
-    if !poison.has_suspects() {
+    let detector = instance.poison.borrow();
+    if !detector.has_condemned() {
         return Ok(());
     }
-    let digest = call.digest();
-    let Some(verdict) = poison.verdict(digest, Instant::now()) else {
+    let Some((feature, verdict)) =
+        detector.find_condemned(call.features(), Instant::now())
+    else {
         return Ok(());
     };
-    log_refused(call, &verdict);
+    log_refused(call, feature, &verdict);
     Err(match runs {
         0 => Reason::CrashesEndpoints(verdict.released_in),
         _ => Reason::OutcomeUnknown,
     })
 }
 
-fn log_refused(call: &CallerRequest, verdict: &Verdict) {
-    metrics::counter!("sedgewall_poison_refused_total").increment(1);
+fn log_refused(call: &CallerRequest, feature: Feature, verdict: &Verdict) {
+    let part = call.part_of(feature);
+    let kind = if part.is_some() { "part" } else { "request" };
+    metrics::counter!("sedgewall_poison_refused_total", "kind" => kind)
+        .increment(1);
     tracing::info!(
         event = "poison_refused",
         request = call.metadata.request_id,
-        digest = %call.digest(),
+        digest = %feature,
+        part,
         path = call.uri.path(),
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
         ended = endpoint_names(&verdict.endpoints),
         condemned_ms_ago = verdict.condemned_ago.as_millis() as u64,
+        is_confirmed = verdict.is_confirmed,
         back_in_ms = verdict.released_in.as_millis() as u64,
     );
 }
@@ -102,31 +115,18 @@
 
 /// Records that the last run of a request will bring no response. The run
 /// counts against the request if its endpoint turns out to have crashed.
-///
-/// A request that succeeded here lately is not counted, because requests that
-/// many callers send alike are running at each endpoint that crashes.
-/// Otherwise a harmless request that is often sent would be condemned together
-/// with the request that crashes the endpoints, as happened when one request
-/// had crashed all three endpoints of a service.
 pub(crate) fn run_lost(
     instance: &FleetInstance,
     call: &CallerRequest,
     loss: Loss,
 ) {
-    if instance
-        .recent_successes
-        .borrow()
-        .contains(call.hash(&instance.hash_key))
-    {
-        return;
-    }
     let Some(sent) = call.sent_to.borrow().clone() else { return };
     let incarnation = incarnation_of(instance, &sent.endpoint);
     let now = Instant::now();
     let mut poison = instance.poison.borrow_mut();
     let crash = poison.record_lost_run(
         &incarnation,
-        call.digest(),
+        call.features().clone(),
         sent.at,
         loss,
         now,
@@ -135,22 +135,21 @@
     publish(instance, crash);
 }
 
-/// Records that a run of a request succeeded, so the request does not crash
-/// endpoints.
+/// Records that a run of a request succeeded, so that none of its features
+/// crashes endpoints.
 pub(crate) fn run_succeeded(instance: &FleetInstance, call: &CallerRequest) {
-    let hash = call.hash(&instance.hash_key);
-    instance.recent_successes.borrow_mut().record(hash, Instant::now());
-    if !instance.poison.borrow().has_suspects() {
-        return;
-    }
-    let digest = call.digest();
-    if !instance.poison.borrow_mut().clear(digest, Instant::now()) {
-        return;
+    let now = Instant::now();
+    let sent = call.sent_to.borrow();
+    // Another instance records a request that was forwarded to it.
+    let Some(began) = sent.as_ref().map(|sent| sent.at) else { return };
+    let mut detector = instance.poison.borrow_mut();
+    let has_cleared = detector.record_success(call.features(), began, now);
+    drop(detector);
+    if has_cleared {
+        let request = &call.metadata.request_id;
+        tracing::info!(event = "poison_cleared", request);
+        publish(instance, None);
     }
-    let request = &call.metadata.request_id;
-    tracing::info!(event = "poison_cleared", %digest, request);
-    broadcast_clearance(instance, digest);
-    watch_poison::mark_refuted(instance, digest);
 }
 
 /// Probes whether an endpoint is still there. One first probe runs at a time
@@ -248,6 +247,7 @@
 ) {
     if instance.poison.borrow_mut().clear(digest, Instant::now()) {
         tracing::info!(event = "poison_clearance_heard", %digest);
+        publish(instance, None);
     }
 }
 
@@ -269,14 +269,17 @@
             from,
         ),
         MergeOutcome::AlreadyKnown | MergeOutcome::Released => {}
-        MergeOutcome::Refuted => broadcast_clearance(instance, digest),
+        MergeOutcome::Refuted => {
+            instance.broadcast_queue.borrow_mut().push(Note::Cleared(digest));
+            instance.notify_notes();
+        }
     }
     outcome
 }
 
 /// Tells all other instances which runs of this one were lost in a crash of an
-/// endpoint, and logs the requests that are newly condemned by the evidence of
-/// all instances.
+/// endpoint and which features succeeded, and logs the features that are newly
+/// condemned by the evidence of all instances.
 fn publish(instance: &FleetInstance, crash: Option<Crash>) {
     if let Some(crash) = crash {
         metrics::counter!("sedgewall_endpoint_crashes_total").increment(1);
@@ -292,15 +295,31 @@
         instance.broadcast_queue.borrow_mut().push(Note::Crashed(crash));
         instance.notify_notes();
     }
-    let condemned = instance.poison.borrow_mut().take_newly_condemned();
-    for digest in &condemned {
-        let verdict =
-            instance.poison.borrow().verdict(*digest, Instant::now());
+    let untold = instance.poison.borrow_mut().take_untold();
+    for feature in untold {
+        tracing::info!(event = "poison_refuted", digest = %feature);
+        instance.broadcast_queue.borrow_mut().push(Note::Cleared(feature));
+        instance.notify_notes();
+        watch_poison::mark_refuted(instance, feature);
+    }
+    publish_condemned(instance);
+    if instance.poison.borrow().has_unconfirmed(Instant::now()) {
+        instance.poison_confirm_notify.notify();
+    }
+}
+
+/// Logs the features that were condemned and that no other instance has refuted
+/// in time, and has them recorded in the store.
+fn publish_condemned(instance: &FleetInstance) {
+    let now = Instant::now();
+    let condemned = instance.poison.borrow_mut().take_newly_condemned(now);
+    for feature in &condemned {
+        let verdict = instance.poison.borrow().verdict(*feature, now);
         let endpoints = verdict.map_or(Vec::new(), |v| v.endpoints);
         metrics::counter!("sedgewall_poison_requests_total").increment(1);
         tracing::warn!(
             event = "poison_condemned",
-            %digest,
+            digest = %feature,
             ended = endpoint_names(&endpoints),
         );
     }
@@ -309,9 +328,56 @@
     }
 }
 
-fn broadcast_clearance(instance: &FleetInstance, digest: RequestDigest) {
-    instance.broadcast_queue.borrow_mut().push(Note::Cleared(digest));
-    instance.notify_notes();
+/// Confirms features that were found responsible for crashes, unless other
+/// instances refute that in time. Never returns.
+pub(crate) async fn confirm(instance: Rc<FleetInstance>) {
+    loop {
+        instance.poison_confirm_notify.wait(CONFIRM_IDLE_WAIT).await;
+        while instance.poison.borrow().has_unconfirmed(Instant::now()) {
+            compio::time::sleep(CONFIRMATION_TIME / 4).await;
+            publish_condemned(&instance);
+        }
+    }
+}
+
+/// Returns what accompanies a note: the features of the runs that crashes
+/// interrupted, and the times of successes.
+pub(crate) fn details(instance: &FleetInstance, note: &Note) -> ReportDetails {
+    let mut details = ReportDetails::default();
+    collect_details(instance, note, &mut details);
+    details
+}
+
+fn collect_details(
+    instance: &FleetInstance,
+    note: &Note,
+    details: &mut ReportDetails,
+) {
+    let now = Instant::now();
+    let detector = instance.poison.borrow();
+    match note {
+        Note::Crashed(crash) => {
+            details.extend(detector.crash_details(crash, now));
+        }
+        Note::Status(status) => {
+            for crash in &status.crashes {
+                details.extend(detector.crash_details(crash, now));
+            }
+        }
+        Note::Cleared(feature) => {
+            details.extend(detector.success_details(*feature, now));
+        }
+        Note::Batch(notes) => {
+            for note in notes {
+                collect_details(instance, note, details);
+            }
+        }
+        Note::ZoneRelay(note) => collect_details(instance, note, details),
+        Note::GroupRelay(relay) => {
+            collect_details(instance, &relay.note, details);
+        }
+        _ => {}
+    }
 }
 
 fn incarnation_of(
