Repeat no request under whose unproven prompt part an endpoint crashed

A resumable stream took a part that crashes engines to two more of them within one attempt of its caller, before the first crash was known. A request that lost a run now waits until it is known whether its endpoint has crashed, if no request is known to have succeeded with one of its parts, and is not sent again if it has. Other streams on the endpoint are resumed as before.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -450,14 +450,18 @@
         !self.evidence.is_empty() || !self.condemned.is_empty()
     }
 
-    /// Returns whether a feature occurred in a crash and no request with it is
-    /// known to have succeeded, ever or since.
-    pub fn is_suspected(&self, feature: Feature) -> bool {
-        let standing = self.standing(feature);
-        !standing.has_succeeded
-            && self.evidence.breaks(feature).any(|broke| {
-                standing.counts_from.is_none_or(|from| broke > from)
-            })
+    /// Returns whether a request shares a feature with others of which none is
+    /// known to have succeeded.
+    pub fn has_unproven_part(&self, features: &Features) -> bool {
+        features.shared.iter().any(|feature| {
+            !self.standing(*feature).has_succeeded
+                && self.successes.last_began(*feature).is_none()
+        })
+    }
+
+    /// Returns whether a run of a request was interrupted by a crash.
+    pub fn was_interrupted(&self, request: RequestDigest) -> bool {
+        self.evidence.breaks(request).next().is_some()
     }
 
     /// Records that a request of this instance succeeded. Returns whether it
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -289,6 +289,8 @@
     pub(crate) is_poison_watcher: Cell<bool>,
     /// Endpoints that are being probed because a run broke off there.
     pub(crate) probed_endpoints: RefCell<BTreeSet<EndpointId>>,
+    /// Endpoints of which it is being found out whether they have ended.
+    pub(crate) undecided_endpoints: RefCell<BTreeSet<EndpointId>>,
     /// Connections to other instances.
     pub(crate) peer_pool: EndpointPool,
     pub(crate) store: Store,
@@ -423,6 +425,7 @@
             poison_confirm_notify: Notify::default(),
             is_poison_watcher: Cell::new(true),
             probed_endpoints: RefCell::default(),
+            undecided_endpoints: RefCell::default(),
             peer_pool: EndpointPool::new(),
             open_requests: Cell::new(0),
             adapter_waiters: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -44,6 +44,17 @@
 /// How long the task that confirms condemned features waits for a notification.
 const CONFIRM_IDLE_WAIT: Duration = Duration::from_secs(60);
 
+/// How long a request that lost a run waits until it is known whether its
+/// endpoint has crashed.
+const MAX_DECISION_TIME: Duration = Duration::from_millis(1_000);
+
+/// How often it checks that.
+const DECISION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// How long a request waits for the crash report of the instance that it was
+/// forwarded to. That instance confirms a refusal first.
+const FORWARDED_REPORT_TIME: Duration = Duration::from_millis(250);
+
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED_DIGESTS: usize = 8;
 
@@ -152,6 +163,51 @@
     }
 }
 
+/// Returns an error if a request that has lost a run must not be sent again.
+///
+/// If no request is known to have succeeded with a part of its prompt, and its
+/// endpoint has crashed, the part may be the cause. The request would then
+/// crash the next endpoint before the first crash is known.
+pub(crate) async fn check_repetition(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+) -> Result<(), Reason> {
+    let is_unproven =
+        || instance.poison.borrow().has_unproven_part(call.features());
+    if !is_unproven() {
+        return Ok(());
+    }
+    let sent_to = call.sent_to.borrow().clone();
+    match sent_to {
+        Some(sent) => {
+            let began = Instant::now();
+            while instance
+                .undecided_endpoints
+                .borrow()
+                .contains(&sent.endpoint)
+                && began.elapsed() < MAX_DECISION_TIME
+            {
+                compio::time::sleep(DECISION_POLL_INTERVAL).await;
+            }
+        }
+        // Another instance reports a crash under a forwarded request.
+        None => compio::time::sleep(FORWARDED_REPORT_TIME).await,
+    }
+    let was_interrupted =
+        instance.poison.borrow().was_interrupted(call.digest());
+    if !was_interrupted || !is_unproven() {
+        return Ok(());
+    }
+    metrics::counter!("sedgewall_poison_not_repeated_total").increment(1);
+    tracing::info!(
+        event = "poison_not_repeated",
+        request = call.metadata.request_id,
+        digest = %call.digest(),
+        parts = part_names(call),
+    );
+    Err(Reason::OutcomeUnknown)
+}
+
 /// Probes whether an endpoint is still there. One first probe runs at a time
 /// for each endpoint; an endpoint counts as alive if a second probe confirms
 /// that it listens.
@@ -163,6 +219,7 @@
     if !instance.probed_endpoints.borrow_mut().insert(id.clone()) {
         return;
     }
+    instance.undecided_endpoints.borrow_mut().insert(id.clone());
     let instance = instance.clone();
     let incarnation = incarnation_of(&instance, &id);
     compio::runtime::spawn(async move {
@@ -194,6 +251,7 @@
             // instance finds out.
             ProbeOutcome::Unknown => {}
         }
+        instance.undecided_endpoints.borrow_mut().remove(&id);
     })
     .detach();
 }
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -39,6 +39,9 @@
     last_event: Option<&str>,
 ) -> Result<(GoodAnswer, Responder), Reason> {
     loop {
+        if progress.runs > 0 {
+            poison::check_repetition(instance, call).await?;
+        }
         poison::check(instance, call, progress.runs)?;
         if may_forward(instance, call) {
             match forward(instance, call, progress, last_event).await? {
