Decide whether endpoints have ended once one of them accepts connections

If all endpoints of a service were down at one time, no other one showed that the instance's own path was sound, and the crashes counted only once the entries went, 4 s later. Such endpoints are now remembered, and probed again before a request is sent that has a feature in common with a run that was lost there: an endpoint that can take it shows whether the path is sound. An endpoint whose address another one has taken over has ended.

two_instances_refuse_a_request_that_crashes_all_endpoints_of_its_service and a_request_that_crashes_all_endpoints_there_are_is_refused failed before, each time, and pass.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -464,6 +464,15 @@
         self.evidence.breaks(request).next().is_some()
     }
 
+    /// Returns whether a run with any of these features was lost at an endpoint
+    /// of which it is not known whether it has ended.
+    pub fn is_undecided(&self, features: &Features) -> bool {
+        let lost = self.broken.values().flatten();
+        lost.into_iter().any(|run| {
+            run.features.iter().any(|lost| features.iter().any(|f| f == lost))
+        })
+    }
+
     /// Records that a request of this instance succeeded. Returns whether it
     /// cleared a condemned feature; [`PoisonDetector::take_untold`] then
     /// returns it.
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -291,6 +291,11 @@
     pub(crate) probed_endpoints: RefCell<BTreeSet<EndpointId>>,
     /// Endpoints of which it is being found out whether they have ended.
     pub(crate) undecided_endpoints: RefCell<BTreeSet<EndpointId>>,
+    /// Endpoints that refused a connection after a run broke off, while no
+    /// other endpoint showed that this instance's own paths are sound.
+    pub(crate) unconfirmed_ends: RefCell<BTreeMap<EndpointId, SocketAddr>>,
+    /// When it was last tried to confirm them.
+    pub(crate) ends_tried_at: Cell<Option<Instant>>,
     /// Connections to other instances.
     pub(crate) peer_pool: EndpointPool,
     pub(crate) store: Store,
@@ -426,6 +431,8 @@
             is_poison_watcher: Cell::new(true),
             probed_endpoints: RefCell::default(),
             undecided_endpoints: RefCell::default(),
+            unconfirmed_ends: RefCell::default(),
+            ends_tried_at: Cell::default(),
             peer_pool: EndpointPool::new(),
             open_requests: Cell::new(0),
             adapter_waiters: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -7,6 +7,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     features::Feature,
@@ -55,6 +56,14 @@
 /// forwarded to. That instance confirms a refusal first.
 const FORWARDED_REPORT_TIME: Duration = Duration::from_millis(250);
 
+/// The minimum time between two attempts to find out whether endpoints have
+/// ended that refused connections.
+const END_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The maximum number of endpoints of which it is not known whether they have
+/// ended.
+const MAX_UNCONFIRMED_ENDS: usize = 256;
+
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED_DIGESTS: usize = 8;
 
@@ -208,6 +217,35 @@
     Err(Reason::OutcomeUnknown)
 }
 
+/// Tries to find out whether endpoints have ended that refused a connection
+/// while no endpoint accepted one, if the request has a feature in common with
+/// a run that was lost there. Once an endpoint can take the request again,
+/// that endpoint shows whether the refusals were due to this instance's paths.
+pub(crate) async fn decide_ends(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+) {
+    let is_due = instance
+        .ends_tried_at
+        .get()
+        .is_none_or(|at| at.elapsed() >= END_RETRY_INTERVAL);
+    if instance.unconfirmed_ends.borrow().is_empty()
+        || !is_due
+        || !instance.poison.borrow().is_undecided(call.features())
+    {
+        return;
+    }
+    instance.ends_tried_at.set(Some(Instant::now()));
+    let unconfirmed = instance.unconfirmed_ends.borrow().clone();
+    let decided = unconfirmed.iter().map(|(id, address)| async move {
+        let began = Instant::now();
+        let presence =
+            instance.pool.probe(*address, ENDPOINT_PROBE_TIMEOUT).await;
+        decide(instance, id, *address, presence, began).await;
+    });
+    join_all(decided).await;
+}
+
 /// Probes whether an endpoint is still there. One first probe runs at a time
 /// for each endpoint; an endpoint counts as alive if a second probe confirms
 /// that it listens.
@@ -221,7 +259,6 @@
     }
     instance.undecided_endpoints.borrow_mut().insert(id.clone());
     let instance = instance.clone();
-    let incarnation = incarnation_of(&instance, &id);
     compio::runtime::spawn(async move {
         let began = Instant::now();
         let probe = || instance.pool.probe(address, ENDPOINT_PROBE_TIMEOUT);
@@ -237,25 +274,61 @@
             presence = ?presence,
             took_ms = began.elapsed().as_millis() as u64,
         );
-        match presence {
-            ProbeOutcome::Listens => {
-                let mut poison = instance.poison.borrow_mut();
-                poison.endpoint_alive(&incarnation, began);
-            }
-            ProbeOutcome::Refuses => {
-                if is_refusal_confirmed(&instance, &id, address).await {
-                    incarnation_ended(&instance, &incarnation);
-                }
-            }
-            // Undecided: the endpoint's entry will disappear, or another
-            // instance finds out.
-            ProbeOutcome::Unknown => {}
-        }
+        decide(&instance, &id, address, presence, began).await;
         instance.undecided_endpoints.borrow_mut().remove(&id);
     })
     .detach();
 }
 
+/// Records what a probe that began at a time showed of an endpoint.
+async fn decide(
+    instance: &FleetInstance,
+    id: &EndpointId,
+    address: SocketAddr,
+    presence: ProbeOutcome,
+    began: Instant,
+) {
+    let incarnation = incarnation_of(instance, id);
+    let has_ended = match presence {
+        ProbeOutcome::Listens => has_successor(instance, id, address),
+        ProbeOutcome::Refuses => {
+            is_refusal_confirmed(instance, id, address).await
+        }
+        // The endpoint's entry will disappear, or another instance finds out.
+        ProbeOutcome::Unknown => return,
+    };
+    let mut unconfirmed = instance.unconfirmed_ends.borrow_mut();
+    match (presence, has_ended) {
+        (_, true) => {
+            unconfirmed.remove(id);
+            drop(unconfirmed);
+            incarnation_ended(instance, &incarnation);
+        }
+        (ProbeOutcome::Listens, false) => {
+            unconfirmed.remove(id);
+            let mut detector = instance.poison.borrow_mut();
+            detector.endpoint_alive(&incarnation, began);
+        }
+        (_, false) => {
+            if unconfirmed.len() < MAX_UNCONFIRMED_ENDS {
+                unconfirmed.insert(id.clone(), address);
+            }
+        }
+    }
+}
+
+/// Returns whether another endpoint has the address of an endpoint, which has
+/// then ended.
+fn has_successor(
+    instance: &FleetInstance,
+    id: &EndpointId,
+    address: SocketAddr,
+) -> bool {
+    instance.view.borrow().endpoints().any(|state| {
+        state.endpoint.address == address && state.endpoint.id != *id
+    })
+}
+
 /// Returns whether an endpoint that has refused a connection has ended.
 /// Refusals on this instance's own path do not show that, so other endpoints
 /// must accept connections both now and when the endpoint refuses again.
@@ -269,7 +342,11 @@
     }
     compio::time::sleep(REFUSAL_CONFIRM_DELAY).await;
     let again = instance.pool.probe(address, ENDPOINT_PROBE_TIMEOUT).await;
-    again == ProbeOutcome::Refuses && reach::is_path_sound(instance, id).await
+    match again {
+        ProbeOutcome::Refuses => reach::is_path_sound(instance, id).await,
+        ProbeOutcome::Listens => has_successor(instance, id, address),
+        ProbeOutcome::Unknown => false,
+    }
 }
 
 /// Records that an endpoint has ended without announcing its departure.
@@ -279,6 +356,7 @@
         return;
     }
     drop(view);
+    instance.unconfirmed_ends.borrow_mut().remove(id);
     incarnation_ended(instance, &incarnation_of(instance, id));
 }
 
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -42,6 +42,7 @@
         if progress.runs > 0 {
             poison::check_repetition(instance, call).await?;
         }
+        poison::decide_ends(instance, call).await;
         poison::check(instance, call, progress.runs)?;
         if may_forward(instance, call) {
             match forward(instance, call, progress, last_event).await? {
