Weigh crashes before an answer had begun, and report successes exactly

An interrupted run now counts more if nothing of its answer had come, which other requests on the endpoint rarely have in common with it. A narrower feature that explains the same crashes goes before a broader one, and features that tie are condemned one after the other after five crashes. The success of a request that was sent before the crashes no longer clears a condemned feature, reported successes keep the time at which they arrived, and what is condemned elsewhere is judged here if its crashes are known here.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -22,6 +22,7 @@
 use sedgewall_clock::Instant;
 use serde::{Deserialize, Serialize};
 
+pub use self::explanation::Policy;
 use self::{
     condemned::Condemnations,
     evidence::Evidence,
@@ -101,6 +102,8 @@
     /// The features that the request shares with others, from the narrowest to
     /// the broadest.
     pub shared: Vec<Feature>,
+    /// Whether nothing of the response's body had come.
+    pub is_unanswered: bool,
 }
 
 /// A success with a feature, as instances report it to each other.
@@ -152,6 +155,8 @@
 pub enum Loss {
     /// The connection broke or timed out.
     Broken,
+    /// The same, before any part of the response's body had come.
+    Unanswered,
     /// The caller closed its connection.
     CallerLeft,
 }
@@ -159,6 +164,7 @@
 /// Evidence against requests whose endpoints ended.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonDetector {
+    policy: Policy,
     /// Runs that broke off, until it is known whether their endpoint has
     /// ended.
     broken: HashMap<EndpointIncarnation, Vec<BrokenRun>>,
@@ -170,8 +176,11 @@
     condemned: Condemnations,
     /// Successful requests of this instance, and the parts of their prompts.
     successes: Successes,
-    /// What accompanies the report that is being handled.
-    details: ReportDetails,
+    /// The features of runs in the report that is being handled.
+    reported_runs: Vec<RunFeatures>,
+    /// The features in that report that succeeded, and when the requests were
+    /// sent.
+    reported_successes: Vec<(Feature, Instant)>,
     /// Interrupted runs of this instance that its notes report again.
     recent_interruptions:
         Vec<(EndpointIncarnation, Interruption, RequestDigest)>,
@@ -235,6 +244,11 @@
 }
 
 impl PoisonDetector {
+    /// Returns a detector with another policy than the usual one.
+    pub fn with_policy(policy: Policy) -> PoisonDetector {
+        PoisonDetector { policy, ..PoisonDetector::default() }
+    }
+
     /// Records that a run was lost at an endpoint. If the endpoint is known to
     /// have ended, returns the crash to report to the other instances.
     pub fn record_lost_run(
@@ -265,8 +279,15 @@
         let broken = self.broken.remove(endpoint)?;
         let mut crash = Crash { endpoint: endpoint.clone(), runs: Vec::new() };
         for run in broken.into_iter().filter(|run| run.is_fresh(now)) {
-            let BrokenRun { features, began, broke, .. } = run;
-            self.evidence.add(endpoint, &features, began, broke);
+            let BrokenRun { features, began, broke, loss } = run;
+            let is_unanswered = loss == Loss::Unanswered;
+            let interruption = evidence::Interruption {
+                began,
+                broke,
+                is_unanswered,
+                is_detailed: true,
+            };
+            self.evidence.add(endpoint, &features, interruption);
             // The successes with these features accompany the report.
             for feature in features.iter() {
                 let known = self.known_mut(feature, now);
@@ -301,8 +322,19 @@
     }
 
     /// Records what accompanies the reports that are handled next.
-    pub fn record_details(&mut self, details: ReportDetails) {
-        self.details = details;
+    pub fn record_details(&mut self, details: ReportDetails, now: Instant) {
+        self.reported_runs = details.runs;
+        let successes = details.successes.iter().filter_map(|success| {
+            let ago = Duration::from_millis(success.began_ms_ago);
+            Some((success.feature, now.checked_sub(ago)?))
+        });
+        self.reported_successes = successes.collect();
+    }
+
+    /// Returns a success that accompanies the report which is being handled.
+    fn reported_success(&self, feature: Feature) -> Option<Instant> {
+        let mut reported = self.reported_successes.iter();
+        reported.find(|(known, _)| *known == feature).map(|(_, began)| *began)
     }
 
     /// Returns what must accompany the report of a crash. A report that is only
@@ -310,21 +342,16 @@
     pub fn crash_details(&self, crash: &Crash, now: Instant) -> ReportDetails {
         let mut details = ReportDetails::default();
         for CrashedRun { digest, .. } in &crash.runs {
-            let mut shared =
-                self.evidence.shared_features(&crash.endpoint, *digest);
-            let reported = &self.details.runs;
-            let reported = reported.iter().find(|r| r.digest == *digest);
-            if let (true, Some(reported)) = (shared.is_empty(), reported) {
-                shared = &reported.shared;
-            }
             details.add_successes(self, &[*digest], now);
-            if shared.is_empty() {
+            let known = self.evidence.run_features(&crash.endpoint, *digest);
+            let reported = &self.reported_runs;
+            let reported = reported.iter().find(|r| r.digest == *digest);
+            let Some(run) = known.or_else(|| reported.cloned()) else {
                 continue;
-            }
-            details.add_successes(self, shared, now);
-            let (digest, shared) = (*digest, shared.to_vec());
-            if !details.runs.iter().any(|run| run.digest == digest) {
-                details.runs.push(RunFeatures { digest, shared });
+            };
+            details.add_successes(self, &run.shared, now);
+            if !details.runs.iter().any(|known| known.digest == run.digest) {
+                details.runs.push(run);
             }
         }
         details
@@ -353,28 +380,32 @@
             let time = Duration::from_millis(ms);
             now.checked_sub(time).unwrap_or(now)
         };
-        let details = std::mem::take(&mut self.details);
+        let reported_runs = std::mem::take(&mut self.reported_runs);
         let mut is_new = false;
         for run in &crash.runs {
             let CrashedRun { digest, began_ms_ago, broke_ms_ago } = *run;
-            let reported = details.runs.iter().find(|r| r.digest == digest);
+            let reported = reported_runs.iter().find(|r| r.digest == digest);
             let shared = reported.map_or(Vec::new(), |r| r.shared.clone());
             let features = Features { request: digest, shared };
-            let (began, broke) = (ago(began_ms_ago), ago(broke_ms_ago));
+            let interruption = evidence::Interruption {
+                began: ago(began_ms_ago),
+                broke: ago(broke_ms_ago),
+                is_unanswered: reported.is_some_and(|r| r.is_unanswered),
+                is_detailed: reported.is_some(),
+            };
             is_new |=
-                self.evidence.add(&crash.endpoint, &features, began, broke);
+                self.evidence.add(&crash.endpoint, &features, interruption);
         }
         if is_new {
-            for success in &details.successes {
-                let began = ago(success.began_ms_ago);
-                self.known_mut(success.feature, now).record_told(began);
+            for (feature, began) in self.reported_successes.clone() {
+                self.known_mut(feature, now).record_told(began);
             }
             for run in &crash.runs {
                 self.find_untold(&crash.endpoint, run.digest, now);
             }
             self.update(now);
         }
-        self.details = details;
+        self.reported_runs = reported_runs;
         self.endpoint_ended(&crash.endpoint, now)
     }
 
@@ -387,8 +418,9 @@
         digest: RequestDigest,
         now: Instant,
     ) {
-        let shared = self.evidence.shared_features(endpoint, digest);
-        let features = Features { request: digest, shared: shared.to_vec() };
+        let run = self.evidence.run_features(endpoint, digest);
+        let shared = run.map_or(Vec::new(), |run| run.shared);
+        let features = Features { request: digest, shared };
         for feature in features.iter() {
             let Known { succeeded, told, .. } = *self.known_mut(feature, now);
             let Some(succeeded) = succeeded else { continue };
@@ -515,14 +547,9 @@
     /// Records that another instance reports a success with a feature. Returns
     /// whether there was evidence against the feature.
     pub fn clear(&mut self, feature: Feature, now: Instant) -> bool {
-        let reported = self
-            .details
-            .successes
-            .iter()
-            .find(|success| success.feature == feature)
-            .map(|success| Duration::from_millis(success.began_ms_ago));
-        let began = reported.and_then(|ago| now.checked_sub(ago));
-        let is_condemned = self.condemned.get(feature).is_some();
+        let began = self.reported_success(feature);
+        let condemned_at = self.condemned.get(feature).map(|c| c.at);
+        let is_condemned = condemned_at.is_some();
         let standing = self.standing(feature);
         let had_evidence = is_condemned
             || standing.is_on_probation
@@ -533,12 +560,21 @@
             return false;
         }
         let known = self.known_mut(feature, now);
-        known.is_on_probation = false;
-        match began.filter(|_| !is_condemned) {
-            Some(began) => known.record_told(began),
-            None => known.cleared_at = Some(now),
+        match began {
+            // The success of a request that was sent before the crashes does
+            // not refute them.
+            Some(began) => {
+                known.record_told(began);
+                if condemned_at.is_some_and(|at| at <= began) {
+                    self.condemned.remove(feature);
+                }
+            }
+            None => {
+                known.cleared_at = Some(now);
+                known.is_on_probation = false;
+                self.condemned.remove(feature);
+            }
         }
-        self.condemned.remove(feature);
         self.update(now);
         had_evidence
     }
@@ -579,6 +615,13 @@
         if cleared.is_some_and(|cleared| cleared >= at) {
             return MergeOutcome::Refuted;
         }
+        let from = self.standing(feature).counts_from;
+        let own = self.evidence.endpoints_since(feature, from);
+        let is_evident = condemned.endpoints.iter().all(|e| own.contains(e));
+        if is_evident && !own.is_empty() {
+            // The same crashes lead to a verdict of this instance's own.
+            return MergeOutcome::AlreadyKnown;
+        }
         self.condemned.merge(feature, at, condemned.endpoints.clone());
         self.update(now);
         MergeOutcome::Added
@@ -679,13 +722,11 @@
         self.settle(now);
         let standing = |feature| self.standing(feature);
         let is_known = |feature| self.condemned.is_settled(feature);
-        let explanations = Explanations::new(&self.evidence, &standing);
+        let explanations =
+            Explanations::new(self.policy, &self.evidence, &standing);
         let found = explanations.find(&is_known);
-        let retracted = self.condemned.replace(&found, now);
-        // Other instances may have been told of these.
-        for feature in retracted {
+        for feature in self.condemned.replace(&found, now) {
             self.known_mut(feature, now).released_at = Some(now);
-            self.untold.push(feature);
         }
     }
 
@@ -718,23 +759,18 @@
         now: Instant,
     ) {
         for feature in features {
-            let is_same = |s: &&ReportedSuccess| s.feature == *feature;
-            if self.successes.iter().any(|s| is_same(&s)) {
+            if self.successes.iter().any(|s| s.feature == *feature) {
                 continue;
             }
             let known = detector.known.get(feature);
-            let began = known.and_then(|k| k.succeeded.max(k.told));
-            let success = match began {
-                Some(began) => {
-                    let ago = now.saturating_duration_since(began);
-                    let began_ms_ago = ago.as_millis() as u64;
-                    Some(ReportedSuccess { feature: *feature, began_ms_ago })
-                }
-                None => {
-                    detector.details.successes.iter().find(is_same).copied()
-                }
-            };
-            self.successes.extend(success);
+            let known = known.and_then(|k| k.succeeded.max(k.told));
+            let reported = detector.reported_success(*feature);
+            if let Some(began) = known.max(reported) {
+                let ago = now.saturating_duration_since(began);
+                let began_ms_ago = ago.as_millis() as u64;
+                let feature = *feature;
+                self.successes.push(ReportedSuccess { feature, began_ms_ago });
+            }
         }
     }
 
@@ -779,7 +815,7 @@
     /// endpoint is detected now.
     fn is_fresh(&self, now: Instant) -> bool {
         let retention = match self.loss {
-            Loss::Broken => BROKEN_RUN_RETENTION,
+            Loss::Broken | Loss::Unanswered => BROKEN_RUN_RETENTION,
             Loss::CallerLeft => ABANDONED_RUN_RETENTION,
         };
         now.saturating_duration_since(self.broke) < retention
--- a/crates/fleet/src/poison/evidence.rs
+++ b/crates/fleet/src/poison/evidence.rs
@@ -7,7 +7,7 @@
 
 use sedgewall_clock::Instant;
 
-use super::CRASH_VALID_FOR;
+use super::{CRASH_VALID_FOR, RunFeatures};
 use crate::{
     features::{Feature, Features},
     incarnation::EndpointIncarnation,
@@ -47,6 +47,21 @@
     /// The features that the request shares with others, from the narrowest to
     /// the broadest.
     pub(super) shared: Vec<Feature>,
+    /// Whether the endpoint is known not to have begun any of their answers.
+    pub(super) is_unanswered: bool,
+    /// Whether any report had the features.
+    is_detailed: bool,
+}
+
+/// When a run was sent and interrupted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Interruption {
+    pub(super) began: Instant,
+    pub(super) broke: Instant,
+    /// Whether the endpoint is known not to have begun the answer.
+    pub(super) is_unanswered: bool,
+    /// Whether the report had the features. Those of earlier releases have not.
+    pub(super) is_detailed: bool,
 }
 
 impl Evidence {
@@ -55,9 +70,10 @@
         &mut self,
         endpoint: &EndpointIncarnation,
         features: &Features,
-        began: Instant,
-        broke: Instant,
+        interruption: Interruption,
     ) -> bool {
+        let Interruption { began, broke, is_unanswered, is_detailed } =
+            interruption;
         let crash =
             self.crashes.entry(endpoint.clone()).or_insert_with(|| {
                 CrashRecord { at: broke, runs: HashMap::new() }
@@ -67,11 +83,15 @@
         let Features { request, shared } = features;
         if let Some(run) = crash.runs.get_mut(request) {
             let is_later = broke > run.broke || began > run.began;
-            let has_features = run.shared.is_empty() && !shared.is_empty();
+            let has_features = is_detailed && !run.is_detailed;
             run.began = run.began.max(began);
             run.broke = run.broke.max(broke);
             if has_features {
                 run.shared = shared.clone();
+                run.is_unanswered = is_unanswered;
+                run.is_detailed = true;
+            } else if is_detailed {
+                run.is_unanswered &= is_unanswered;
             }
             return is_later || has_features;
         }
@@ -79,7 +99,9 @@
             return false;
         }
         let shared = shared.clone();
-        crash.runs.insert(*request, RunRecord { began, broke, shared });
+        let run =
+            RunRecord { began, broke, shared, is_unanswered, is_detailed };
+        crash.runs.insert(*request, run);
         self.runs_len += 1;
         self.evict(endpoint);
         true
@@ -131,25 +153,40 @@
         self.crashes.values()
     }
 
-    /// Returns the features that a request had on an endpoint that crashed.
-    pub(super) fn shared_features(
+    /// Returns the features of a request that ran on an endpoint that crashed,
+    /// if any report had them.
+    pub(super) fn run_features(
         &self,
         endpoint: &EndpointIncarnation,
-        request: RequestDigest,
-    ) -> &[Feature] {
-        let crash = self.crashes.get(endpoint);
-        let run = crash.and_then(|crash| crash.runs.get(&request));
-        run.map_or(&[], |run| run.shared.as_slice())
+        digest: RequestDigest,
+    ) -> Option<RunFeatures> {
+        let run = self.crashes.get(endpoint)?.runs.get(&digest)?;
+        let shared = run.shared.clone();
+        let is_unanswered = run.is_unanswered;
+        run.is_detailed.then_some(RunFeatures {
+            digest,
+            shared,
+            is_unanswered,
+        })
     }
 
     /// Returns the endpoints that crashed under a feature.
     pub(super) fn endpoints(
         &self,
         feature: Feature,
+    ) -> Vec<EndpointIncarnation> {
+        self.endpoints_since(feature, None)
+    }
+
+    /// Returns the endpoints that crashed under a feature after a time.
+    pub(super) fn endpoints_since(
+        &self,
+        feature: Feature,
+        from: Option<Instant>,
     ) -> Vec<EndpointIncarnation> {
         let crashes = self.crashes.iter();
         let mut endpoints: Vec<EndpointIncarnation> = crashes
-            .filter(|(_, crash)| crash.has(feature))
+            .filter(|(_, crash)| crash.last_break(feature) > from)
             .map(|(id, _)| id.clone())
             .collect();
         endpoints.sort_unstable();
@@ -173,7 +210,7 @@
 }
 
 impl CrashRecord {
-    fn has(&self, feature: Feature) -> bool {
+    pub(super) fn has(&self, feature: Feature) -> bool {
         self.last_break(feature).is_some()
     }
 
--- a/crates/fleet/src/poison/explanation.rs
+++ b/crates/fleet/src/poison/explanation.rs
@@ -12,31 +12,55 @@
 
 use sedgewall_clock::Instant;
 
-use super::evidence::Evidence;
+use super::evidence::{Evidence, RunRecord};
 use crate::{features::Feature, request_digest::RequestDigest};
 
-/// How much evidence a feature needs in order to explain crashes.
-#[derive(Clone, Copy, Debug)]
-struct Threshold {
-    /// Endpoints that crashed.
-    endpoints: usize,
-    /// Times at which they crashed: endpoints that run a feature at the same
-    /// time may crash together for one other cause, such as a power failure.
-    times: usize,
-    /// Requests that were running there.
-    requests: usize,
-}
+/// Endpoints that must have crashed under a request that its callers retry. No
+/// other request shares all its content.
+const REQUEST_CRASHES: usize = 3;
+
+/// Times at which they must have crashed. Endpoints that run a request at the
+/// same time may crash together for one other cause, such as a power failure.
+const REQUEST_TIMES: usize = 2;
 
-/// A request is retried by its callers; no other one shares all its content.
-const REQUEST: Threshold = Threshold { endpoints: 3, times: 2, requests: 1 };
+/// Requests with a part of prompts that must have crashed endpoints. If all
+/// were tries of one request, that request is the more likely cause.
+const SHARED_REQUESTS: usize = 2;
 
-/// A part of prompts must have crashed endpoints in different requests, or
-/// else a retried request is the more likely cause.
-const SHARED: Threshold = Threshold { endpoints: 2, times: 2, requests: 2 };
+/// Crashes that several features explain equally well, after which one of them
+/// is held responsible.
+const UNDECIDED_CRASHES: usize = 5;
+
+/// How much evidence condemns a feature.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Crashes that a part of prompts must explain, at different endpoints and
+    /// times.
+    pub crashes: usize,
+    /// The same if all of them came before an answer had begun. Other requests
+    /// on the endpoint are rarely in this state when it crashes.
+    pub unanswered_crashes: usize,
+    /// Crashes that a feature needs beyond those of other features if requests
+    /// with it have succeeded before.
+    pub more_if_succeeded: usize,
+    /// The same if the crashes came before an answer had begun.
+    pub more_unanswered_if_succeeded: usize,
+    /// Whether a feature must explain more crashes than any other one, and a
+    /// crash that one feature explains does not count against others.
+    pub is_exclusive: bool,
+}
 
-/// Crashes that a feature needs beyond those of other features if requests with
-/// it have succeeded before.
-const MORE_IF_SUCCEEDED: usize = 2;
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            crashes: 3,
+            unanswered_crashes: 2,
+            more_if_succeeded: 2,
+            more_unanswered_if_succeeded: 1,
+            is_exclusive: true,
+        }
+    }
+}
 
 /// What is known of a feature apart from crashes.
 #[derive(Clone, Copy, Debug, Default)]
@@ -57,6 +81,7 @@
     crash: usize,
     began: Instant,
     broke: Instant,
+    is_unanswered: bool,
     request: RequestDigest,
 }
 
@@ -70,8 +95,14 @@
 /// A feature, and the evidence against it.
 struct Candidate {
     feature: Feature,
-    /// The separate times at which endpoints crashed.
-    times: usize,
+    /// How much speaks for the feature as the cause: the separate times at which
+    /// endpoints crashed, and those before an answer had begun once more.
+    weight: usize,
+    is_request: bool,
+    /// The number of crashes.
+    crashes: usize,
+    /// Whether endpoints crashed at several times.
+    is_repeated: bool,
     meets_threshold: bool,
     is_on_probation: bool,
 }
@@ -80,7 +111,7 @@
     /// Returns whether the feature may be held responsible, or prevents that
     /// another one is. Any other feature has occurred in one crash at most.
     fn is_relevant(&self) -> bool {
-        self.times > 1 || self.meets_threshold
+        self.is_repeated || self.meets_threshold
     }
 
     fn is_condemned_again(&self) -> bool {
@@ -90,6 +121,7 @@
 
 /// All crashes by feature.
 pub(super) struct Explanations<'a> {
+    policy: Policy,
     evidence: &'a Evidence,
     standing: &'a dyn Fn(Feature) -> Standing,
     by_feature: HashMap<Feature, Occurrences>,
@@ -97,6 +129,7 @@
 
 impl<'a> Explanations<'a> {
     pub(super) fn new(
+        policy: Policy,
         evidence: &'a Evidence,
         standing: &'a dyn Fn(Feature) -> Standing,
     ) -> Explanations<'a> {
@@ -110,12 +143,13 @@
                         crash: n,
                         began: run.began,
                         broke: run.broke,
+                        is_unanswered: run.is_unanswered,
                         request: *request,
                     });
                 }
             }
         }
-        Explanations { evidence, standing, by_feature }
+        Explanations { policy, evidence, standing, by_feature }
     }
 
     /// Returns the features that explain the crashes which none of those that
@@ -149,7 +183,7 @@
             .filter(Candidate::is_relevant)
             .collect();
         candidates.sort_unstable_by_key(|candidate| {
-            (Reverse(candidate.times), candidate.feature)
+            (Reverse(candidate.weight), candidate.feature)
         });
         let again = candidates.iter().find(|c| c.is_condemned_again());
         if let Some(candidate) = again {
@@ -157,22 +191,42 @@
         }
         let best = candidates.iter().find(|candidate| {
             candidate.meets_threshold
-                && candidates
-                    .iter()
-                    .take_while(|other| other.times >= candidate.times)
-                    .filter(|other| other.feature != candidate.feature)
-                    .all(|other| {
-                        self.is_broader(other.feature, candidate.feature)
-                            || self.meets_threshold_without(
-                                candidate.feature,
-                                other.feature,
-                                responsible,
-                            )
-                    })
+                && (!self.policy.is_exclusive
+                    || self.is_best(candidate, &candidates, responsible))
         });
         best.map(|candidate| candidate.feature)
     }
 
+    /// Returns whether no other feature explains the crashes under this one as
+    /// well or better.
+    fn is_best(
+        &self,
+        candidate: &Candidate,
+        candidates: &[Candidate],
+        responsible: &HashSet<Feature>,
+    ) -> bool {
+        let feature = candidate.feature;
+        let mut others =
+            candidates.iter().filter(|other| other.feature != feature);
+        others.all(|other| {
+            if !other.is_request && self.is_broader(feature, other.feature) {
+                // The narrower one concerns fewer requests. Another cause may
+                // add one crash to those of the broader one.
+                return !other.meets_threshold
+                    && other.crashes + 1 < candidate.crashes;
+            }
+            other.weight < candidate.weight
+                || candidate.crashes >= UNDECIDED_CRASHES
+                    && other.weight == candidate.weight
+                || self.is_broader(other.feature, feature)
+                || self.meets_threshold_without(
+                    feature,
+                    other.feature,
+                    responsible,
+                )
+        })
+    }
+
     /// Returns whether a feature meets its threshold even if another one is
     /// responsible for the crashes that they have in common.
     fn meets_threshold_without(
@@ -191,6 +245,9 @@
 
     /// Returns the crashes under any of these features.
     fn explained(&self, responsible: &HashSet<Feature>) -> HashSet<usize> {
+        if !self.policy.is_exclusive {
+            return HashSet::new();
+        }
         let features =
             responsible.iter().filter_map(|f| self.by_feature.get(f));
         let occurrences = features.flat_map(|of| &of.all);
@@ -221,45 +278,76 @@
         if open.iter().all(|o| explained.contains(&o.crash)) {
             return None;
         }
-        let endpoints = distinct(open.iter().map(|o| o.crash));
-        let requests = distinct(open.iter().map(|o| o.request));
-        let times = separate_times(&open);
-        let threshold = threshold(of.is_request, standing);
-        let meets_threshold = endpoints >= threshold.endpoints
-            && times >= threshold.times
-            && requests >= threshold.requests;
-        let is_on_probation = standing.is_on_probation;
-        Some(Candidate { feature, times, meets_threshold, is_on_probation })
+        let times = separate_times(open.iter().copied());
+        let unanswered =
+            separate_times(open.iter().copied().filter(|o| o.is_unanswered));
+        let meets_threshold = match (standing.is_on_probation, of.is_request) {
+            (true, _) => true,
+            (false, true) => self.condemns_request(&open, times, standing),
+            (false, false) => {
+                let requests = distinct(open.iter().map(|o| o.request));
+                requests >= SHARED_REQUESTS
+                    && self.condemns_shared(times, unanswered, standing)
+            }
+        };
+        Some(Candidate {
+            feature,
+            weight: times + unanswered,
+            is_request: of.is_request,
+            crashes: distinct(open.iter().map(|o| o.crash)),
+            is_repeated: times > 1,
+            meets_threshold,
+            is_on_probation: standing.is_on_probation,
+        })
+    }
+
+    fn condemns_request(
+        &self,
+        open: &[&Occurrence],
+        times: usize,
+        standing: Standing,
+    ) -> bool {
+        let more = match standing.has_succeeded {
+            true => self.policy.more_if_succeeded,
+            false => 0,
+        };
+        distinct(open.iter().map(|o| o.crash)) >= REQUEST_CRASHES + more
+            && times >= REQUEST_TIMES + more
     }
 
-    /// Returns whether each interrupted run with the feature `narrow` also had
-    /// the feature `broad`, as a broader one.
+    fn condemns_shared(
+        &self,
+        times: usize,
+        unanswered: usize,
+        standing: Standing,
+    ) -> bool {
+        let policy = &self.policy;
+        let (more, more_unanswered) = match standing.has_succeeded {
+            true => {
+                (policy.more_if_succeeded, policy.more_unanswered_if_succeeded)
+            }
+            false => (0, 0),
+        };
+        times >= policy.crashes + more
+            || unanswered >= policy.unanswered_crashes + more_unanswered
+    }
+
+    /// Returns whether each crash under the feature `narrow` interrupted a run
+    /// with it that also had the feature `broad`, as a broader one.
     fn is_broader(&self, broad: Feature, narrow: Feature) -> bool {
-        let runs = self.evidence.crashes().flat_map(|crash| &crash.runs);
-        let mut with_narrow = runs.filter(|(request, run)| {
-            **request == narrow || run.shared.contains(&narrow)
-        });
-        with_narrow.all(|(request, run)| {
+        let has_both = |request: &RequestDigest, run: &RunRecord| {
             let mut features = run.features(*request);
             features.any(|feature| feature == narrow)
                 && features.any(|feature| feature == broad)
+        };
+        let mut crashes =
+            self.evidence.crashes().filter(|crash| crash.has(narrow));
+        crashes.all(|crash| {
+            crash.runs.iter().any(|(request, run)| has_both(request, run))
         })
     }
 }
 
-fn threshold(is_request: bool, standing: Standing) -> Threshold {
-    if standing.is_on_probation {
-        return Threshold { endpoints: 1, times: 1, requests: 1 };
-    }
-    let usual = if is_request { REQUEST } else { SHARED };
-    let more = if standing.has_succeeded { MORE_IF_SUCCEEDED } else { 0 };
-    Threshold {
-        endpoints: usual.endpoints + more,
-        times: usual.times + more,
-        requests: usual.requests,
-    }
-}
-
 fn distinct<T: Eq + std::hash::Hash>(
     values: impl Iterator<Item = T>,
 ) -> usize {
@@ -268,9 +356,11 @@
 
 /// Returns the number of crashes that are separate in time: each of them under
 /// a run that was sent after the crash before.
-fn separate_times(occurrences: &[&Occurrence]) -> usize {
+fn separate_times<'a>(
+    occurrences: impl Iterator<Item = &'a Occurrence>,
+) -> usize {
     let mut times: Vec<(Instant, Instant)> =
-        occurrences.iter().map(|o| (o.broke, o.began)).collect();
+        occurrences.map(|o| (o.broke, o.began)).collect();
     times.sort_unstable();
     let mut separate = 0;
     let mut last: Option<Instant> = None;
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -336,7 +336,8 @@
             Err(AttemptError::Unreachable(cause))
         }
         Some(Ok(Err(SendError::Broken(cause)))) => {
-            poison::run_broken(instance, call, target, &cause);
+            let loss = Loss::Unanswered;
+            poison::run_broken(instance, call, target, loss, &cause);
             Err(AttemptError::Unclear(cause))
         }
         Some(Err(_)) => {
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -113,7 +113,8 @@
             let cause = err.to_string();
             match responder {
                 Responder::Endpoint(target) => {
-                    poison::run_broken(instance, call, target, &cause);
+                    let loss = Loss::Broken;
+                    poison::run_broken(instance, call, target, loss, &cause);
                 }
                 Responder::Instance { id, .. } => {
                     forwarding::body_broken(call, id, &cause);
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -77,7 +77,7 @@
                         poison_details,
                     } = datagram;
                     let mut detector = instance.poison.borrow_mut();
-                    detector.record_details(poison_details);
+                    detector.record_details(poison_details, Instant::now());
                     drop(detector);
                     apply_rejections(&instance, &rejections);
                     instance.loss_reports.record(from, lost_services);
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -115,6 +115,7 @@
     instance: &Rc<FleetInstance>,
     call: &CallerRequest,
     target: &Target,
+    loss: Loss,
     cause: &str,
 ) {
     tracing::info!(
@@ -126,10 +127,11 @@
         parts = part_names(call),
         endpoint = target.id,
         sent_ms_ago = sent_ms_ago(call),
+        is_unanswered = loss == Loss::Unanswered,
         cause,
         held_ms = call.arrived.elapsed().as_millis() as u64,
     );
-    run_lost(instance, call, Loss::Broken);
+    run_lost(instance, call, loss);
     probe_endpoint(instance, target.id.clone(), target.address);
 }
 
@@ -304,8 +306,10 @@
             drop(unconfirmed);
             incarnation_ended(instance, &incarnation);
         }
+        // It refused connections before, so that another process may have taken
+        // its address, whose entry is not known yet.
+        (ProbeOutcome::Listens, false) if unconfirmed.contains_key(id) => {}
         (ProbeOutcome::Listens, false) => {
-            unconfirmed.remove(id);
             let mut detector = instance.poison.borrow_mut();
             detector.endpoint_alive(&incarnation, began);
         }
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -61,6 +61,9 @@
     /// The time from the arrival of the request to the response headers.
     head_time: Duration,
     bytes: usize,
+    /// Whether the endpoint has sent bytes of the body. An endpoint at which a
+    /// stream is resumed begins anew.
+    is_answered: bool,
     /// When the last bytes arrived.
     last_bytes: Instant,
     /// The longest time without a byte, after the headers.
@@ -152,6 +155,7 @@
             events: StreamEvents::Opaque,
             has_begun: false,
             bytes,
+            is_answered: bytes > 0,
             last_bytes: Instant::now(),
             longest_pause: Duration::ZERO,
             longest_wait: Duration::ZERO,
@@ -181,6 +185,7 @@
             self.longest_wait = self.longest_wait.max(began.elapsed());
             match read {
                 Ok(Some(bytes)) => {
+                    self.is_answered = true;
                     self.record_pause();
                     let whole = self.events.push(bytes);
                     if !whole.is_empty() {
@@ -394,6 +399,7 @@
             after_event = last_event,
         );
         self.body = good.answer.body;
+        self.is_answered = false;
         self.send_guard = Some(good.guard);
         self.responder = responder;
         true
@@ -436,7 +442,11 @@
         };
         match &self.responder {
             Responder::Endpoint(target) => {
-                poison::run_broken(instance, call, target, &cause);
+                let loss = match self.is_answered {
+                    true => Loss::Broken,
+                    false => Loss::Unanswered,
+                };
+                poison::run_broken(instance, call, target, loss, &cause);
             }
             Responder::Instance { id, .. } => {
                 forwarding::body_broken(call, id, &cause);
