State no other instance's lag as the reason of a refusal

An instance whose paths are cut forwards requests to others. Such a refusal now means that the request cannot reach its endpoints.

--- a/crates/sedgewalld/src/fleet/forwarding.rs
+++ b/crates/sedgewalld/src/fleet/forwarding.rs
@@ -394,15 +394,17 @@
     /// a reason that this one does not know.
     ///
     /// This instance has admitted the request, so that one which does not has
-    /// another configuration.
+    /// another configuration. That says nothing about this instance's own.
     fn reason(&self) -> Reason {
         let retry_after_ms = self.retry_after_ms.unwrap_or_default();
         let retry_after = Duration::from_millis(retry_after_ms);
         match Reason::from_name(&self.reason, retry_after) {
             Some(reason) if reason.depends_on_configuration() => {
-                Reason::ConfigurationBehind
+                Reason::EndpointsUnreachable
+            }
+            Some(Reason::ConfigurationBehind | Reason::BodyBroken) => {
+                Reason::EndpointsUnreachable
             }
-            Some(Reason::BodyBroken) => Reason::EndpointsUnreachable,
             Some(reason) => reason,
             None => Reason::OutcomeUnknown,
         }
