List and release condemned features: sedgewall poison list, poison release

Operators could release a condemned request only by deleting its record in the store, and had no list of what is refused. Instances now serve the list at their operator port, with the part that a feature stands for, and release it at all instances. `poison_condemned` names the part too.

--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -19,6 +19,25 @@
 /// stops.
 pub const DRAIN_PATH: &str = "/v1/drain";
 
+/// The path of the condemned features: those of requests that crash endpoints.
+pub const POISON_PATH: &str = "/v1/poison";
+
+/// A feature that requests which crash endpoints have in common.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PoisonFeature {
+    /// The digest of the feature, by which it is released.
+    pub digest: String,
+    /// The id of the part of prompts that the feature stands for, if the
+    /// instance has seen a request with it. None for a whole request.
+    pub part: Option<String>,
+    /// The endpoints that crashed under such requests.
+    pub endpoints: Vec<String>,
+    /// Time since the feature was condemned, in milliseconds.
+    pub condemned_ms_ago: u64,
+    /// Time until such requests are tried again, in milliseconds.
+    pub released_in_ms: u64,
+}
+
 /// The status of one instance.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct InstanceStatus {
--- a/crates/sedgewall/src/args.rs
+++ b/crates/sedgewall/src/args.rs
@@ -48,6 +48,7 @@
   sedgewall status
   sedgewall timeline --request 4be1...
   sedgewall explain lineup-0042@3
+  sedgewall poison list --instance 10.0.0.4:9464
 
 Exit codes:
   0  done
@@ -74,6 +75,9 @@
     Timeline(Filter),
     /// Explains an adapter's placement, or lists the events of a request.
     Explain(ExplainTarget),
+    /// Lists or releases requests, and parts of prompts, that crash endpoints.
+    #[command(subcommand)]
+    Poison(Poison),
     /// Tells an instance to finish its requests and stop.
     Drain(DrainTarget),
     /// Prints a completion script for a shell.
@@ -141,6 +145,23 @@
     pub(crate) adapter_or_request: String,
 }
 
+/// What to do with requests that crash endpoints.
+#[derive(Clone, Debug, Subcommand)]
+pub(crate) enum Poison {
+    /// Lists what is refused because it crashes endpoints.
+    List,
+    /// Has such requests sent again. One more crash has them refused again.
+    Release(PoisonTarget),
+}
+
+/// What `poison release` releases.
+#[derive(ClapArgs, Clone, Debug)]
+pub(crate) struct PoisonTarget {
+    /// The digest (32 hex digits), or the id of a part of prompts, as `poison
+    /// list` shows them.
+    pub(crate) digest_or_part: String,
+}
+
 /// The instance that `drain` stops.
 #[derive(ClapArgs, Clone, Debug)]
 pub(crate) struct DrainTarget {
--- a/crates/sedgewall/src/main.rs
+++ b/crates/sedgewall/src/main.rs
@@ -12,6 +12,7 @@
 mod error;
 mod files;
 mod output;
+mod poison;
 mod store;
 mod views;
 
@@ -52,6 +53,10 @@
         Command::Status => views::status(&args).await,
         Command::Timeline(filter) => views::timeline(&args, filter).await,
         Command::Explain(target) => views::explain(&args, target).await,
+        Command::Poison(args::Poison::List) => poison::list(&args).await,
+        Command::Poison(args::Poison::Release(target)) => {
+            poison::release(&args, target).await
+        }
         Command::Drain(target) => views::drain(&args, target).await,
         Command::Completions { shell } => {
             args::print_completions(*shell);
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -5,11 +5,15 @@
 
 use compio::net::TcpListener;
 use futures_util::{FutureExt, StreamExt, select};
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use sedgewall_clock::Instant;
-use sedgewall_protocol::settings::{FleetSettings, Settings};
+use sedgewall_fleet::request_digest::RequestDigest;
+use sedgewall_protocol::{
+    operator::POISON_PATH,
+    settings::{FleetSettings, Settings},
+};
 use sedgewall_transport::{
     Handler, LocalBody, ServerLimits, Stop, serve, serve_until, stop_signal,
 };
@@ -120,6 +124,7 @@
         instance.clone(),
         operators,
         metrics,
+        true,
     ))
     .detach();
     wait_for_stop(signals).await;
@@ -178,7 +183,8 @@
 ) {
     match bind(address).await {
         Ok(listener) => {
-            let serving = serve_operators(instance.clone(), listener, metrics);
+            let instance = instance.clone();
+            let serving = serve_operators(instance, listener, metrics, false);
             compio::runtime::spawn(serving).detach();
         }
         Err(err) => {
@@ -192,6 +198,7 @@
     instance: Rc<FleetInstance>,
     listener: TcpListener,
     metrics: PrometheusHandle,
+    allows_changes: bool,
 ) {
     let connections = OPERATOR_CONNECTIONS;
     let limits = ServerLimits {
@@ -200,7 +207,8 @@
         slow_clients: None,
     };
     let handler: Handler = Rc::new(move |request| {
-        let response = operator_answer(&instance, &metrics, &request);
+        let response =
+            operator_answer(&instance, &metrics, &request, allows_changes);
         Box::pin(async move { response })
     });
     serve(listener, limits, handler).await;
@@ -210,6 +218,7 @@
     instance: &FleetInstance,
     metrics: &PrometheusHandle,
     request: &Request<Incoming>,
+    allows_changes: bool,
 ) -> Response<LocalBody> {
     match request.uri().path() {
         "/healthz" => responses::text(StatusCode::OK, "live\n"),
@@ -223,6 +232,22 @@
             update_gauges(instance);
             responses::text(StatusCode::OK, metrics.render())
         }
+        POISON_PATH => responses::json(&poison::list(instance)),
+        path if allows_changes && request.method() == Method::POST => {
+            let digest = path
+                .strip_prefix(POISON_PATH)
+                .and_then(|rest| rest.strip_prefix('/'))
+                .and_then(RequestDigest::parse);
+            match digest {
+                Some(digest) if poison::release(instance, digest) => {
+                    responses::text(StatusCode::OK, "released\n")
+                }
+                _ => responses::text(
+                    StatusCode::NOT_FOUND,
+                    "no feature with this digest is condemned here\n",
+                ),
+            }
+        }
         _ => responses::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -20,6 +20,7 @@
     engine_pools::{
         RequestClass, StreamCounts, StreamReports, WaitingClasses,
     },
+    features::Feature,
     load_times::LoadTimes,
     note::{LeaderLease, Note},
     poison::PoisonDetector,
@@ -277,6 +278,8 @@
     pub(crate) buffers: Option<Rc<Buffers>>,
     /// Evidence of requests that crash endpoints.
     pub(crate) poison: RefCell<PoisonDetector>,
+    /// The parts of prompts that features of interrupted runs stand for.
+    pub(crate) poison_parts: RefCell<HashMap<Feature, String>>,
     /// The records of condemned requests in the store.
     pub(crate) poison_records: RefCell<PoisonRecords>,
     /// Notified when records may have to be written or deleted.
@@ -424,6 +427,7 @@
             pool,
             buffers,
             poison: RefCell::default(),
+            poison_parts: RefCell::default(),
             poison_records: RefCell::default(),
             poison_records_notify: Notify::default(),
             poison_relist_notify: Rc::default(),
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -20,6 +20,7 @@
     request_digest::RequestDigest,
     view::Target,
 };
+use sedgewall_protocol::operator::PoisonFeature;
 use sedgewall_state::id::EndpointId;
 use sedgewall_transport::ProbeOutcome;
 
@@ -64,6 +65,9 @@
 /// ended.
 const MAX_UNCONFIRMED_ENDS: usize = 256;
 
+/// The maximum number of features whose parts of prompts are remembered.
+const MAX_REMEMBERED_PARTS: usize = 1_024;
+
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED_DIGESTS: usize = 8;
 
@@ -143,6 +147,7 @@
     loss: Loss,
 ) {
     let Some(sent) = call.sent_to.borrow().clone() else { return };
+    remember_parts(instance, call);
     let incarnation = incarnation_of(instance, &sent.endpoint);
     let now = Instant::now();
     let mut poison = instance.poison.borrow_mut();
@@ -417,6 +422,47 @@
     outcome
 }
 
+/// Returns the condemned features, the newest first.
+pub(crate) fn list(instance: &FleetInstance) -> Vec<PoisonFeature> {
+    let now = Instant::now();
+    let detector = instance.poison.borrow();
+    let parts = instance.poison_parts.borrow();
+    let condemned = detector.condemned(now);
+    let mut listed: Vec<PoisonFeature> = condemned
+        .into_iter()
+        .filter_map(|condemned| {
+            let verdict = detector.verdict(condemned.digest, now)?;
+            let ids = verdict.endpoints.into_iter().map(|e| e.id);
+            Some(PoisonFeature {
+                digest: condemned.digest.to_string(),
+                part: parts.get(&condemned.digest).cloned(),
+                endpoints: ids.collect(),
+                condemned_ms_ago: condemned.ms_ago,
+                released_in_ms: verdict.released_in.as_millis() as u64,
+            })
+        })
+        .collect();
+    listed.sort_unstable_by_key(|feature| feature.condemned_ms_ago);
+    listed
+}
+
+/// Releases a condemned feature at all instances. Returns whether it was
+/// condemned here.
+pub(crate) fn release(instance: &FleetInstance, feature: Feature) -> bool {
+    let now = Instant::now();
+    let mut detector = instance.poison.borrow_mut();
+    if detector.verdict(feature, now).is_none() {
+        return false;
+    }
+    detector.release(feature, now);
+    drop(detector);
+    tracing::info!(event = "poison_released", digest = %feature, by = "operator");
+    instance.broadcast_queue.borrow_mut().push(Note::Cleared(feature));
+    instance.notify_notes();
+    watch_poison::mark_refuted(instance, feature);
+    true
+}
+
 /// Tells all other instances which runs of this one were lost in a crash of an
 /// endpoint and which features succeeded, and logs the features that are newly
 /// condemned by the evidence of all instances.
@@ -460,6 +506,7 @@
         tracing::warn!(
             event = "poison_condemned",
             digest = %feature,
+            part = instance.poison_parts.borrow().get(feature),
             ended = endpoint_names(&endpoints),
         );
     }
@@ -528,6 +575,20 @@
     EndpointIncarnation { id: id.clone(), born }
 }
 
+/// Remembers which parts the features of a request stand for, so that they can
+/// be named if they are condemned.
+fn remember_parts(instance: &FleetInstance, call: &CallerRequest) {
+    let mut parts = instance.poison_parts.borrow_mut();
+    for feature in &call.features().shared {
+        if parts.len() >= MAX_REMEMBERED_PARTS {
+            parts.clear();
+        }
+        if let Some(part) = call.part_of(*feature) {
+            parts.entry(*feature).or_insert_with(|| part.to_owned());
+        }
+    }
+}
+
 /// Returns the ids of the prompt's parts that other requests may have too, or
 /// `None` if there are none.
 fn part_names(call: &CallerRequest) -> Option<String> {
