Refute a crash by an answer of its endpoint to a later request

An instance whose paths to some endpoints are cut reported crashes of endpoints that lived, and harmless requests that broke there were condemned. An instance that has a sealed answer of the endpoint to a request which it sent after the reported crash now drops the crash and tells the others.

a_crash_of_an_endpoint_that_answers_another_instance_is_refuted fails without record_answer, which is new.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -66,6 +66,9 @@
 /// note fits in two packets.
 const MAX_RUNS_PER_NOTE: usize = 64;
 
+/// Maximum number of refuted crashes in one note.
+const MAX_ANSWERS_PER_NOTE: usize = 16;
+
 /// How long other instances have to report what they know of a feature before
 /// it is condemned for good. Meanwhile, requests with it are already refused.
 pub const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
@@ -124,6 +127,17 @@
     /// The latest successes with features of these runs, and with those that
     /// are reported as successful.
     pub successes: Vec<ReportedSuccess>,
+    /// Endpoints that were reported as crashed and have answered since.
+    pub alive: Vec<ReportedAnswer>,
+}
+
+/// An answer of an endpoint that was reported as crashed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReportedAnswer {
+    /// The endpoint.
+    pub endpoint: EndpointIncarnation,
+    /// Time since the answered request was sent, in milliseconds.
+    pub sent_ms_ago: u64,
 }
 
 /// A condemned feature, as instances send it to each other.
@@ -186,6 +200,9 @@
         Vec<(EndpointIncarnation, Interruption, RequestDigest)>,
     /// Features whose successes the other instances must be told.
     untold: Vec<Feature>,
+    /// Endpoints that were reported as crashed and have answered a request of
+    /// this instance that was sent then.
+    answers: HashMap<EndpointIncarnation, Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -321,8 +338,59 @@
         }
     }
 
+    /// Records that an endpoint has answered a request that this instance sent
+    /// to it at a time. It did not crash before, whoever reported that: the
+    /// paths of another instance to it may have been cut. Returns whether a
+    /// crash was refuted, which the notes to other instances then report.
+    pub fn record_answer(
+        &mut self,
+        endpoint: &EndpointIncarnation,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        let is_refuted = self.refute_crash(endpoint, sent, now);
+        if is_refuted {
+            self.answers.insert(endpoint.clone(), sent);
+        }
+        is_refuted
+    }
+
+    /// Drops a crash if its endpoint has answered a request that was sent
+    /// later.
+    fn refute_crash(
+        &mut self,
+        endpoint: &EndpointIncarnation,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        if !self.evidence.refute(endpoint, sent) {
+            return false;
+        }
+        self.endpoint_alive(endpoint, sent);
+        self.update(now);
+        true
+    }
+
+    /// Returns the endpoints that were wrongly reported as crashed, for the
+    /// notes to other instances.
+    pub fn answer_details(&self, now: Instant) -> ReportDetails {
+        let alive = self.answers.iter().map(|(endpoint, sent)| {
+            let ago = now.saturating_duration_since(*sent);
+            let sent_ms_ago = ago.as_millis() as u64;
+            ReportedAnswer { endpoint: endpoint.clone(), sent_ms_ago }
+        });
+        let alive = alive.take(MAX_ANSWERS_PER_NOTE).collect();
+        ReportDetails { alive, ..ReportDetails::default() }
+    }
+
     /// Records what accompanies the reports that are handled next.
     pub fn record_details(&mut self, details: ReportDetails, now: Instant) {
+        for answer in &details.alive {
+            let ago = Duration::from_millis(answer.sent_ms_ago);
+            if let Some(sent) = now.checked_sub(ago) {
+                self.refute_crash(&answer.endpoint, sent, now);
+            }
+        }
         self.reported_runs = details.runs;
         let successes = details.successes.iter().filter_map(|success| {
             let ago = Duration::from_millis(success.began_ms_ago);
@@ -396,6 +464,10 @@
             is_new |=
                 self.evidence.add(&crash.endpoint, &features, interruption);
         }
+        // A later answer to this instance shows that the endpoint lives.
+        if let Some(sent) = self.answers.get(&crash.endpoint).copied() {
+            is_new &= !self.evidence.refute(&crash.endpoint, sent);
+        }
         if is_new {
             for (feature, began) in self.reported_successes.clone() {
                 self.known_mut(feature, now).record_told(began);
@@ -694,6 +766,7 @@
         for feature in self.condemned.expired(now) {
             self.release(feature, now);
         }
+        self.answers.retain(|_, sent| age(*sent) < CRASH_REPEATED_FOR);
         self.settle(now);
         self.evidence.forget(now);
         let in_evidence = self.evidence.features();
@@ -776,7 +849,8 @@
 
     /// Adds other details to these.
     pub fn extend(&mut self, other: ReportDetails) {
-        let ReportDetails { runs, successes } = other;
+        let ReportDetails { runs, successes, alive } = other;
+        self.alive.extend(alive);
         for run in runs {
             if !self.runs.iter().any(|known| known.digest == run.digest) {
                 self.runs.push(run);
@@ -793,7 +867,9 @@
 
     /// Returns whether nothing accompanies the report.
     pub fn is_empty(&self) -> bool {
-        self.runs.is_empty() && self.successes.is_empty()
+        self.runs.is_empty()
+            && self.successes.is_empty()
+            && self.alive.is_empty()
     }
 }
 
--- a/crates/fleet/src/poison/evidence.rs
+++ b/crates/fleet/src/poison/evidence.rs
@@ -138,6 +138,23 @@
         }
     }
 
+    /// Drops a crash after whose last run its endpoint was sent a request that
+    /// it answered. Returns whether there is such a crash.
+    pub(super) fn refute(
+        &mut self,
+        endpoint: &EndpointIncarnation,
+        sent: Instant,
+    ) -> bool {
+        let crash = self.crashes.get(endpoint);
+        let is_refuted = crash.is_some_and(|crash| {
+            crash.runs.values().all(|run| run.broke < sent)
+        });
+        if is_refuted {
+            self.remove(endpoint);
+        }
+        is_refuted
+    }
+
     /// Drops the crashes under a feature.
     pub(super) fn remove_feature(&mut self, feature: Feature) {
         for endpoint in self.endpoints(feature) {
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -239,6 +239,37 @@
     assert!(!poison.has_suspects());
 }
 
+/// Guards against harmless requests that are condemned because the paths of an
+/// instance to some endpoints are cut: their refusals look like crashes.
+#[test]
+fn a_crash_of_an_endpoint_that_answers_another_instance_is_refuted() {
+    let (mut cut, mut near) =
+        (PoisonDetector::default(), PoisonDetector::default());
+    let (of, start) = (digest(1), Instant::now());
+    let mut at = start;
+    for endpoint in 0..3 {
+        let told = crash(&mut cut, endpoint, of, at, at + RUNS);
+        let told = told.expect("a crash");
+        let _ = near.record_crash(&told, at + RUNS);
+        at += TRIES;
+    }
+    assert!(is_condemned(&near, of, at) && is_condemned(&cut, of, at));
+    // An answer to a request that was sent before says nothing.
+    assert!(!near.record_answer(&life(1), start, at));
+    assert!(is_condemned(&near, of, at));
+    assert!(near.record_answer(&life(1), at, at + RUNS));
+    assert!(!is_condemned(&near, of, at + RUNS));
+    cut.record_details(near.answer_details(at + RUNS), at + RUNS);
+    assert!(!is_condemned(&cut, of, at + RUNS));
+    // The report is repeated, and another endpoint crashes in truth.
+    for crash in cut.recent_crashes(at + RUNS) {
+        let _ = near.record_crash(&crash, at + RUNS);
+    }
+    assert!(!is_condemned(&near, of, at + RUNS));
+    crash(&mut near, 7, of, at + TRIES, at + TRIES + RUNS);
+    assert!(is_condemned(&near, of, at + TRIES + RUNS));
+}
+
 /// The end of an endpoint that runs a request of one instance.
 #[derive(Clone, Debug)]
 struct Event {
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -327,6 +327,11 @@
             instance.reach.borrow_mut().record_heard(&call.service);
             let status = answer.status;
             let metadata = ResponseMetadata::read(status, &answer.headers);
+            if metadata.is_sealed {
+                // Another process may have the address of one that has ended,
+                // and reject the request.
+                poison::endpoint_answered(instance, &target.id, began);
+            }
             announcements::apply_response(
                 instance, call, &answered, status, &metadata,
             );
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -358,6 +358,28 @@
     }
 }
 
+/// Records that an endpoint has answered a request that was sent at a time.
+pub(crate) fn endpoint_answered(
+    instance: &FleetInstance,
+    id: &EndpointId,
+    sent: Instant,
+) {
+    if !instance.poison.borrow().has_suspects() {
+        return;
+    }
+    let incarnation = incarnation_of(instance, id);
+    let now = Instant::now();
+    let mut detector = instance.poison.borrow_mut();
+    if detector.record_answer(&incarnation, sent, now) {
+        drop(detector);
+        metrics::counter!("sedgewall_endpoint_crashes_refuted_total")
+            .increment(1);
+        tracing::warn!(event = "endpoint_crash_refuted", endpoint = id);
+        instance.has_urgent_report.set(true);
+        instance.notify_notes();
+    }
+}
+
 /// Records that an endpoint has ended without announcing its departure.
 pub(crate) fn endpoint_ended(instance: &FleetInstance, id: &EndpointId) {
     let view = instance.view.borrow();
@@ -550,6 +572,7 @@
             for crash in &status.crashes {
                 details.extend(detector.crash_details(crash, now));
             }
+            details.extend(detector.answer_details(now));
         }
         Note::Cleared(feature) => {
             details.extend(detector.success_details(*feature, now));
