Condemn no first part that several poison requests have in common

- crashes under a condemned whole request counted against its parts;
- a released part was condemned again by one crash, which interrupts runs with any popular part;
- runs lost at one endpoint at two times counted as two crashes;
- two poison requests that had the first part in common were each less of an explanation than that part.
A part of which each request has a narrower one now needs three crashes more, and a narrower feature that meets its threshold goes first.

--- a/crates/fleet/src/poison/explanation.rs
+++ b/crates/fleet/src/poison/explanation.rs
@@ -27,6 +27,11 @@
 /// were tries of one request, that request is the more likely cause.
 const SHARED_REQUESTS: usize = 2;
 
+/// Crashes that a part needs beyond those of other parts if each of its requests
+/// has a narrower one too. Nearly all requests may have such a part, so that
+/// several poison requests may have it in common.
+const MORE_IF_BROAD: usize = 3;
+
 /// Crashes that several features explain equally well, after which one of them
 /// is held responsible.
 const UNDECIDED_CRASHES: usize = 5;
@@ -70,8 +75,8 @@
     pub(super) counts_from: Option<Instant>,
     /// Whether a request with the feature is known to have succeeded.
     pub(super) has_succeeded: bool,
-    /// Whether one crash suffices, because the feature was held responsible
-    /// before.
+    /// Whether one crash suffices for a whole request, because it was held
+    /// responsible before.
     pub(super) is_on_probation: bool,
 }
 
@@ -82,6 +87,8 @@
     began: Instant,
     broke: Instant,
     is_unanswered: bool,
+    /// Whether the request has no narrower feature in common with others.
+    is_narrowest: bool,
     request: RequestDigest,
 }
 
@@ -144,6 +151,7 @@
                         began: run.began,
                         broke: run.broke,
                         is_unanswered: run.is_unanswered,
+                        is_narrowest: run.shared.first() == Some(&feature),
                         request: *request,
                     });
                 }
@@ -178,7 +186,7 @@
             .iter()
             .filter(|(feature, _)| !responsible.contains(*feature))
             .filter_map(|(feature, of)| {
-                self.candidate(*feature, of, &explained, responsible)
+                self.candidate(*feature, of, &explained)
             })
             .filter(Candidate::is_relevant)
             .collect();
@@ -209,11 +217,12 @@
         let mut others =
             candidates.iter().filter(|other| other.feature != feature);
         others.all(|other| {
-            if !other.is_request && self.is_broader(feature, other.feature) {
+            if self.is_broader(feature, other.feature) {
                 // The narrower one concerns fewer requests. Another cause may
                 // add one crash to those of the broader one.
                 return !other.meets_threshold
-                    && other.crashes + 1 < candidate.crashes;
+                    && (other.is_request
+                        || other.crashes + 1 < candidate.crashes);
             }
             other.weight < candidate.weight
                 || candidate.crashes >= UNDECIDED_CRASHES
@@ -239,7 +248,7 @@
         responsible.insert(other);
         let explained = self.explained(&responsible);
         let of = &self.by_feature[&feature];
-        self.candidate(feature, of, &explained, &responsible)
+        self.candidate(feature, of, &explained)
             .is_some_and(|candidate| candidate.meets_threshold)
     }
 
@@ -259,35 +268,31 @@
         feature: Feature,
         of: &Occurrences,
         explained: &HashSet<usize>,
-        responsible: &HashSet<Feature>,
     ) -> Option<Candidate> {
         let standing = (self.standing)(feature);
         let counts = |occurrence: &&Occurrence| {
             standing.counts_from.is_none_or(|from| occurrence.broke > from)
         };
-        // Crashes that a whole request explains still count against its parts:
-        // a request that is retried may be held responsible before any other
-        // one with the same part is sent.
-        let is_open = |occurrence: &&Occurrence| {
-            !explained.contains(&occurrence.crash)
-                || (!of.is_request
-                    && responsible.contains(&occurrence.request))
-        };
+        let is_open =
+            |occurrence: &&Occurrence| !explained.contains(&occurrence.crash);
         let open: Vec<&Occurrence> =
             of.all.iter().filter(counts).filter(is_open).collect();
-        if open.iter().all(|o| explained.contains(&o.crash)) {
+        if open.is_empty() {
             return None;
         }
         let times = separate_times(open.iter().copied());
         let unanswered =
             separate_times(open.iter().copied().filter(|o| o.is_unanswered));
-        let meets_threshold = match (standing.is_on_probation, of.is_request) {
+        // Any crash interrupts runs with a popular part, so that one crash does
+        // not condemn a part again.
+        let is_on_probation = standing.is_on_probation && of.is_request;
+        let meets_threshold = match (is_on_probation, of.is_request) {
             (true, _) => true,
             (false, true) => self.condemns_request(&open, times, standing),
             (false, false) => {
                 let requests = distinct(open.iter().map(|o| o.request));
                 requests >= SHARED_REQUESTS
-                    && self.condemns_shared(times, unanswered, standing)
+                    && self.condemns_shared(&open, times, unanswered, standing)
             }
         };
         Some(Candidate {
@@ -297,7 +302,7 @@
             crashes: distinct(open.iter().map(|o| o.crash)),
             is_repeated: times > 1,
             meets_threshold,
-            is_on_probation: standing.is_on_probation,
+            is_on_probation,
         })
     }
 
@@ -317,6 +322,7 @@
 
     fn condemns_shared(
         &self,
+        open: &[&Occurrence],
         times: usize,
         unanswered: usize,
         standing: Standing,
@@ -328,8 +334,14 @@
             }
             false => (0, 0),
         };
-        times >= policy.crashes + more
-            || unanswered >= policy.unanswered_crashes + more_unanswered
+        let broad = match open.iter().any(|o| o.is_narrowest) {
+            true => 0,
+            false => MORE_IF_BROAD,
+        };
+        let needed = policy.crashes + more + broad;
+        let needed_unanswered =
+            policy.unanswered_crashes + more_unanswered + broad;
+        times >= needed || unanswered >= needed_unanswered
     }
 
     /// Returns whether each crash under the feature `narrow` interrupted a run
@@ -355,12 +367,18 @@
 }
 
 /// Returns the number of crashes that are separate in time: each of them under
-/// a run that was sent after the crash before.
+/// a run that was sent after the crash before. Of each crash, the run counts
+/// that broke off last: others may have been lost before for another cause.
 fn separate_times<'a>(
     occurrences: impl Iterator<Item = &'a Occurrence>,
 ) -> usize {
-    let mut times: Vec<(Instant, Instant)> =
-        occurrences.map(|o| (o.broke, o.began)).collect();
+    let mut by_crash: HashMap<usize, (Instant, Instant)> = HashMap::new();
+    for occurrence in occurrences {
+        let times = (occurrence.broke, occurrence.began);
+        let last = by_crash.entry(occurrence.crash).or_insert(times);
+        *last = times.max(*last);
+    }
+    let mut times: Vec<(Instant, Instant)> = by_crash.into_values().collect();
     times.sort_unstable();
     let mut separate = 0;
     let mut last: Option<Instant> = None;
--- /dev/null
+++ b/crates/fleet/tests/poison_parts_rules.rs
@@ -0,0 +1,237 @@
+//! Tests that parts of prompts which crash endpoints are condemned, and that
+//! parts of requests beside them are not.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use sedgewall_clock::Instant;
+use sedgewall_fleet::{
+    features::{Feature, Features, Prompt, part_feature},
+    incarnation::EndpointIncarnation,
+    poison::{CONFIRMATION_TIME, Crash, Loss, PoisonDetector},
+    request_digest::{RequestDigest, RequestParts},
+};
+
+const SERVICE: &str = "coach";
+
+/// How long a request runs before it crashes its endpoint.
+const RUNS: Duration = Duration::from_millis(80);
+
+/// The time between two such requests.
+const PAUSE: Duration = Duration::from_millis(300);
+
+fn features(n: u32, customer: Option<&str>, parts: &[&str]) -> Features {
+    let path = format!("/p/{n}");
+    let request = RequestDigest::of(RequestParts {
+        customer,
+        method: "POST",
+        host: "h",
+        path: &path,
+        body: b"",
+    });
+    let own = format!("own{n}");
+    let parts: Vec<&str> = parts.iter().copied().chain([&*own]).collect();
+    Features::new(
+        request,
+        Prompt { service: SERVICE, customer, parts: &parts },
+    )
+}
+
+fn part(id: &str) -> Feature {
+    part_feature(SERVICE, None, id)
+}
+
+fn life(n: u32) -> EndpointIncarnation {
+    EndpointIncarnation { id: format!("e{n}"), born: None }
+}
+
+/// Crashes an endpoint under these requests, none of which was answered.
+fn crash(
+    poison: &mut PoisonDetector,
+    endpoint: u32,
+    under: &[Features],
+    began: Instant,
+) -> Option<Crash> {
+    let at = began + RUNS;
+    for features in under {
+        let (features, lost) = (features.clone(), Loss::Unanswered);
+        poison.record_lost_run(&life(endpoint), features, began, lost, at);
+    }
+    poison.endpoint_ended(&life(endpoint), at)
+}
+
+fn is_condemned(poison: &PoisonDetector, of: Feature, now: Instant) -> bool {
+    poison.verdict(of, now).is_some()
+}
+
+#[test]
+fn a_part_of_two_crashes_is_condemned_and_its_first_part_is_not() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    for n in 0..2 {
+        let fatal = features(n, None, &["first", "deadly"]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&poison, part("deadly"), at));
+    assert!(!is_condemned(&poison, part("first"), at));
+    assert!(poison.take_newly_condemned(at).is_empty());
+    let later = at + CONFIRMATION_TIME;
+    assert_eq!(poison.take_newly_condemned(later), [part("deadly")]);
+}
+
+#[test]
+fn tries_of_one_request_do_not_condemn_its_parts() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    let retried = features(0, None, &["first", "second"]);
+    for n in 0..3 {
+        crash(&mut poison, n, std::slice::from_ref(&retried), at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&poison, retried.request, at));
+    assert!(!is_condemned(&poison, part("second"), at));
+    // Guards against crashes under a retried request that count against its
+    // parts: a first part that many prompts have was condemned by one more
+    // crash of another cause.
+    let beside = features(1, None, &["first", "other"]);
+    crash(&mut poison, 3, &[beside], at);
+    at += PAUSE;
+    assert!(!is_condemned(&poison, part("first"), at));
+    // Two other requests with the same part tell that it is the part.
+    for n in 4..6 {
+        let other = features(n, None, &["first", "second"]);
+        crash(&mut poison, n, &[other], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&poison, part("second"), at));
+}
+
+/// Guards against a first part that nearly all prompts have and that two poison
+/// requests had in common: it was condemned before either of them.
+#[test]
+fn two_poison_requests_do_not_condemn_the_first_part_of_all_prompts() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    for n in 0..6 {
+        let under = [0, 1].map(|poison_request| {
+            let second = format!("second{poison_request}");
+            features(poison_request, None, &["first", &second])
+        });
+        let under = &under[n as usize % 2..][..1];
+        crash(&mut poison, n, under, at);
+        at += PAUSE;
+        assert!(!is_condemned(&poison, part("first"), at), "{n}");
+    }
+    for n in 0..2 {
+        let of = features(n, None, &[]).request;
+        assert!(is_condemned(&poison, of, at));
+    }
+}
+
+/// Guards against one crash that counted twice, because a run had been lost
+/// at the same endpoint before, for another cause.
+#[test]
+fn one_endpoint_does_not_condemn_a_part() {
+    let mut poison = PoisonDetector::default();
+    let at = Instant::now();
+    let (early, late) = (at + RUNS, at + PAUSE);
+    for (n, broke) in [(1, early), (2, late)] {
+        let lost = features(n, None, &["first", "second"]);
+        let began = broke - RUNS;
+        let how = Loss::Unanswered;
+        poison.record_lost_run(&life(0), lost, began, how, broke);
+    }
+    poison.endpoint_ended(&life(0), late);
+    assert!(!is_condemned(&poison, part("first"), late));
+    assert!(!is_condemned(&poison, part("second"), late));
+}
+
+/// Guards against a part that many prompts have and that any crash condemns
+/// again once it was released.
+#[test]
+fn one_crash_does_not_condemn_a_released_part_again() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    for n in 0..5 {
+        assert!(!is_condemned(&poison, part("first"), at));
+        let second = format!("second{n}");
+        let fatal = features(n, None, &["first", &second]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&poison, part("first"), at));
+    poison.release(part("first"), at);
+    let beside = features(9, None, &["first", "other"]);
+    crash(&mut poison, 9, &[beside], at);
+    assert!(!is_condemned(&poison, part("first"), at + PAUSE));
+}
+
+#[test]
+fn a_part_of_one_customer_is_condemned_for_that_customer() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    for n in 0..2 {
+        let fatal = features(n, Some("one"), &["first", "deadly"]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    let of = |customer| features(9, Some(customer), &["first", "deadly"]);
+    assert!(poison.find_condemned(&of("one"), at).is_some());
+    assert!(poison.find_condemned(&of("two"), at).is_none());
+}
+
+#[test]
+fn an_earlier_success_asks_for_one_more_crash() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    let sound = features(100, None, &["first", "deadly"]);
+    poison.record_success(&sound, at, at + RUNS);
+    at += PAUSE;
+    for n in 0..3 {
+        assert!(!is_condemned(&poison, part("deadly"), at));
+        let fatal = features(n, None, &["first", "deadly"]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&poison, part("deadly"), at));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// A part with which a request succeeds after each crash is never
+    /// condemned, and one that is in all crashes and never succeeds is.
+    #[test]
+    fn parts_that_succeed_are_not_condemned_beside_one_that_does_not(
+        crashes in proptest::collection::vec(
+            proptest::collection::vec(0..6u32, 1..5), 3..7),
+    ) {
+        let mut poison = PoisonDetector::default();
+        let mut at = Instant::now();
+        let mut next = 0;
+        let mut number = || { next += 1; next };
+        for (n, beside) in crashes.iter().enumerate() {
+            let mut under =
+                vec![features(number(), None, &["first", "deadly"])];
+            for second in beside {
+                let second = format!("s{second}");
+                under.push(features(number(), None, &["first", &second]));
+            }
+            crash(&mut poison, n as u32, &under, at);
+            at += PAUSE;
+            for second in 0..6 {
+                let second = format!("s{second}");
+                let sound = features(number(), None, &["first", &second]);
+                poison.record_success(&sound, at, at + RUNS);
+            }
+            at += PAUSE;
+        }
+        prop_assert!(is_condemned(&poison, part("deadly"), at));
+        prop_assert!(!is_condemned(&poison, part("first"), at));
+        for second in 0..6 {
+            let feature = part(&format!("s{second}"));
+            prop_assert!(!is_condemned(&poison, feature, at));
+        }
+    }
+}
--- a/crates/fleet/tests/poison_workload/mod.rs
+++ b/crates/fleet/tests/poison_workload/mod.rs
@@ -164,7 +164,8 @@
             && now >= FIRST_CRASH_MS
             && now.is_multiple_of(500)
         {
-            let features = Features::from(self.poison_request);
+            let mut features = self.features("f0", "s1");
+            features.request = self.poison_request;
             self.send(model, features, true, now);
         }
         self.note_condemned(model, now);
