--- a/review/1/run.py
+++ b/review/1/run.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -168,6 +169,8 @@
     if not os.path.exists(PROGRAM):
         print("sedgewalld is not built")
         return 2
+    # The processes are ended also if this one is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = tempfile.mkdtemp(prefix="sedgewall-review-")
     record = Record(HERE)
     instances = []
