Log on which reports an expired lease is extended

A holder whose lease has expired goes on while no other instance can acquire it. The log did not say on which reports this was based, so that a report that an instance is leaving, one that the store is out, and a long silence could not be told apart.

lease_extended states them by kind, with the age of the oldest.

--- a/crates/fleet/src/store_reports.rs
+++ b/crates/fleet/src/store_reports.rs
@@ -42,7 +42,47 @@
     is_leaving: bool,
 }
 
+/// The known instances by their last reports, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReportCounts {
+    /// Instances that reported that the store does not answer them.
+    pub store_is_out: usize,
+    /// Instances that reported that they are leaving.
+    pub leaving: usize,
+    /// Instances that reported neither.
+    pub reaching_store: usize,
+    /// Instances that have never reported.
+    pub unheard: usize,
+    /// The age of the oldest of these reports.
+    pub oldest_report: Duration,
+}
+
 impl StoreReports {
+    /// Returns what the known instances reported last, however long ago.
+    pub fn counts<'a>(
+        &self,
+        known: impl Iterator<Item = &'a InstanceId>,
+        now: Instant,
+    ) -> ReportCounts {
+        let mut counts = ReportCounts::default();
+        for id in known {
+            let Some(report) = self.0.get(id) else {
+                counts.unheard += 1;
+                continue;
+            };
+            match report {
+                StoreReport { is_leaving: true, .. } => counts.leaving += 1,
+                StoreReport { store_is_out: true, .. } => {
+                    counts.store_is_out += 1
+                }
+                StoreReport { .. } => counts.reaching_store += 1,
+            }
+            let age = now.saturating_duration_since(report.received_at);
+            counts.oldest_report = counts.oldest_report.max(age);
+        }
+        counts
+    }
+
     /// Records an instance's report about itself.
     pub fn record(
         &mut self,
--- a/crates/sedgewalld/src/fleet/lease.rs
+++ b/crates/sedgewalld/src/fleet/lease.rs
@@ -319,6 +319,9 @@
     /// Since when another instance may be able to acquire the lease, so that
     /// this one gives no orders.
     lapsed_at: Option<Instant>,
+    /// Whether the lease has expired and goes on because no instance can
+    /// acquire it.
+    is_extended: bool,
 }
 
 /// Renews the lease until it is lost or this instance leaves. Returns the
@@ -333,8 +336,14 @@
         if now >= kept.order_from {
             kept.lease.complete_handover();
         }
-        let is_current = kept.lease.is_current(now)
-            || instance.no_instance_can_acquire_lease(now);
+        let is_renewed = kept.lease.is_current(now);
+        let is_current =
+            is_renewed || instance.no_instance_can_acquire_lease(now);
+        let is_extended = is_current && !is_renewed;
+        if is_extended != std::mem::replace(&mut kept.is_extended, is_extended)
+        {
+            log_extension(instance, &kept, now);
+        }
         if is_current {
             hold(instance, &mut kept);
         } else if is_given_up(instance, &mut kept, now) {
@@ -369,6 +378,24 @@
     }
 }
 
+/// Logs that the lease goes on although it has expired, or no longer does, and
+/// the reports of the other instances that this is based on.
+fn log_extension(instance: &FleetInstance, kept: &KeptLease, now: Instant) {
+    let peers = instance.peers.borrow();
+    let reports = instance.store_reports.borrow();
+    let counts = reports.counts(peers.keys(), now);
+    tracing::info!(
+        event = "lease_extended",
+        epoch = kept.lease.epoch(),
+        is_extended = kept.is_extended,
+        store_is_out = counts.store_is_out,
+        leaving = counts.leaving,
+        reaching_store = counts.reaching_store,
+        unheard = counts.unheard,
+        oldest_report_ms = counts.oldest_report.as_millis() as u64,
+    );
+}
+
 /// Records that this instance holds the lease.
 fn hold(instance: &FleetInstance, kept: &mut KeptLease) {
     let epoch = kept.lease.epoch();
@@ -459,6 +486,7 @@
         renewal_sent: None,
         renewed_by_peers_since: None,
         lapsed_at: None,
+        is_extended: false,
     }
 }
 
