Let a report of leaving expire with the process that sent it

Cause: a holder whose lease has expired goes on while no other instance can acquire it, and the report that an instance is leaving counted without a limit. It is a statement of a process, kept under the name of the instance. The instance ended, was started again, reached the store and took the lease, while the holder was cut off from it and from the store. Evidence: the holder logged lease_extended with one report, of leaving, 1,774 ms old, 1.2 s after its sender had ended; nothing else kept the lease, and no silent instance was presumed unable.

A report of leaving now counts for one second, as that of an outage does. A process that is started again cannot order before it has watched the record for a time to live and waited for the handover, 4.5 s after its start, and the holder's last order is at most one second younger than the last report, so that a whole handover delay lies between the two.

--- a/crates/fleet/src/store_reports.rs
+++ b/crates/fleet/src/store_reports.rs
@@ -22,7 +22,7 @@
 /// How long the report of an instance counts. Instances report every 300 ms. A
 /// change of the holder must fit between the last order of the old one, up to
 /// one second after such a report, and the first order of the new one, 4.5 s
-/// after the new one reached the store again.
+/// after the new one was started or reached the store again.
 pub const REPORT_VALID_FOR: Duration = Duration::from_millis(1_000);
 
 /// How long an instance may be silent before it counts as gone or cut off. If
@@ -135,10 +135,10 @@
         let is_valid =
             |report: &StoreReport| now - report.received_at < REPORT_VALID_FOR;
         // An instance that is leaving acquires no lease, whether or not it
-        // reaches the store, so its report does not expire. If the instance is
-        // restarted, it has no configuration at first.
+        // reaches the store. Its report expires like any other, because the
+        // process ends soon, and one that is started again can acquire it.
         let cannot_acquire = |report: &StoreReport| {
-            report.is_leaving || (report.store_is_out && is_valid(report))
+            is_valid(report) && (report.is_leaving || report.store_is_out)
         };
         let is_reached_by_any = self.0.values().any(|report| {
             is_valid(report) && !report.store_is_out && !report.is_leaving
