Presume nothing of an instance that is silent

Cause: an instance that had been silent for 5 s was presumed unable to acquire the lease while more were known to be out, on the grounds that it regains the store no sooner than the holder. That does not follow: two cuts that overlap leave it on the side of the store. Evidence: lease_taken at the returned instance 2.6 s after its cut ended, while the holder, whose lease had been extended on the reports of four others, went on for 12 s.

An expired lease now goes on only while every listed instance, and every other that has reported, was heard within the last second to be leaving or without the store. Instances that are no longer listed are forgotten.

The price is that an outage during which an instance is gone stops orders until the store is back.

--- a/crates/fleet/src/store_reports.rs
+++ b/crates/fleet/src/store_reports.rs
@@ -3,16 +3,15 @@
 //!
 //! A lease that cannot be renewed ends by its holder's clock, because another
 //! instance could acquire it. The holder may continue while no other instance
-//! can. Two kinds of instances are known to be unable to acquire the lease:
-//! those that are leaving, and those that reported within the last second that
-//! the store does not answer them.
+//! can: each of them reported within the last second that it is leaving, or
+//! that the store does not answer it.
 //!
-//! The invariant: the lease ends if any instance that is not leaving reports
-//! that it reaches the store, if one has fallen silent within the last 5 s, or
-//! if at least as many have been silent for longer, or have never reported, as
-//! are known to be unable to acquire the lease. An instance that reaches the
-//! store again reports this at once, and must watch the lease record for a
-//! full time to live before it may acquire the lease.
+//! The invariant: a report counts for as long as its sender may be presumed to
+//! be the same process in the same state, and silence is never evidence. An
+//! instance that fell silent may have restarted, and the store may answer it
+//! while it does not answer the holder. An instance that reaches the store
+//! again reports this at once, and must watch the lease record for a full time
+//! to live before it may acquire the lease; so must one that restarts.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -25,12 +24,6 @@
 /// after the new one was started or reached the store again.
 pub const REPORT_VALID_FOR: Duration = Duration::from_millis(1_000);
 
-/// How long an instance may be silent before it counts as gone or cut off. If
-/// most other instances report that they cannot reach the store, it is not
-/// only this instance's path that is broken; and a silent instance regains the
-/// store no sooner than the lease holder, which retries five times a second.
-const GONE_AFTER: Duration = Duration::from_secs(5);
-
 /// The last report of each instance.
 #[derive(Clone, Debug, Default)]
 pub struct StoreReports(HashMap<InstanceId, StoreReport>);
@@ -122,39 +115,23 @@
         reports.filter(move |(_, report)| reaches(report)).map(|(id, _)| id)
     }
 
+    /// Forgets the instances that are no longer listed in the store.
+    pub fn retain(&mut self, is_listed: impl Fn(&InstanceId) -> bool) {
+        self.0.retain(|id, _| is_listed(id));
+    }
+
     /// Returns whether no instance can acquire the lease now, neither one of
-    /// the known instances nor any other that has reported. Instances that
-    /// have been silent for 5 s, or have never reported, are presumed unable
-    /// to acquire the lease while they are fewer than those that are known to
-    /// be unable.
+    /// the known instances nor any other that has reported.
     pub fn no_instance_can_acquire_lease<'a>(
         &self,
-        known: impl Iterator<Item = &'a InstanceId>,
+        mut known: impl Iterator<Item = &'a InstanceId>,
         now: Instant,
     ) -> bool {
-        let is_valid =
-            |report: &StoreReport| now - report.received_at < REPORT_VALID_FOR;
-        // An instance that is leaving acquires no lease, whether or not it
-        // reaches the store. Its report expires like any other, because the
-        // process ends soon, and one that is started again can acquire it.
         let cannot_acquire = |report: &StoreReport| {
-            is_valid(report) && (report.is_leaving || report.store_is_out)
+            now - report.received_at < REPORT_VALID_FOR
+                && (report.store_is_out || report.is_leaving)
         };
-        let is_reached_by_any = self.0.values().any(|report| {
-            is_valid(report) && !report.store_is_out && !report.is_leaving
-        });
-        let (mut cannot_acquire_len, mut gone_len) = (0, 0);
-        for id in known {
-            match self.0.get(id) {
-                Some(report) if cannot_acquire(report) => {
-                    cannot_acquire_len += 1
-                }
-                Some(report) if now - report.received_at < GONE_AFTER => {
-                    return false;
-                }
-                Some(_) | None => gone_len += 1,
-            }
-        }
-        !is_reached_by_any && gone_len < cannot_acquire_len
+        known.all(|id| self.0.contains_key(id))
+            && self.0.values().all(cannot_acquire)
     }
 }
--- a/crates/fleet/tests/store_reports_rules.rs
+++ b/crates/fleet/tests/store_reports_rules.rs
@@ -44,17 +44,35 @@
     assert!(!reports.no_instance_can_acquire_lease(ids().iter(), later));
 }
 
+/// Guards against orders of two holders when an instance that was cut off from
+/// the others, or was down, reaches the store while the holder and the others
+/// do not.
 #[test]
-fn a_minority_of_long_silent_instances_counts_as_gone() {
+fn a_long_silent_instance_may_take_the_lease() {
     let now = Instant::now();
-    let known = ["i1", "i2", "i3", "gone"].map(str::to_owned);
     let mut reports = all_unreachable(now);
-    assert!(reports.no_instance_can_acquire_lease(known.iter(), now));
-    let later = now + Duration::from_secs(6);
+    let later = now + Duration::from_secs(60);
     reports.record(&ids()[0], true, false, later);
-    // Two instances were silent for a long time, and no fewer than were heard.
-    let known = ["i1", "i2"].map(str::to_owned);
-    assert!(!reports.no_instance_can_acquire_lease(known.iter(), later));
+    reports.record(&ids()[1], true, false, later);
+    assert!(!reports.no_instance_can_acquire_lease(ids().iter(), later));
+}
+
+#[test]
+fn an_instance_that_never_reported_may_take_the_lease() {
+    let now = Instant::now();
+    let known = ["i1", "i2", "i3", "unheard"].map(str::to_owned);
+    let reports = all_unreachable(now);
+    assert!(!reports.no_instance_can_acquire_lease(known.iter(), now));
+}
+
+#[test]
+fn an_instance_that_is_no_longer_listed_cannot_take_the_lease() {
+    let now = Instant::now();
+    let mut reports = all_unreachable(now);
+    reports.record(&"removed".to_owned(), false, false, now);
+    assert!(!reports.no_instance_can_acquire_lease(ids().iter(), now));
+    reports.retain(|id| ids().contains(id));
+    assert!(reports.no_instance_can_acquire_lease(ids().iter(), now));
 }
 
 #[test]
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -84,6 +84,7 @@
         let is_listed =
             |id: &String| objects.iter().any(|object| object.name == *id);
         self.0.peers.borrow_mut().retain(|id, _| is_listed(id));
+        self.0.store_reports.borrow_mut().retain(is_listed);
         for object in objects {
             self.apply(&object);
         }
@@ -92,7 +93,9 @@
 
     fn handle_change(&self, change: Change) {
         if change.is_deleted {
-            self.0.peers.borrow_mut().remove(&change.object.name);
+            let gone = change.object.name;
+            self.0.peers.borrow_mut().remove(&gone);
+            self.0.store_reports.borrow_mut().retain(|id| *id != gone);
         } else {
             self.apply(&change.object);
         }
