Reset a connection whose request is given up

Cause: an order is given up after 0.8 s, and its connection was closed in order. The kernel then goes on to deliver what it holds, also after the end of the process, and the engine gets the order when the cut is over.

A connection of the pool is now reset when it is closed, by SO_LINGER with no time, which takes back what has not left the machine. It holds for a killed process too. All requests get it, not orders alone: what is given up is never delivered later, whatever it asks for. Accepted connections are unchanged, since the end of an answer must be delivered.

an_order_that_was_given_up_is_not_carried_out_after_a_cut failed before: "an epoch that was used before". The stand-in's links drop what they hold of a connection that its sender resets, and can deliver what old connections hold after new ones work.

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -3,8 +3,9 @@
 //! Unlike a general-purpose client, the pool reports for each failed request
 //! whether it can have reached the endpoint, and never sends a request twice.
 //! Invariant: a connection returns to the pool only after a complete response.
-//! Dropping a response before its end closes the connection, which tells the
-//! endpoint that the caller no longer waits for the response.
+//! Dropping a request or a response before its end resets the connection,
+//! which takes back what has not left this machine yet, and tells the endpoint
+//! that the caller no longer waits for the response.
 
 use std::{
     cell::{Cell, RefCell},
@@ -235,6 +236,7 @@
         stream: TcpStream,
     ) -> Result<Connection, hyper::Error> {
         set_socket_options(&stream);
+        reset_on_close(&stream);
         let mut builder = http1::Builder::new();
         if let Some(max_buffer) = self.max_buffer {
             builder.max_buf_size(max_buffer);
@@ -302,6 +304,19 @@
     }
 }
 
+/// Makes the kernel reset the connection when it is closed, also at the end of
+/// the process. After an orderly close it would go on to deliver a request
+/// that was given up, once the network lets it through: an order could then
+/// reach an engine after those of the next lease holder.
+///
+/// A connection is closed after a complete response or when its request is
+/// given up, so that nothing is lost that anybody waits for.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(err) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        debug!("pool: cannot set SO_LINGER: {err}.");
+    }
+}
+
 /// Sets the time until which the connection may be reused, from the
 /// `Keep-Alive` header, or the default without one. Always returns `Some`.
 fn with_keep_alive(
