Begin an epoch with an order that voids those before it

Cause: an engine may carry out an unanswered order seconds later, and only the count of orders that it states keeps it out. The first order of the new epoch was the load of a base model, of which the engine held the newest version already. It answered 200, which does not raise the count, so that the earlier order was still good.

A load that is answered with 200 no longer counts. The load of a base model waits until an order of the epoch has raised the engine's count, or follows the removal of the engine's least requested idle adapter: an adapter that is held can be removed, which raises the count for certain, and it comes back from the engine's memory.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod note;
 pub mod note_schedule;
 pub mod order;
+pub mod order_count;
 pub mod placement;
 pub mod poison;
 pub mod rate_limiter;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,7 +12,11 @@
 
 mod target;
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use sedgewall_clock::Instant;
 use sedgewall_state::id::{EndpointId, Epoch};
@@ -66,6 +70,8 @@
     epoch: Epoch,
     load_limiter: LoadRateLimiter,
     ordered: HashMap<(EndpointId, AdapterKey), Instant>,
+    /// The engines whose count of orders an order of this epoch has raised.
+    raised: HashSet<EndpointId>,
     /// Time of the last full planning pass.
     last_full_pass: Option<Instant>,
 }
@@ -86,6 +92,7 @@
             epoch,
             load_limiter,
             ordered: HashMap::new(),
+            raised: HashSet::new(),
             last_full_pass: None,
         }
     }
@@ -131,6 +138,14 @@
         orders
     }
 
+    /// Records that an order of an epoch has raised an engine's count of
+    /// orders, so that it carries out none of an earlier epoch any more.
+    pub fn record_raised_count(&mut self, epoch: Epoch, id: &EndpointId) {
+        if epoch == self.epoch && !self.raised.contains(id) {
+            self.raised.insert(id.clone());
+        }
+    }
+
     /// Returns how many base models may be loaded now within the rate of the
     /// weight store.
     pub fn loads_left(&mut self, loads_per_s: f64, now: Instant) -> u32 {
@@ -161,6 +176,18 @@
     }
 }
 
+/// The order that precedes the load of a base model, so that the engine carries
+/// out no order of an earlier epoch after it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum PrecedingOrder {
+    /// None is needed.
+    None,
+    /// Unload this adapter.
+    Unload(AdapterKey),
+    /// Any order that the next passes give.
+    Awaited,
+}
+
 /// One planning pass over the engines of one service.
 struct PlanningPass<'a> {
     planner: &'a mut PlacementPlanner,
@@ -238,7 +265,13 @@
             }
         }
         for (endpoint, address, key, newest) in outdated {
-            if !self.claim_order(&endpoint, &key) {
+            let first = match key.adapter {
+                None => self.order_before_model_load(&endpoint),
+                Some(_) => PrecedingOrder::None,
+            };
+            if first == PrecedingOrder::Awaited
+                || !self.claim_order(&endpoint, &key)
+            {
                 continue;
             }
             let order = |task, is_cold| Order {
@@ -248,6 +281,10 @@
                 is_cold,
             };
             if key.adapter.is_none() {
+                if let PrecedingOrder::Unload(victim) = first {
+                    self.remove(&endpoint, &victim);
+                    orders.push(order(Task::Unload(victim), false));
+                }
                 let task = Task::LoadModel(key.model.clone());
                 orders.push(order(task, true));
             } else if self.demand.get(&key).is_some()
@@ -264,6 +301,28 @@
         }
     }
 
+    /// Returns the order that must precede the load of a newer version of a
+    /// base model.
+    ///
+    /// Such a load raises no count if the engine holds that version already.
+    /// An order of an earlier epoch that the engine was left with would then
+    /// be carried out after it.
+    fn order_before_model_load(&self, id: &EndpointId) -> PrecedingOrder {
+        let Some(state) = self.view.get(id) else {
+            return PrecedingOrder::None;
+        };
+        let mut adapters =
+            state.placements().filter(|(key, _)| key.adapter.is_some());
+        let holds_none = adapters.next().is_none();
+        if self.planner.raised.contains(id) || holds_none {
+            return PrecedingOrder::None;
+        }
+        match self.least_requested_idle(state) {
+            Some(victim) => PrecedingOrder::Unload(victim),
+            None => PrecedingOrder::Awaited,
+        }
+    }
+
     /// Places adapters that requests wait for and that no engine can serve, in
     /// descending order of popularity.
     fn serve_demand(&mut self, orders: &mut Vec<Order>) {
--- a/crates/fleet/src/placement/target.rs
+++ b/crates/fleet/src/placement/target.rs
@@ -225,12 +225,23 @@
         if used > places {
             return None;
         }
-        adapters()
+        self.least_requested_idle(state).map(Some)
+    }
+
+    /// Returns the adapter of an engine with the lowest rate that is not in
+    /// use.
+    pub(super) fn least_requested_idle(
+        &self,
+        state: &EndpointState,
+    ) -> Option<AdapterKey> {
+        state
+            .placements()
+            .filter(|(key, _)| key.adapter.is_some())
             .filter(|(_, placement)| placement.is_settled(self.now))
             .filter(|(key, _)| !state.uses(key) && !self.may_be_in_use(key))
             .map(|(key, _)| (self.rate_at(state, key), key))
             .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, key)| Some(key.clone()))
+            .map(|(_, key)| key.clone())
     }
 
     /// Returns the rate of an adapter's requests as far as an engine gets
--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -248,6 +248,32 @@
     assert_eq!(tasks, [Task::Load(key(1), 2)]);
 }
 
+/// Guards against an order of an earlier epoch that an engine was left with and
+/// carries out after the load of a base model, which raises no count of orders
+/// if the engine holds the version already.
+#[test]
+fn the_first_order_of_an_epoch_to_an_engine_is_no_load_of_a_base_model() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[1, 2])], now);
+    let mut demand = Demand::default();
+    demand.add(&key(1), 1, "z1", now);
+    let later = now + WINDOW;
+    view.record_version(&AdapterKey::base(MODEL), 2, now);
+    let mut second = planner(2, now);
+    let orders = plan(&mut second, &mut view, &mut demand, later);
+    let tasks: Vec<_> = orders.iter().map(|o| o.task.clone()).collect();
+    let load = Task::LoadModel(MODEL.to_owned());
+    assert_eq!(tasks, [Task::Unload(key(2)), load.clone()]);
+
+    let mut view = synced(&[("e1", &[1, 2])], now);
+    view.record_version(&AdapterKey::base(MODEL), 2, now);
+    let mut second = planner(2, now);
+    second.record_raised_count(2, &"e1".to_owned());
+    let orders = plan(&mut second, &mut view, &mut demand, later);
+    let tasks: Vec<_> = orders.iter().map(|o| o.task.clone()).collect();
+    assert_eq!(tasks, [load]);
+}
+
 /// An outdated version occupies a place until its requests have ended.
 #[test]
 fn a_replacement_takes_a_place_beside_the_old_version() {
--- a/crates/sedgewalld/src/fleet/orders.rs
+++ b/crates/sedgewalld/src/fleet/orders.rs
@@ -13,6 +13,7 @@
 use sedgewall_fleet::{
     note::{Note, Placed, Removed},
     order::{Order, Task},
+    order_count::{OrderCount, OrderResult},
     placement::PlacementPlanner,
     view::AnsweredRequest,
 };
@@ -35,14 +36,6 @@
 /// specifies some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(450);
 
-/// How many orders an engine has accepted, as far as its queue knows.
-#[derive(Default)]
-struct AcceptedOrders {
-    epoch: Epoch,
-    count: Option<u64>,
-    last_sent: Option<Instant>,
-}
-
 /// The queues of orders, one for each engine.
 #[derive(Clone)]
 pub(crate) struct OrderQueues {
@@ -101,32 +94,32 @@
     }
 
     async fn run_queue(self, mut rx: mpsc::UnboundedReceiver<Batch>) {
-        let mut accepted = AcceptedOrders::default();
+        let mut accepted = OrderCount::default();
+        let mut last_sent = None;
         while let Some((epoch, batch)) = rx.next().await {
-            if accepted.epoch != epoch {
-                accepted =
-                    AcceptedOrders { epoch, ..AcceptedOrders::default() };
+            if accepted.epoch() != epoch {
+                (accepted, last_sent) = (OrderCount::new(epoch), None);
             }
             let Some(first) = batch.first() else {
                 continue;
             };
             if matches!(first.task, Task::Sync) {
                 if self.needs_report(epoch, &first.endpoint, &accepted) {
-                    self.sync(epoch, first, &mut accepted).await;
+                    self.sync(first, &mut accepted, last_sent).await;
                 }
                 continue;
             }
             for order in batch {
                 let may_send = self.may_order(epoch)
                     && !self.is_cooling_down(&order.endpoint);
-                let count = accepted.count.filter(|_| may_send);
+                let count = accepted.get().filter(|_| may_send);
                 let Some(count) = count else {
-                    accepted.count = None;
+                    accepted.set(None);
                     self.drop_order(epoch, &order);
                     continue;
                 };
-                accepted.last_sent = Some(Instant::now());
-                accepted.count = self.send(epoch, &order, count).await;
+                last_sent = Some(Instant::now());
+                self.send(&order, count, &mut accepted).await;
             }
         }
     }
@@ -156,12 +149,12 @@
         &self,
         epoch: Epoch,
         endpoint: &EndpointId,
-        accepted: &AcceptedOrders,
+        accepted: &OrderCount,
     ) -> bool {
         let view = self.instance.view.borrow();
         let is_known =
             view.get(endpoint).is_some_and(|state| state.is_ordered_by_us());
-        self.holds_lease(epoch) && !(is_known && accepted.count.is_some())
+        self.holds_lease(epoch) && !(is_known && accepted.get().is_some())
     }
 
     /// Returns whether this instance holds the lease under an epoch.
@@ -175,15 +168,15 @@
     /// since that epoch requests its own.
     async fn sync(
         &self,
-        epoch: Epoch,
         order: &Order,
-        accepted: &mut AcceptedOrders,
+        accepted: &mut OrderCount,
+        last_sent: Option<Instant>,
     ) {
+        let epoch = accepted.epoch();
         if self.is_cooling_down(&order.endpoint) {
             return;
         }
-        let since =
-            accepted.last_sent.map_or(Duration::MAX, |at| at.elapsed());
+        let since = last_sent.map_or(Duration::MAX, |at| at.elapsed());
         compio::time::sleep(REPORT_LAG.saturating_sub(since)).await;
         let report = engine::report(&self.instance.pool, order.address).await;
         match report {
@@ -203,8 +196,9 @@
                 let mut view = self.instance.view.borrow_mut();
                 let is_current_incarnation =
                     view.apply_report(&order.endpoint, &report, now);
-                accepted.count =
-                    is_current_incarnation.then_some(report.orders_taken);
+                accepted.set(
+                    is_current_incarnation.then_some(report.orders_taken),
+                );
             }
             Ok(_) => {
                 tracing::info!(
@@ -247,14 +241,16 @@
             .is_some_and(|held| held.epoch == epoch && now >= held.order_from)
     }
 
-    /// Sends an order. Returns how many orders the engine has accepted after
-    /// it, or none if that is unknown; then no further order may be sent.
+    /// Sends an order that states a count, and records in `accepted` how many
+    /// orders the engine has accepted after it. If that is unknown, no further
+    /// order may be sent.
     async fn send(
         &self,
-        epoch: Epoch,
         order: &Order,
-        accepted: u64,
-    ) -> Option<u64> {
+        count: u64,
+        accepted: &mut OrderCount,
+    ) {
+        let epoch = accepted.epoch();
         let born = self.instance.view.borrow().incarnation(&order.endpoint);
         if let Task::Unload(key) = &order.task {
             let (endpoint, key) = (order.endpoint.clone(), key.clone());
@@ -270,7 +266,7 @@
             &order.endpoint,
             &order.task,
             &holder,
-            accepted,
+            count,
         )
         .await;
         tracing::info!(
@@ -292,21 +288,22 @@
             );
             self.cancel_load(order);
             order.revert(&mut self.instance.view.borrow_mut());
-            return None;
+            accepted.set(None);
+            return;
         }
-        let count = match (&answer, &order.task) {
-            (OrderAnswer::Done, _) => Some(accepted + 1),
-            // The place becomes free only after the requests that use it have
-            // ended.
-            (OrderAnswer::Accepted, Task::Unload(_)) => None,
-            (OrderAnswer::Accepted, _) => Some(accepted + 1),
-            (
-                OrderAnswer::Refused(_)
-                | OrderAnswer::Rests(_)
-                | OrderAnswer::Unclear(_),
-                _,
-            ) => None,
+        let result = match &answer {
+            OrderAnswer::Done => OrderResult::Done,
+            OrderAnswer::Accepted => OrderResult::Accepted,
+            OrderAnswer::Refused(_)
+            | OrderAnswer::Rests(_)
+            | OrderAnswer::Unclear(_) => OrderResult::Unclear,
         };
+        accepted.record(&order.task, result);
+        if accepted.is_raised()
+            && let Some(planner) = self.planner.borrow_mut().as_mut()
+        {
+            planner.record_raised_count(epoch, &order.endpoint);
+        }
         match answer {
             OrderAnswer::Done => {
                 self.record_already_loaded(order);
@@ -324,10 +321,9 @@
                 self.cancel_load(order);
             }
         }
-        if count.is_none() {
+        if accepted.get().is_none() {
             order.revert(&mut self.instance.view.borrow_mut());
         }
-        count
     }
 
     /// Removes a load from the loads in flight.
