Compare a rejection's request id before believing it

Cause: an endpoint may send a surplus response late, in the place of the next one, and its id shows which request it is for. A response with Not-Executed or status 421 counted as a rejection of the request that waited there before the ids were compared, and the request was sent to another endpoint while the first one ran it.

The ids are now compared first. A rejection may still lack an id.

--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -413,16 +413,16 @@
 ) -> Result<PooledResponse, AttemptError> {
     answer.apply_connection_header();
     let status = answer.status;
-    if metadata.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(match status {
-            StatusCode::MISDIRECTED_REQUEST => AttemptError::Misdirected,
-            _ => AttemptError::Busy,
-        });
-    }
     // An endpoint may send a response twice. The second copy is then read
-    // where the response to the next request on the connection is expected.
-    let is_ours = metadata.request_id.as_deref()
-        == Some(call.metadata.request_id.as_str());
+    // where the response to the next request on the connection is expected,
+    // and says nothing about that request, which may be running. Only a
+    // rejection may lack an id.
+    let is_rejection =
+        metadata.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    let is_ours = match metadata.request_id.as_deref() {
+        Some(id) => id == call.metadata.request_id,
+        None => is_rejection,
+    };
     if !is_ours {
         answer.discard_connection();
         let of = metadata.request_id.unwrap_or_default();
@@ -430,6 +430,12 @@
             "response is for request {of:?}"
         )));
     }
+    if is_rejection {
+        return Err(match status {
+            StatusCode::MISDIRECTED_REQUEST => AttemptError::Misdirected,
+            _ => AttemptError::Busy,
+        });
+    }
     if status.is_success() && !metadata.is_sealed {
         answer.discard_connection();
         return Err(AttemptError::Unclear(
