Wait at a planned stop until connections have sent their responses

Cause: the process ended 50 ms after its last request counted as done, which is when the body of the response has been handed to the connection. Nothing waited for the connections, which had megabytes to send.

A stopping instance now waits until all connections of callers are closed, or until its grace period is nearly over, as it does for open requests. `stopped` states how many were left.

--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -15,7 +15,8 @@
     settings::{FleetSettings, Settings},
 };
 use sedgewall_transport::{
-    Handler, LocalBody, ServerLimits, Stop, serve, serve_until, stop_signal,
+    Handler, LocalBody, OpenConnections, ServerLimits, Stop, serve,
+    serve_until, stop_signal,
 };
 
 use super::{
@@ -115,8 +116,14 @@
     }
     compio::runtime::spawn(leader::run(instance.clone(), orders)).detach();
     compio::runtime::spawn(reach::run(instance.clone())).detach();
-    compio::runtime::spawn(serve_callers(instance.clone(), callers, stop))
-        .detach();
+    let connections = OpenConnections::default();
+    compio::runtime::spawn(serve_callers(
+        instance.clone(),
+        callers,
+        stop,
+        connections.clone(),
+    ))
+    .detach();
     if let Some(address) = instance.fleet.metrics_listen {
         spawn_metrics(&instance, address, metrics.clone()).await;
     }
@@ -128,7 +135,7 @@
     ))
     .detach();
     wait_for_stop(signals).await;
-    shut_down(&instance, stopping).await;
+    shut_down(&instance, stopping, &connections).await;
     log.flush();
     Ok(())
 }
@@ -161,6 +168,7 @@
     instance: Rc<FleetInstance>,
     listener: TcpListener,
     stop: Stop,
+    open: OpenConnections,
 ) {
     let connections = instance.settings.limits.connections;
     let limits = ServerLimits {
@@ -171,7 +179,7 @@
     let handler: Handler = Rc::new(move |request| {
         Box::pin(caller::answer(instance.clone(), request, None))
     });
-    serve_until(listener, limits, handler, stop).await;
+    serve_until(listener, limits, handler, stop, open).await;
 }
 
 /// Serves metrics on a separate address. If that address cannot be bound, the
@@ -302,6 +310,7 @@
 async fn shut_down(
     instance: &FleetInstance,
     stopping: futures_channel::oneshot::Sender<()>,
+    connections: &OpenConnections,
 ) {
     let began = Instant::now();
     tracing::info!(event = "stop", open = instance.open_requests.get());
@@ -313,8 +322,13 @@
     compio::time::sleep(BALANCER_GRACE).await;
     drop(stopping);
     let end = began + instance.stop_time();
-    let has_duties =
-        || instance.open_requests.get() > 0 || instance.held.get().is_some();
+    // A response is complete for this instance before its caller has taken it
+    // from the connection.
+    let has_duties = || {
+        instance.open_requests.get() > 0
+            || connections.count() > 0
+            || instance.held.get().is_some()
+    };
     while has_duties() && Instant::now() < end {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
@@ -323,6 +337,7 @@
     tracing::info!(
         event = "stopped",
         cut_off = instance.open_requests.get(),
+        unsent = connections.count(),
         took_ms = began.elapsed().as_millis() as u64,
     );
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,7 +25,7 @@
         SendError,
     },
     server::{
-        Handler, ServerLimits, SlowClientLimits, Stop, serve, serve_until,
-        stop_signal,
+        Handler, OpenConnections, ServerLimits, SlowClientLimits, Stop, serve,
+        serve_until, stop_signal,
     },
 };
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -87,6 +87,23 @@
     (tx, rx.shared())
 }
 
+/// The number of open connections of a server.
+#[derive(Clone, Debug, Default)]
+pub struct OpenConnections(Rc<Cell<usize>>);
+
+impl OpenConnections {
+    /// Returns the number of open connections. After the server has stopped,
+    /// each of them still has a request or a part of a response to send.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+
+    fn open(&self) -> ConnectionGuard {
+        self.0.set(self.0.get() + 1);
+        ConnectionGuard(self.0.clone())
+    }
+}
+
 /// Serves connections without ever stopping.
 pub async fn serve(
     listener: TcpListener,
@@ -94,7 +111,8 @@
     handler: Handler,
 ) {
     let (_running, stop) = stop_signal();
-    serve_until(listener, limits, handler, stop).await;
+    let open = OpenConnections::default();
+    serve_until(listener, limits, handler, stop, open).await;
 }
 
 /// Serves connections until `stop` completes.
@@ -102,15 +120,15 @@
 /// Returns at once when `stop` completes, or up to 50 ms later if an accept
 /// has just failed. No more connections are accepted. Open connections finish
 /// their current request in their own tasks and are then closed, so the
-/// runtime must run on until then. A request that was read still receives its
-/// response, unless the client disconnects.
+/// runtime must run on until then, as `open` shows. A request that was read
+/// still receives its response, unless the client disconnects.
 pub async fn serve_until(
     listener: TcpListener,
     limits: ServerLimits,
     handler: Handler,
     stop: Stop,
+    open: OpenConnections,
 ) {
-    let open = Rc::new(Cell::new(0usize));
     let mut stopped = stop.clone();
     loop {
         let mut accept = Box::pin(listener.accept()).fuse();
@@ -129,12 +147,11 @@
                 continue;
             }
         };
-        if open.get() >= limits.connections {
+        if open.count() >= limits.connections {
             debug!("http: connection limit reached, closed a new connection.");
             continue;
         }
-        open.set(open.get() + 1);
-        let guard = ConnectionGuard(open.clone());
+        let guard = open.open();
         let handler = handler.clone();
         let stop = stop.clone();
         compio::runtime::spawn(async move {
