Bound the keep-alive timeout that an endpoint states

A stated timeout now counts for an hour at most.

a_keep_alive_timeout_may_have_any_length failed before: "overflow when adding duration to instant".

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -33,6 +33,10 @@
 /// timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(20);
 
+/// The maximum time for which an idle connection is kept, whatever the endpoint
+/// states.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+
 /// Subtracted from the endpoint's `Keep-Alive` timeout, so that a request is
 /// not sent while the endpoint closes the idle connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
@@ -324,7 +328,9 @@
     headers: &HeaderMap,
 ) -> Option<Connection> {
     let rest = match keep_alive_timeout(headers) {
-        Some(stated) => stated.saturating_sub(KEEP_ALIVE_MARGIN),
+        Some(stated) => {
+            stated.min(MAX_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN)
+        }
         None => DEFAULT_KEEP_ALIVE,
     };
     connection.reusable_until = Instant::now() + rest;
