--- a/review/standin_2/platform_2.py
+++ b/review/standin_2/platform_2.py
@@ -898,7 +898,11 @@
     async def run():
         # Connections that are open at the end are cancelled, which asyncio
         # would report for each of them.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        # The instances are ended also if the script is.
+        case_task = asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, case_task.cancel)
         deployment = await Deployment(record).open()
         try:
             return await asyncio.wait_for(case(deployment, record, trouble),
@@ -911,6 +915,9 @@
     try:
         broken = asyncio.run(run())
         code = 1 if broken else 0
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        record.add("cannot-run", cause="ended from outside")
+        code = 2
     except CannotRun as err:
         record.add("cannot-run", cause=err)
         print(f"the case could not run: {err}")
