--- a/review/5/case.py
+++ b/review/5/case.py
@@ -41,7 +41,7 @@
     async def ask(adapter, events=10):
         """Asks for an answer, again after a refusal as consumers do."""
         nonlocal number
-        for _ in range(10):
+        for _ in range(4):
             number += 1
             instance = deployment.instances[number % 3]
             request_id = f"{adapter}-{number}"
@@ -54,7 +54,8 @@
                        status=answer.status, whole=answer.is_whole)
             if answer.status == 200:
                 return answer
-            await asyncio.sleep(0.3)
+            again = float(answer.headers.get("retry-after", 0.3))
+            await asyncio.sleep(again)
 
     used = USED * ENGINES
     for n in range(1, used + 1):
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 # When the operator writes the next manifest, from the silence: the machines
 # are in touch again once contactMs have passed.
 NEXT_AFTER_S = BOUNDS["contactMs"] / 1000 + 0.2
-# When the entry of a worker changes, from the silence.
+# When a worker is added, from the silence.
 ENTRY_AFTER_S = 1.7
 CONFIG_S = BOUNDS["configMs"] / 1000
 SERVICES = [plain_service("league"), plain_service("ledger")]
@@ -26,25 +26,30 @@
 async def case(deployment, record, trouble):
     store = deployment.store
     workers = []
+
+    async def add_worker(service):
+        added = Worker(store, record, f"{service}-5", service, slots=6,
+                       queue=24)
+        workers.append(await added.start())
+
     for service in ("league", "ledger"):
-        for n in (1, 2, 3):
+        for n in (1, 2, 3, 4):
             worker = Worker(store, record, f"{service}-{n}", service,
-                            zone=f"z{n}", slots=6, queue=24)
+                            zone=f"z{n % 3 + 1}", slots=6, queue=24)
             workers.append(await worker.start())
     store.put("config", "main", manifest(3, FIRST, SERVICES))
     await deployment.start_instances(6)
     await asyncio.sleep(16)
     # Changes like any others, a second before.
     store.put("config", "main", manifest(7, FIRST, SERVICES))
-    workers[0].list(cold_left_ms=900)
+    await add_worker("league")
     record.add("acknowledged", version=7)
     await asyncio.sleep(1)
     if trouble:
         silent = sum(link.silence_open() for link in deployment.links)
         record.add("silent", channels=silent)
-    # Workers write their entries as on any day.
     await asyncio.sleep(ENTRY_AFTER_S)
-    workers[0].list(cold_left_ms=500)
+    await add_worker("ledger")
     await asyncio.sleep(NEXT_AFTER_S - ENTRY_AFTER_S)
     store.put("config", "main", manifest(12, NEXT, SERVICES))
     acknowledged = record.now()
