Bound the age of what is known of each watched kind

Callers got the answers of an older configuration up to 4.6 s after a newer one was acknowledged: requests ran at the service that a route had been taken from, and a new route got 404.

Cause: a watch on a dead connection looks like one without changes. What showed it to be dead was always an event elsewhere: a failed call of another kind, or an instance with a newer state.

Each kind now has a maximum age. Reads of the newest state confirm what is known, and so do status notes of instances that have the same state and were confirmed; where neither comes in time, the store is read on a new connection, in the order of ranks. A call that times out closes the idle connections.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine_pools;
 pub mod event_framer;
 pub mod features;
+pub mod freshness;
 pub mod health;
 pub mod incarnation;
 pub mod intake;
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -113,6 +113,18 @@
     ZoneRelay(Box<Note>),
 }
 
+impl Note {
+    /// Returns whether the note is a status or relays one.
+    pub fn has_status(&self) -> bool {
+        match self {
+            Note::Status(_) => true,
+            Note::GroupRelay(relayed) => relayed.note.has_status(),
+            Note::ZoneRelay(note) => note.has_status(),
+            _ => false,
+        }
+    }
+}
+
 /// Streams that began at one software version of a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct BegunStreams {
--- a/crates/sedgewalld/src/fleet/datagram.rs
+++ b/crates/sedgewalld/src/fleet/datagram.rs
@@ -3,16 +3,17 @@
 //! A datagram is a note in MessagePack, followed by the newest change of an
 //! endpoint's entry that its sender has read, the services whose endpoints are
 //! out of the sender's reach, the rejections by brittle endpoints that it
-//! knows, and details of the crashes and successes in the note. Of the last
-//! three, those after which there is nothing are left out. Instances of earlier
-//! releases ignore what follows the values that they know. A later release may
-//! append further ones.
+//! knows, details of the crashes and successes in the note, and how old the
+//! sender's knowledge of each watched kind is. Of the last four, those after
+//! which there is nothing are left out. Instances of earlier releases ignore
+//! what follows the values that they know. A later release may append further
+//! ones.
 
 use std::collections::BTreeSet;
 
 use sedgewall_fleet::{
-    note::Note, poison::ReportDetails, revision::Revision,
-    room_share::RejectionReport, route::ServiceName,
+    freshness::FreshnessReport, note::Note, poison::ReportDetails,
+    revision::Revision, room_share::RejectionReport, route::ServiceName,
 };
 use serde::Deserialize;
 
@@ -29,6 +30,8 @@
     pub(crate) rejections: Vec<RejectionReport>,
     /// Details of the crashes and successes in the note.
     pub(crate) poison_details: ReportDetails,
+    /// How old the sender's knowledge of each watched kind is.
+    pub(crate) freshness: FreshnessReport,
 }
 
 /// Encodes a datagram.
@@ -38,10 +41,12 @@
     lost_services: &BTreeSet<ServiceName>,
     rejections: &[RejectionReport],
     poison_details: &ReportDetails,
+    freshness: &FreshnessReport,
 ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = rmp_serde::to_vec(note)?;
     rmp_serde::encode::write(&mut bytes, &endpoints_read)?;
-    let has_details = !poison_details.is_empty();
+    let has_freshness = !freshness.0.is_empty();
+    let has_details = !poison_details.is_empty() || has_freshness;
     if !lost_services.is_empty() || !rejections.is_empty() || has_details {
         rmp_serde::encode::write(&mut bytes, lost_services)?;
         rmp_serde::encode::write(&mut bytes, rejections)?;
@@ -49,6 +54,9 @@
     if has_details {
         rmp_serde::encode::write(&mut bytes, poison_details)?;
     }
+    if has_freshness {
+        rmp_serde::encode::write(&mut bytes, freshness)?;
+    }
     Ok(bytes)
 }
 
@@ -63,11 +71,14 @@
     let rejections = Vec::deserialize(&mut decoder).unwrap_or_default();
     let poison_details =
         ReportDetails::deserialize(&mut decoder).unwrap_or_default();
+    let freshness =
+        FreshnessReport::deserialize(&mut decoder).unwrap_or_default();
     Ok(Datagram {
         note,
         endpoints_read,
         lost_services,
         rejections,
         poison_details,
+        freshness,
     })
 }
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/freshness.rs
@@ -0,0 +1,144 @@
+//! How old this instance's knowledge of each watched kind is, what it reports
+//! of that to the other instances, and what their reports confirm here.
+
+use std::{cell::RefCell, time::Duration};
+
+use sedgewall_clock::Instant;
+use sedgewall_fleet::freshness::{
+    Freshness, FreshnessReport, KindReport, Turn, WatchedKind,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::instance::FleetInstance;
+
+/// How long computed digests are used. A large fleet has thousands of entries,
+/// and relays encode many datagrams at once.
+const DIGESTS_VALID_FOR: Duration = Duration::from_millis(50);
+
+/// The freshness of all watched kinds.
+pub(crate) struct FreshnessTable {
+    kinds: RefCell<[Freshness; WatchedKind::ALL.len()]>,
+    snapshot: RefCell<Option<Snapshot>>,
+}
+
+/// What was known of all kinds at one time.
+#[derive(Clone, Copy)]
+struct Snapshot {
+    at: Instant,
+    kinds: [Freshness; WatchedKind::ALL.len()],
+    digests: [u64; WatchedKind::ALL.len()],
+}
+
+impl FreshnessTable {
+    pub(crate) fn new(in_force_within: Duration, now: Instant) -> Self {
+        let kinds = WatchedKind::ALL
+            .map(|kind| Freshness::new(kind.max_age(in_force_within), now));
+        FreshnessTable {
+            kinds: RefCell::new(kinds),
+            snapshot: RefCell::default(),
+        }
+    }
+
+    /// Returns the freshness of a kind.
+    pub(crate) fn of(&self, kind: WatchedKind) -> Freshness {
+        self.kinds.borrow()[kind as usize]
+    }
+
+    /// Records that all changes of a kind before `until` are known.
+    pub(crate) fn confirm(&self, kind: WatchedKind, until: Instant) {
+        self.kinds.borrow_mut()[kind as usize].confirm(until);
+    }
+}
+
+impl FleetInstance {
+    /// Returns this instance's turn to read the store.
+    pub(crate) fn turn(&self) -> Turn {
+        Turn {
+            rank: self.rank(0),
+            instances: self.peers.borrow().len() + 1,
+            draw: rand::random(),
+        }
+    }
+
+    /// Returns what to report to the other instances.
+    pub(crate) fn freshness_report(&self, now: Instant) -> FreshnessReport {
+        let Snapshot { kinds, digests, .. } = self.snapshot(now);
+        let reports = kinds.iter().zip(digests).map(|(kind, digest)| {
+            // Rounded up, so that the report never claims too much.
+            let age = kind.age(now)?.as_millis() as u64 + 1;
+            Some(KindReport { age_ms: age, digest })
+        });
+        FreshnessReport(reports.collect())
+    }
+
+    /// Applies a report of another instance. Where the other instance has the
+    /// same state, what it knows confirms what is known here.
+    pub(crate) fn apply_freshness_report(
+        &self,
+        report: &FreshnessReport,
+        now: Instant,
+    ) {
+        if report.0.is_empty() {
+            return;
+        }
+        let Snapshot { digests, .. } = self.snapshot(now);
+        let mut kinds = self.freshness.kinds.borrow_mut();
+        let reported = report.0.iter().zip(digests).zip(kinds.iter_mut());
+        for ((reported, own_digest), kind) in reported {
+            if let Some(KindReport { age_ms, digest }) = *reported
+                && digest == own_digest
+            {
+                kind.record_report(Duration::from_millis(age_ms), now);
+            }
+        }
+    }
+
+    /// Returns the digests of all kinds, with the freshness that belongs to
+    /// them.
+    fn snapshot(&self, now: Instant) -> Snapshot {
+        let known = *self.freshness.snapshot.borrow();
+        if let Some(known) =
+            known.filter(|known| now < known.at + DIGESTS_VALID_FOR)
+        {
+            return known;
+        }
+        let kinds = *self.freshness.kinds.borrow();
+        let digests = WatchedKind::ALL.map(|kind| self.digest(kind));
+        let snapshot = Snapshot { at: now, kinds, digests };
+        *self.freshness.snapshot.borrow_mut() = Some(snapshot);
+        snapshot
+    }
+
+    /// Returns a number that identifies the known state of a kind: of
+    /// endpoints, which of them take requests.
+    fn digest(&self, kind: WatchedKind) -> u64 {
+        match kind {
+            WatchedKind::Configuration => self.state_summary().configuration,
+            WatchedKind::Versions => self.state_summary().versions,
+            WatchedKind::Condemned => self.state_summary().condemned,
+            WatchedKind::Endpoints => {
+                let view = self.view.borrow();
+                let serving = view
+                    .endpoints()
+                    .filter(|state| !state.endpoint.is_draining);
+                unordered_digest(serving.map(|state| &**state.id()))
+            }
+            WatchedKind::Instances => {
+                let peers = self.peers.borrow();
+                let listed = peers
+                    .iter()
+                    .map(|(id, peer)| format!("{id} {}", peer.address));
+                let own =
+                    format!("{} {}", self.id(), self.settings.peer_listen);
+                unordered_digest(listed.chain([own]))
+            }
+        }
+    }
+}
+
+/// Returns a digest that does not depend on the order of the parts.
+fn unordered_digest<T: AsRef<str>>(parts: impl Iterator<Item = T>) -> u64 {
+    parts
+        .map(|part| xxh3_64(part.as_ref().as_bytes()))
+        .fold(0, u64::wrapping_add)
+}
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -45,6 +45,7 @@
     buffers::{self, Buffers, CONNECTION_BUFFER},
     engine_pools::PoolServices,
     forwarding::Forwards,
+    freshness::FreshnessTable,
     intake::IntakeQueue,
     keys::Keys,
     notify::Notify,
@@ -223,6 +224,8 @@
     pub(crate) rate_limiter: RefCell<RateLimiter>,
     /// Whether all revocations of keys are certain to be known here.
     pub(crate) keys: Keys,
+    /// How old what is known of each watched kind is.
+    pub(crate) freshness: FreshnessTable,
     /// Whether the store answers this instance.
     pub(crate) store_reachability: RefCell<StoreReachability>,
     /// Whether each other instance reports that it reaches the store.
@@ -378,6 +381,7 @@
             false => RetryBudget::new(allowance),
         };
         let revoke_within = fleet.revoke_within_ms.map(Duration::from_millis);
+        let in_force_within = Duration::from_millis(fleet.in_force_within_ms);
         let has_queues = fleet.ordered_waiting.unwrap_or_default();
         let wait_queues =
             has_queues.then(|| WaitQueues::new(settings.limits.requests));
@@ -410,6 +414,7 @@
             stream_reports: RefCell::default(),
             rate_limiter: RefCell::default(),
             keys: Keys::new(revoke_within),
+            freshness: FreshnessTable::new(in_force_within, Instant::now()),
             store_reachability: RefCell::default(),
             store_reports: RefCell::default(),
             saturated: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -4,12 +4,20 @@
 //! Each kind is listed once and then watched. While the store is out, the last
 //! known state stays in force. What to do with the objects is up to the
 //! [`ObjectHandler`] of the kind.
+//!
+//! Invariant: where neither a read of the newest state nor another instance
+//! confirms what is known of a kind, the store is read on a new connection
+//! within the time that [`sedgewall_fleet::freshness`] sets, whatever the open
+//! watch does.
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use futures_util::{FutureExt, select};
 use sedgewall_clock::Instant;
-use sedgewall_fleet::back_off::{BackOff, CallKind};
+use sedgewall_fleet::{
+    back_off::{BackOff, CallKind},
+    freshness::{MIN_WATCH, WatchedKind},
+};
 use sedgewall_platform::{
     StoreError,
     config::{CONFIG_KIND, CONFIG_NAME},
@@ -40,6 +48,9 @@
 /// Handles the objects of one kind.
 pub(crate) trait ObjectHandler {
     const KIND: &'static str;
+    const WATCHED_KIND: WatchedKind;
+    /// How long a watch waits for changes while other instances confirm what
+    /// is known here.
     const WATCH_TIMEOUT: Duration;
     /// How fresh the first list must be. A cheaper list that may be seconds
     /// old suffices for a kind whose newest state may become known a second
@@ -107,9 +118,21 @@
     watch_freshness: Freshness,
     /// Whether the last call for this kind failed.
     last_call_failed: bool,
+    /// Whether the next watch only reads the changes so far, on a new
+    /// connection.
+    is_read_due: bool,
     back_off: BackOff,
 }
 
+/// How a watch ended.
+enum WatchEnd {
+    Answered(Changes),
+    /// The kind was to be listed again.
+    Notified,
+    /// The newest state had not been confirmed for too long.
+    Overdue,
+}
+
 async fn run<F: ObjectHandler>(instance: Rc<FleetInstance>, handler: F) {
     let in_force_within = instance.in_force_within();
     let mut state = ListWatch {
@@ -119,6 +142,7 @@
         list_freshness_override: Some(F::FIRST_LIST_FRESHNESS),
         watch_freshness: Freshness::Newest,
         last_call_failed: false,
+        is_read_due: false,
         back_off: BackOff::within(in_force_within),
     };
     loop {
@@ -176,11 +200,17 @@
         self.handler.record_position(revision, freshness);
         self.handler.record_read(sent);
         if freshness == Freshness::Newest {
-            self.handler.confirm(sent);
+            self.confirm(sent);
         }
         Ok(revision)
     }
 
+    /// Records that all changes before `until` are known.
+    fn confirm(&self, until: Instant) {
+        self.handler.confirm(until);
+        self.instance.freshness.confirm(F::WATCHED_KIND, until);
+    }
+
     /// Lists all objects. A list that may be seconds old may show what the
     /// store held before it was restored; the newest is then listed instead.
     async fn list_in_latest_era(
@@ -206,8 +236,10 @@
     /// for a tenth of the price, and learn from notes if the list was too old.
     /// If 195 instances listed four kinds with [`Freshness::Newest`], that
     /// would be 780 calls at once.
-    fn next_list_freshness(&self) -> Freshness {
+    fn next_list_freshness(&mut self) -> Freshness {
+        let is_read = std::mem::take(&mut self.is_read_due);
         match self.list_freshness_override {
+            _ if is_read => Freshness::Newest,
             Some(freshness) => freshness,
             None if self.handler.take_behind() => Freshness::Newest,
             None if self.handler.watch_override().is_some() => {
@@ -217,28 +249,33 @@
         }
     }
 
-    /// Waits for changes. Returns none if the kind was to be listed again
-    /// before any came.
+    /// Waits for changes. Returns the revision to continue from, or none if
+    /// the kind must be listed again.
     async fn watch(
         &mut self,
         since: Revision,
     ) -> Result<Option<Revision>, StoreError> {
-        let (freshness, wait) = match self.handler.watch_override() {
-            Some(own) => own,
-            None => {
-                let before = self.watch_freshness;
-                (
-                    next_watch_freshness(&self.instance, before, F::KIND),
-                    F::WATCH_TIMEOUT,
-                )
-            }
+        let is_read = std::mem::take(&mut self.is_read_due);
+        let (freshness, wait) = match is_read {
+            true => (Freshness::Newest, MIN_WATCH),
+            false => self.next_watch(),
         };
-        self.watch_freshness = freshness;
+        if !is_read {
+            self.watch_freshness = freshness;
+        }
         let sent = Instant::now();
         self.handler.begin_watch(freshness);
-        let ended = self.watch_or_notification(since, wait, freshness).await;
+        let watch = self.instance.store.watch(F::KIND, since, wait, freshness);
+        let ended = self.watch_until_end(watch, is_read).await;
         self.handler.end_watch();
-        let Some(changes) = ended? else { return Ok(None) };
+        let changes = match ended? {
+            WatchEnd::Answered(changes) => changes,
+            WatchEnd::Notified => return Ok(None),
+            WatchEnd::Overdue => {
+                self.note_overdue(Some(sent));
+                return Ok(Some(since));
+            }
+        };
         log_unreadable(F::KIND, &changes.unreadable);
         // A watch that ends without a change has waited its whole timeout at
         // the store, so the state is known up to its end.
@@ -249,45 +286,101 @@
             self.handler.handle_change(change);
         }
         self.handler.record_position(changes.revision, freshness);
-        self.handler.record_read(if has_timed_out {
-            sent + wait
-        } else {
-            sent
-        });
+        let known_until = match has_timed_out {
+            true => sent + wait,
+            false => sent,
+        };
+        self.handler.record_read(known_until);
         if freshness == Freshness::Newest {
-            self.handler.confirm(if has_timed_out {
-                sent + wait
-            } else {
-                sent
-            });
+            self.confirm(known_until);
         }
         Ok(Some(changes.revision))
     }
 
-    /// Waits for the end of a watch, or for a notification that the kind must
-    /// be listed again.
-    async fn watch_or_notification(
+    /// Returns the freshness and the timeout of the next watch.
+    fn next_watch(&self) -> (Freshness, Duration) {
+        let own = self.handler.watch_override();
+        let (freshness, longest) = match own {
+            Some(own) => own,
+            None => {
+                let before = self.watch_freshness;
+                (
+                    next_watch_freshness(&self.instance, before, F::KIND),
+                    F::WATCH_TIMEOUT,
+                )
+            }
+        };
+        if freshness == Freshness::SecondsOld {
+            return (freshness, longest);
+        }
+        let known = self.instance.freshness.of(F::WATCHED_KIND);
+        let turn = self.instance.turn();
+        (freshness, known.watch_timeout(turn, longest, Instant::now()))
+    }
+
+    /// Waits for the end of a watch, for a notification that the kind must be
+    /// listed again, or until the newest state must be read.
+    async fn watch_until_end(
         &self,
-        since: Revision,
-        wait: Duration,
-        freshness: Freshness,
-    ) -> Result<Option<Changes>, StoreError> {
-        let store = &self.instance.store;
-        let watch = store.watch(F::KIND, since, wait, freshness);
+        watch: impl Future<Output = Result<Changes, StoreError>>,
+        is_read: bool,
+    ) -> Result<WatchEnd, StoreError> {
         let notify = self.handler.relist_notify();
         let mut watch = pin!(watch.fuse());
         let mut notified = pin!(notified(&notify).fuse());
+        let mut overdue = pin!(self.overdue(is_read).fuse());
         select! {
             watched = watch => {
                 self.instance.check_store_era();
-                watched.map(Some)
+                watched.map(WatchEnd::Answered)
+            }
+            () = notified => Ok(WatchEnd::Notified),
+            () = overdue => Ok(WatchEnd::Overdue),
+        }
+    }
+
+    /// Waits until the newest state must be read. Never returns during the
+    /// read itself, whose timeout bounds it.
+    async fn overdue(&self, is_read: bool) {
+        if is_read {
+            return std::future::pending().await;
+        }
+        let turn = self.instance.turn();
+        loop {
+            let known = self.instance.freshness.of(F::WATCHED_KIND);
+            let left =
+                known.read_due(turn).saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
             }
-            () = notified => Ok(None),
+            compio::time::sleep(left).await;
         }
     }
 
+    /// Makes the next watch read the newest state on a new connection: those
+    /// that are open may be dead. `watch_sent` is when the open watch was
+    /// sent, if there is one.
+    fn note_overdue(&mut self, watch_sent: Option<Instant>) {
+        self.is_read_due = true;
+        self.instance.store.close_idle_connections();
+        let known = self.instance.freshness.of(F::WATCHED_KIND);
+        let age = known.age(Instant::now());
+        tracing::info!(
+            event = "read_due",
+            kind = F::KIND,
+            age_ms = age.map(|age| age.as_millis() as u64),
+            watch_open_ms =
+                watch_sent.map(|sent| sent.elapsed().as_millis() as u64),
+        );
+    }
+
     /// Continues from a revision after the handler's pause.
     async fn on_success(&mut self, revision: Revision) {
+        if self.is_read_due {
+            // The watch was abandoned, which shows nothing of the store.
+            self.since = Some(revision);
+            return;
+        }
         self.instance.record_store_success();
         let notify = self.handler.relist_notify();
         if std::mem::take(&mut self.last_call_failed) {
@@ -296,13 +389,33 @@
         }
         self.back_off.answered();
         let pause = self.handler.pause();
-        let is_notified = !pause.is_zero() && notify.wait(pause).await;
+        let began = Instant::now();
+        let is_notified =
+            !pause.is_zero() && self.pause_unless_overdue(pause).await;
         // After a long pause, the store may have dropped the changes that
         // follow the revision.
-        let is_old = pause > DEFAULT_WATCH_TIMEOUT;
+        let is_old = began.elapsed() > DEFAULT_WATCH_TIMEOUT;
         self.since = (!is_notified && !is_old).then_some(revision);
     }
 
+    /// Waits until the end of the pause, or until the newest state must be
+    /// read. Returns whether the kind must be listed again.
+    async fn pause_unless_overdue(&mut self, pause: Duration) -> bool {
+        let notify = self.handler.relist_notify();
+        let is_overdue = {
+            let mut paused = pin!(notify.wait(pause).fuse());
+            let mut overdue = pin!(self.overdue(false).fuse());
+            select! {
+                is_notified = paused => return is_notified,
+                () = overdue => true,
+            }
+        };
+        if is_overdue {
+            self.note_overdue(None);
+        }
+        false
+    }
+
     /// Waits before the next call, or until another kind has reached the
     /// store. The first kind that reaches it notifies the others.
     async fn on_failure(&mut self, sent: Instant, err: &StoreError) {
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod endpoint_choice;
 mod engine_pools;
 mod forwarding;
+mod freshness;
 mod in_flight;
 mod instance;
 mod intake;
--- a/crates/sedgewalld/src/fleet/note_sender.rs
+++ b/crates/sedgewalld/src/fleet/note_sender.rs
@@ -15,6 +15,7 @@
 
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
+    freshness::FreshnessReport,
     note::{GroupRelay, MAX_DIRECT_PEERS, Note},
     relays::{Group, relays, zone_relays},
 };
@@ -141,12 +142,17 @@
     let lost_services = instance.reach.borrow().lost_services();
     let rejections = instance.view.borrow().rejection_reports(Instant::now());
     let poison_details = poison::details(instance, note);
+    let freshness = match note.has_status() {
+        true => instance.freshness_report(Instant::now()),
+        false => FreshnessReport::default(),
+    };
     let encoded = datagram::encode(
         note,
         endpoints_read,
         &lost_services,
         &rejections,
         &poison_details,
+        &freshness,
     );
     match encoded {
         Ok(bytes) if bytes.len() <= MAX_NOTE_BYTES => Some(bytes),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -85,6 +85,7 @@
                         lost_services,
                         rejections,
                         poison_details,
+                        freshness,
                     } = datagram;
                     let mut detector = instance.poison.borrow_mut();
                     detector.record_details(poison_details, Instant::now());
@@ -95,6 +96,8 @@
                     if let Some(change) = endpoints_read {
                         watch_endpoints::apply_report(&instance, change);
                     }
+                    instance
+                        .apply_freshness_report(&freshness, Instant::now());
                     // The source address of a relayed note is the relay's.
                     // That does no harm, because the relay can serve missing
                     // state as well.
--- a/crates/sedgewalld/src/fleet/watch_configuration.rs
+++ b/crates/sedgewalld/src/fleet/watch_configuration.rs
@@ -13,7 +13,7 @@
     list_watch::{DEFAULT_WATCH_TIMEOUT, ObjectHandler},
     notify::Notify,
 };
-use sedgewall_fleet::route::RoutingConfiguration;
+use sedgewall_fleet::{freshness::WatchedKind, route::RoutingConfiguration};
 use sedgewall_platform::{
     config::{
         CONFIG_KIND, CONFIG_NAME, VERSIONS_KIND, decode_config, decode_version,
@@ -29,6 +29,7 @@
 
 impl ObjectHandler for Configuration {
     const KIND: &'static str = CONFIG_KIND;
+    const WATCHED_KIND: WatchedKind = WatchedKind::Configuration;
     /// The first list must be the newest, because an older configuration must
     /// not come into force after a newer one.
     const FIRST_LIST_FRESHNESS: Freshness = Freshness::Newest;
@@ -151,6 +152,7 @@
 
 impl ObjectHandler for Versions {
     const KIND: &'static str = VERSIONS_KIND;
+    const WATCHED_KIND: WatchedKind = WatchedKind::Versions;
     const WATCH_TIMEOUT: Duration = DEFAULT_WATCH_TIMEOUT;
 
     fn relist_notify(&self) -> Rc<Notify> {
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -13,7 +13,8 @@
 
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    endpoint::Endpoint, note::Note, read_progress::WATCH_ANSWER_TIME,
+    endpoint::Endpoint, freshness::WatchedKind, note::Note,
+    read_progress::WATCH_ANSWER_TIME,
 };
 use sedgewall_platform::{
     endpoint::{ENDPOINTS_KIND, decode_endpoint},
@@ -69,6 +70,7 @@
 
 impl ObjectHandler for Endpoints {
     const KIND: &'static str = ENDPOINTS_KIND;
+    const WATCHED_KIND: WatchedKind = WatchedKind::Endpoints;
     const WATCH_TIMEOUT: Duration = ENDPOINTS_WATCH_TIMEOUT;
 
     fn pause(&self) -> Duration {
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -4,7 +4,10 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::back_off::{BackOff, CallKind};
+use sedgewall_fleet::{
+    back_off::{BackOff, CallKind},
+    freshness::WatchedKind,
+};
 use sedgewall_platform::{
     StoreError,
     store::{Change, Listing, StoredObject},
@@ -63,6 +66,7 @@
 
 impl ObjectHandler for Instances {
     const KIND: &'static str = INSTANCES_KIND;
+    const WATCHED_KIND: WatchedKind = WatchedKind::Instances;
     const WATCH_TIMEOUT: Duration = DEFAULT_WATCH_TIMEOUT;
 
     fn pause(&self) -> Duration {
--- a/crates/sedgewalld/src/fleet/watch_poison.rs
+++ b/crates/sedgewalld/src/fleet/watch_poison.rs
@@ -16,6 +16,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, CallKind},
+    freshness::WatchedKind,
     incarnation::EndpointIncarnation,
     poison::{CONDEMNED_FOR, Condemned, MergeOutcome},
     request_digest::RequestDigest,
@@ -97,6 +98,7 @@
 
 impl ObjectHandler for PoisonRequests {
     const KIND: &'static str = POISON_KIND;
+    const WATCHED_KIND: WatchedKind = WatchedKind::Condemned;
     const WATCH_TIMEOUT: Duration = DEFAULT_WATCH_TIMEOUT;
 
     fn pause(&self) -> Duration {
