Confirm what is known of watched kinds with fewer calls

At 79 instances, the reports of a confirmed instance came later than the next instances were due, so that all of them read the store. The first instance now reads earlier, the second one only once the reports have had time to pass through the lease holder and relays, and a read that was due is reported at once. Nothing is read anew in the first 4 s of a process.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -62,27 +62,36 @@
     }
 }
 
-/// The delay per rank before an instance reads the store: the time until a
-/// report of the instance that ranks before has come.
-const DELAY_PER_RANK: Duration = Duration::from_millis(120);
+/// How long before the maximum age the first instance by rank reads the store.
+const FIRST_READS_EARLIER: f64 = 0.1;
 
-/// The number of instances that take turns. All others are due together.
+/// How long after the maximum age the second instance reads the store. The
+/// report of the first one passes through the lease holder and relays, one
+/// datagram of which may be lost.
+const SECOND_READ_DELAY: Duration = Duration::from_millis(300);
+
+/// The delay of each further instance that takes a turn.
+const DELAY_PER_TURN: Duration = Duration::from_millis(100);
+
+/// The number of instances that take turns after the first one. All others are
+/// due together.
 const TURNS: usize = 4;
 
-/// Maximum jitter per instance among those that are due together.
+/// Maximum jitter per instance among those that are due together, and of all.
 const JITTER_PER_INSTANCE: Duration = Duration::from_millis(1);
+const MAX_JITTER: Duration = Duration::from_millis(200);
 
 /// The part of the maximum age for which a watch waits for changes, if no
 /// other instance confirms the knowledge. The rest is for the answer.
-const WATCH_FRACTION: f64 = 0.7;
+const WATCH_FRACTION: f64 = 0.65;
 
 /// Minimum wait of a watch. The store answers it at once if there is a change.
 pub const MIN_WATCH: Duration = Duration::from_millis(20);
 
 /// How long after its start an instance reads nothing anew. Until it has
-/// listed the others it ranks itself first, and instances that start together
-/// would all read.
-const START_DELAY: Duration = Duration::from_millis(2_000);
+/// listed the others and one of them holds the lease, few reports come, and
+/// instances that start together would all read.
+const START_DELAY: Duration = Duration::from_millis(4_000);
 
 /// The position of an instance among the live ones.
 #[derive(Clone, Copy, Debug)]
@@ -161,16 +170,38 @@
     /// confirmed before.
     pub fn read_due(&self, turn: Turn) -> Instant {
         let first = self.started_at + START_DELAY;
-        let due = self.confirmed_until.map(|at| at + self.max_age);
-        let turns = turn.rank.min(TURNS);
-        let jitter = match turn.rank < TURNS {
+        let earlier = self.max_age.mul_f64(FIRST_READS_EARLIER);
+        let due = self.confirmed_until.map(|at| at + self.max_age - earlier);
+        due.map_or(first, |due| due.max(first)) + self.delay(turn, earlier)
+    }
+
+    /// Returns how much later than the first instance another one reads.
+    fn delay(&self, turn: Turn, earlier: Duration) -> Duration {
+        let Some(after_second) = turn.rank.checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let turns = after_second.min(TURNS - 1) as u32;
+        let jitter = match after_second < TURNS - 1 {
             true => Duration::ZERO,
             false => (JITTER_PER_INSTANCE * turn.instances as u32)
+                .min(MAX_JITTER)
                 .mul_f64(turn.draw),
         };
-        due.map_or(first, |due| due.max(first))
-            + DELAY_PER_RANK * turns as u32
-            + jitter
+        earlier + SECOND_READ_DELAY + DELAY_PER_TURN * turns + jitter
+    }
+
+    /// Returns whether the other instances must be told at once of a read that
+    /// was due: those that are due next wait for the report.
+    pub fn reports_reads(turn: Turn) -> bool {
+        turn.rank < TURNS
+    }
+
+    /// Returns how long the instance may pause before its next watch.
+    pub fn max_pause(&self, turn: Turn) -> Duration {
+        match turn.rank {
+            0 => self.max_age.mul_f64(WATCH_FRACTION),
+            _ => Duration::MAX,
+        }
     }
 }
 
--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -16,7 +16,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, CallKind},
-    freshness::{MIN_WATCH, WatchedKind},
+    freshness::{Freshness as FreshnessState, MIN_WATCH, WatchedKind},
 };
 use sedgewall_platform::{
     StoreError,
@@ -294,6 +294,10 @@
         if freshness == Freshness::Newest {
             self.confirm(known_until);
         }
+        if is_read && FreshnessState::reports_reads(self.instance.turn()) {
+            self.instance.has_urgent_report.set(true);
+            self.instance.notify_notes();
+        }
         Ok(Some(changes.revision))
     }
 
@@ -388,7 +392,9 @@
             self.instance.relist_others(&notify);
         }
         self.back_off.answered();
-        let pause = self.handler.pause();
+        let known = self.instance.freshness.of(F::WATCHED_KIND);
+        let turn = self.instance.turn();
+        let pause = self.handler.pause().min(known.max_pause(turn));
         let began = Instant::now();
         let is_notified =
             !pause.is_zero() && self.pause_unless_overdue(pause).await;
