Free the place of a replaced version once its engine shows that it is gone

Engines were ordered to load a tenth adapter on nine places: the place of a replaced version counted as free 6 s after the new one should be ready, while an answer of 10 s still ran on it. A version that was still loading was also unloaded when a newer one was named; the engine confirms that and loads it all the same.

Each placement now counts the places of all versions that may be there, and the engine's entry or report alone frees those of older ones, also under the next lease holder. A version that may be loading is not unloaded.

--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -46,10 +46,9 @@
 /// half its length on average.
 const RETRY_DELAY_DIVISOR: u32 = 8;
 
-/// How long the previous version of a replaced adapter is assumed to occupy a
-/// slot after the new version should be ready. It is unloaded once its running
-/// requests end, which takes seconds at most.
-const REPLACED_VERSION_HELD_FOR: Duration = Duration::from_secs(6);
+/// How long a replacement goes on without a sign of its end before the engine
+/// is asked for a report. Usually its entry shows the end within seconds.
+const REPLACEMENT_REPORT_INTERVAL: Duration = Duration::from_secs(6);
 
 /// A load whose end was not confirmed counts as in progress for this multiple
 /// of its expected duration. A new lease holder learns the weight store's
@@ -73,9 +72,10 @@
     pub(crate) updated_at: Instant,
     /// Whether the platform's list shows the adapter.
     pub(crate) is_listed: bool,
-    /// Whether the load replaces another version, which stays loaded until its
-    /// running requests end.
-    pub(crate) is_replacement: bool,
+    /// The number of older versions that may occupy slots of their own. Each
+    /// stays loaded until its running requests end, which only the engine
+    /// knows.
+    pub(crate) replaced_versions: u32,
     /// Whether the adapter is loaded from the weight store and no request has
     /// confirmed the load yet.
     pub(crate) is_unconfirmed: bool,
@@ -142,18 +142,31 @@
     /// Returns whether the load is certain to have ended.
     pub fn is_settled(&self, now: Instant) -> bool {
         self.is_ready(now)
+            && !self.is_replacing()
             && (self.is_listed || now >= self.updated_at + MAX_LOAD_OVERRUN)
     }
 
-    /// Returns whether the previous version may still occupy a slot of its
-    /// own.
-    pub fn is_replacing(&self, now: Instant) -> bool {
-        self.is_replacement && now < self.ready_at + REPLACED_VERSION_HELD_FOR
+    /// Returns whether older versions may still occupy slots.
+    pub fn is_replacing(&self) -> bool {
+        self.replaced_versions > 0
+    }
+
+    /// Returns the number of slots that all versions of the adapter may
+    /// occupy.
+    pub fn occupied_slots(&self) -> usize {
+        1 + self.replaced_versions as usize
     }
 
-    /// Returns whether the load may still be in progress.
+    /// Returns whether the load may still be in progress. A replacement is
+    /// until the engine shows that it has ended.
     pub fn is_loading(&self, now: Instant) -> bool {
-        now < self.ready_at.max(self.loading_until)
+        self.is_replacing() || now < self.ready_at.max(self.loading_until)
+    }
+
+    /// Returns the number of older versions that may occupy slots once a load
+    /// of `version` has been ordered.
+    fn replaced_by(&self, version: WeightVersion) -> u32 {
+        self.replaced_versions + u32::from(self.version < version)
     }
 
     /// Returns whether the platform's list shows the adapter.
@@ -289,6 +302,7 @@
     /// Applies the endpoint's entry in the platform's list.
     pub(crate) fn apply_entry(&mut self, endpoint: Endpoint, now: Instant) {
         if self.is_ordered_by_us {
+            self.end_replacements(&endpoint);
             self.endpoint = endpoint;
             return;
         }
@@ -308,7 +322,7 @@
                     ready_at: now,
                     updated_at: now,
                     is_listed: true,
-                    is_replacement: false,
+                    replaced_versions: 0,
                     is_unconfirmed: false,
                     load_started: now,
                     is_ordered: true,
@@ -330,6 +344,39 @@
         self.endpoint = endpoint;
     }
 
+    /// Frees the slots of replaced versions that the endpoint's entry no
+    /// longer shows. An entry never shows the new version before the old one
+    /// is gone, however late it is.
+    fn end_replacements(&mut self, endpoint: &Endpoint) {
+        let adapters =
+            || endpoint.models.iter().flat_map(|model| &model.adapters);
+        for (key, version) in adapters() {
+            let Some(placement) = self.placements.get_mut(key) else {
+                continue;
+            };
+            let shows_older = adapters().any(|(other, held)| {
+                other == key && *held < placement.version
+            });
+            if placement.is_replacing()
+                && *version >= placement.version
+                && !shows_older
+            {
+                placement.replaced_versions = 0;
+                placement.is_listed = true;
+                placement.loading_until = placement.load_started;
+            }
+        }
+    }
+
+    /// Returns whether a replacement has gone on for so long that the engine
+    /// must be asked for a report.
+    pub(crate) fn needs_report(&self, now: Instant) -> bool {
+        self.placements.values().any(|placement| {
+            placement.is_replacing()
+                && now >= placement.updated_at + REPLACEMENT_REPORT_INTERVAL
+        })
+    }
+
     /// Applies the engine's own report, which is newer than its entry.
     pub(crate) fn apply_report(
         &mut self,
@@ -343,12 +390,15 @@
         endpoint.models.clone_from(&report.models);
         self.apply_entry(endpoint, now);
         for (key, version) in &report.loading {
+            let held = self.placements.get(key);
+            let replaced_versions =
+                held.map_or(0, |held| held.replaced_by(*version));
             let placement = Placement {
                 version: *version,
                 ready_at: now + REPORTED_LOAD_TIME,
                 updated_at: now,
                 is_listed: false,
-                is_replacement: self.placements.contains_key(key),
+                replaced_versions,
                 is_unconfirmed: false,
                 load_started: now,
                 is_ordered: true,
@@ -363,8 +413,8 @@
     pub(crate) fn apply_placed(&mut self, placed: &Placed, now: Instant) {
         self.removed.remove(&placed.key);
         let before = self.placements.get(&placed.key);
-        let is_replacement =
-            before.is_some_and(|b| b.version < placed.version);
+        let replaced_versions =
+            before.map_or(0, |before| before.replaced_by(placed.version));
         // A note about the same load may bring a better estimate.
         let known = before.filter(|b| b.version == placed.version);
         let takes = Duration::from_millis(placed.ready_in_ms);
@@ -373,8 +423,8 @@
             ready_at: now + takes,
             updated_at: now,
             is_listed: false,
-            is_replacement,
-            is_unconfirmed: placed.is_cold && !is_replacement,
+            replaced_versions,
+            is_unconfirmed: placed.is_cold && replaced_versions == 0,
             load_started: known
                 .map_or(now, |placement| placement.load_started),
             is_ordered: true,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -203,8 +203,17 @@
 }
 
 impl PlanningPass<'_> {
-    /// Requests a report from each engine whose contents are unknown.
+    /// Requests a report from each engine whose contents are unknown, and from
+    /// those where a replacement does not end.
     fn sync_engines(&mut self, orders: &mut Vec<Order>) {
+        let unconfirmed: Vec<EndpointId> = self
+            .engines()
+            .filter(|state| state.needs_report(self.now))
+            .map(|state| state.id().clone())
+            .collect();
+        for id in unconfirmed {
+            self.view.invalidate_contents(&id);
+        }
         let asked = AdapterKey::base("");
         let unknown: Vec<(EndpointId, SocketAddr)> = self
             .view
@@ -249,7 +258,9 @@
     /// Replaces outdated versions. The newest version is loaded beside the
     /// outdated one if it has demand and the engine has a place free until the
     /// requests on the outdated version have ended. Otherwise the outdated
-    /// version is unloaded, and demand brings the newest one.
+    /// version is unloaded, and demand brings the newest one. A version that
+    /// may still be loading is not unloaded: the engine would confirm the
+    /// order and load it all the same.
     fn replace_versions(&mut self, orders: &mut Vec<Order>) {
         let mut outdated = Vec::new();
         for state in self.engines() {
@@ -260,11 +271,26 @@
                 {
                     let id = state.endpoint.id.clone();
                     let address = state.endpoint.address;
-                    outdated.push((id, address, key.clone(), newest));
+                    let is_settled = placement.is_settled(self.now);
+                    outdated.push((
+                        (id, address),
+                        key.clone(),
+                        newest,
+                        is_settled,
+                    ));
                 }
             }
         }
-        for (endpoint, address, key, newest) in outdated {
+        for ((endpoint, address), key, newest, is_settled) in outdated {
+            let is_replaceable = key.adapter.is_none()
+                || (self.demand.get(&key).is_some()
+                    && self.has_free_place(&endpoint)
+                    && self
+                        .times
+                        .can_start_load(self.group.loads_per_s, self.now));
+            if !is_replaceable && !is_settled {
+                continue;
+            }
             let first = match key.adapter {
                 None => self.order_before_model_load(&endpoint),
                 Some(_) => PrecedingOrder::None,
@@ -287,10 +313,7 @@
                 }
                 let task = Task::LoadModel(key.model.clone());
                 orders.push(order(task, true));
-            } else if self.demand.get(&key).is_some()
-                && self.has_free_place(&endpoint)
-                && self.times.can_start_load(self.group.loads_per_s, self.now)
-            {
+            } else if is_replaceable {
                 let placed = self.start_cold_load(&endpoint, &key, newest);
                 self.view.plan_placement(&placed, self.now);
                 orders.push(order(Task::Load(key, newest), true));
--- a/crates/fleet/src/placement/target.rs
+++ b/crates/fleet/src/placement/target.rs
@@ -215,10 +215,11 @@
         state: &EndpointState,
     ) -> Option<Option<AdapterKey>> {
         let places = self.group.adapter_places();
-        let adapters =
-            || state.placements().filter(|(k, _)| k.adapter.is_some());
-        let replaced = adapters().filter(|(_, s)| s.is_replacing(self.now));
-        let used = adapters().count() + replaced.count();
+        let used: usize = state
+            .placements()
+            .filter(|(key, _)| key.adapter.is_some())
+            .map(|(_, placement)| placement.occupied_slots())
+            .sum();
         if used < places {
             return Some(None);
         }
--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -595,3 +595,38 @@
     let orders = plan(&mut planner, &mut view, &mut demand, now);
     assert_eq!(loads(&orders), [("e3", key(1))]);
 }
+
+/// A replaced version occupies its place for as long as its requests run,
+/// until the engine's entry shows that it is gone.
+#[test]
+fn a_replaced_version_occupies_a_place_until_the_entry_shows_its_end() {
+    let start = Instant::now();
+    let mut view = synced(&[("e1", &[1, 2])], start);
+    view.record_version(&key(1), 2, start);
+    let mut demand = Demand::default();
+    let mut planner = planner(1, start);
+    let mut loads_at = |view: &mut FleetView, now| {
+        for n in [1, 2] {
+            demand.add(&key(n), 1, "z1", now);
+        }
+        for n in [8, 9] {
+            add_waiting_requests(&mut demand, n, 1, now);
+        }
+        let orders = plan(&mut planner, view, &mut demand, now);
+        for order in &orders {
+            if let Task::Load(key, _) = &order.task {
+                view.order_accepted(&order.endpoint, key, now);
+            }
+        }
+        loads(&orders).len()
+    };
+    // The replacement of adapter 1 and one more adapter fill four places.
+    assert_eq!(loads_at(&mut view, start), 2);
+    let later = start + Duration::from_secs(5);
+    assert_eq!(loads_at(&mut view, later), 0);
+    let mut entry = endpoint("e1", "z1", &[1, 2]);
+    entry.revision = 2.into();
+    entry.models[0].adapters[0].1 = 2;
+    view.apply_entry(entry, later);
+    assert_eq!(loads_at(&mut view, later + Duration::from_millis(500)), 1);
+}
