Record where streams began, so that they go on after a loss of all instances

Cause: where streams began was known to instances alone.

No endpoint gets requests before its software version is recorded in the store, so that a stream nobody knows began at the only recorded version, if there is only one. Records are read only for tries of unknown origin; what is in no record is refused as before. refused and stream_origin state what the try named, and a stream may be 20 s old, beyond the longest time limit of callers.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod stream_events;
 pub mod stream_origins;
 pub mod suspicion;
+pub mod version_record;
 pub mod view;
 pub mod wait_policy;
 pub mod wait_queue;
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -32,8 +32,9 @@
 pub const ORIGIN_VALID_FOR: Duration = Duration::from_secs(60);
 
 /// How long a service must have had one software version before a stream of
-/// unknown origin is taken to have begun at it: longer than callers wait.
-pub const MAX_STREAM_AGE: Duration = Duration::from_secs(15);
+/// unknown origin is taken to have begun at it: longer than callers wait, whose
+/// time limits are 15 s at most.
+pub const MAX_STREAM_AGE: Duration = Duration::from_secs(20);
 
 /// The maximum number of streams whose origins are known. The oldest are
 /// forgotten first.
--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -34,7 +34,8 @@
     intake,
     progress::Progress,
     refusal::{self, Reason},
-    request_body, request_log, retries, streams,
+    request_body, request_log, retries,
+    streams::{self, ResumedStream},
 };
 
 /// The time limit of a request whose caller states none.
@@ -237,12 +238,15 @@
         return Resumed::None;
     }
     let began_as = metadata.resumes.as_deref();
-    let key = began_as.map(|id| stream_key(customer, id));
-    let is_only_service = route.backends.iter().all(|b| b.service == *service);
-    let id = &metadata.request_id;
-    let found =
-        streams::find_origin(instance, key, service, is_only_service, id)
-            .await;
+    let resumed = ResumedStream {
+        request_id: &metadata.request_id,
+        began_as,
+        last_event: metadata.last_event.as_deref(),
+        key: began_as.map(|id| stream_key(customer, id)),
+        service,
+        is_only_service: route.backends.iter().all(|b| b.service == *service),
+    };
+    let found = streams::find_origin(instance, &resumed).await;
     found.map_or(Resumed::Unknown, Resumed::From)
 }
 
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -27,7 +27,7 @@
     log_buffer::LogBuffer,
     note_sender, notes,
     orders::OrderQueues,
-    poison, reach, streams,
+    poison, reach, stream_records, streams, version_records,
     watch_configuration::{Configuration, Versions},
     watch_endpoints::Endpoints,
     watch_instances::{Instances, keep_registered},
@@ -117,6 +117,9 @@
     event_loop
         .spawn("keys", keys::keep_fresh(instance.clone(), sender.clone()));
     event_loop.spawn("streams", streams::report_begun(instance.clone()));
+    event_loop
+        .spawn("stream_records", stream_records::write(instance.clone()));
+    event_loop.spawn("versions", version_records::clean_up(instance.clone()));
     event_loop
         .spawn("notes_sent", notes::run_sender(instance.clone(), sender));
     event_loop.spawn("lease", lease::run(instance.clone()));
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -51,7 +51,9 @@
     notify::Notify,
     peers::ObservedAddress,
     reach::{LossReports, SilenceSignals},
+    stream_records::StreamRecords,
     streams::Streams,
+    version_records::VersionRecords,
     wait_queues::WaitQueues,
     watch_poison::PoisonRecords,
 };
@@ -250,6 +252,11 @@
     pub(crate) forwards: Forwards,
     /// Where streams began.
     pub(crate) streams: Streams,
+    /// The software versions at which streams may have begun, as recorded in
+    /// the store.
+    pub(crate) version_records: VersionRecords,
+    /// The records of streams in the store.
+    pub(crate) stream_records: StreamRecords,
     /// Engines that could not be reached while others could, to be reported to
     /// the lease holder.
     pub(crate) unreachable: RefCell<BTreeSet<EndpointId>>,
@@ -426,6 +433,8 @@
             loss_reports: LossReports::default(),
             forwards: Forwards::default(),
             streams: Streams::default(),
+            version_records: VersionRecords::default(),
+            stream_records: StreamRecords::default(),
             unreachable: RefCell::default(),
             suspicions: RefCell::default(),
             longest_time_limits: RefCell::default(),
--- a/crates/sedgewalld/src/fleet/notes.rs
+++ b/crates/sedgewalld/src/fleet/notes.rs
@@ -194,6 +194,9 @@
         }
         Note::StreamsBegan(reports) => {
             instance.streams.apply_report(&reports);
+            instance.record_streams(reports.iter().flat_map(|report| {
+                report.keys.iter().map(|key| (*key, report.origin.clone()))
+            }));
         }
         Note::OriginQuery(query) => {
             let answer = streams::answer(instance, &query);
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -196,6 +196,8 @@
     tracing::info!(
         event = "refused",
         request = call.metadata.request_id,
+        resumes = call.metadata.resumes,
+        last_event = call.metadata.last_event,
         route = call.route.name,
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
         key = call.metadata.key.as_ref().map(AdapterKey::to_string),
--- a/crates/sedgewalld/src/fleet/streams.rs
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -18,13 +18,15 @@
     note::{BegunStreams, Note, OriginQuery, VersionDemand},
     route::ServiceName,
     stream_origins::{
-        HOLDERS, MAX_ASKED, OriginKnowledge, StreamKey, StreamOrigin,
-        StreamOrigins, decide, holders,
+        HOLDERS, MAX_ASKED, MAX_STREAM_AGE, OriginKnowledge, StreamKey,
+        StreamOrigin, StreamOrigins, decide, holders,
     },
 };
 use sedgewall_state::id::InstanceId;
 
-use super::{instance::FleetInstance, notify::Notify};
+use super::{
+    instance::FleetInstance, notify::Notify, stream_records, version_records,
+};
 
 /// How long streams that begin are collected before others are told of them.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
@@ -52,6 +54,26 @@
 /// The maximum number of remembered requests for adapters.
 const MAX_REMEMBERED: usize = 512;
 
+/// How long the records in the store are waited for.
+const RECORDS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A stream that a caller resumes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResumedStream<'a> {
+    /// The request that resumes the stream.
+    pub(crate) request_id: &'a str,
+    /// The request that brought the first event, if the caller names it.
+    pub(crate) began_as: Option<&'a str>,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<&'a str>,
+    /// The key of the request that brought the first event.
+    pub(crate) key: Option<StreamKey>,
+    /// The service that the request is for.
+    pub(crate) service: &'a ServiceName,
+    /// Whether the route has no other service.
+    pub(crate) is_only_service: bool,
+}
+
 /// The streams of this instance and those that it was told of.
 #[derive(Default)]
 pub(crate) struct Streams {
@@ -59,6 +81,8 @@
     /// Streams that others have not been told of.
     unreported: RefCell<Vec<(StreamKey, StreamOrigin)>>,
     unreported_notify: Notify,
+    /// The streams that began here lately, oldest first.
+    recent: RefCell<VecDeque<(StreamKey, StreamOrigin, Instant)>>,
     queries: RefCell<HashMap<u64, Rc<Query>>>,
     next_query: Cell<u64>,
     /// When the lease holder was last asked for an adapter at a version.
@@ -84,11 +108,17 @@
         let now = Instant::now();
         self.origins.borrow_mut().record(key, origin, now);
         if is_reported {
-            self.unreported.borrow_mut().push((key, origin.clone()));
-            self.unreported_notify.notify();
+            let mut recent = self.recent.borrow_mut();
+            recent.push_back((key, origin.clone(), now));
+            self.report(key, origin.clone());
         }
     }
 
+    fn report(&self, key: StreamKey, origin: StreamOrigin) {
+        self.unreported.borrow_mut().push((key, origin));
+        self.unreported_notify.notify();
+    }
+
     /// Records streams that another instance reports.
     pub(crate) fn apply_report(&self, reports: &[BegunStreams]) {
         let now = Instant::now();
@@ -122,6 +152,14 @@
     /// Forgets streams that have ended for certain.
     pub(crate) fn forget(&self, now: Instant) {
         self.origins.borrow_mut().forget(now);
+        let mut recent = self.recent.borrow_mut();
+        while recent
+            .front()
+            .is_some_and(|(_, _, at)| now - *at >= MAX_STREAM_AGE)
+        {
+            recent.pop_front();
+        }
+        drop(recent);
         metrics::gauge!("sedgewall_stream_origins")
             .set(self.origins.borrow().len() as f64);
     }
@@ -142,10 +180,22 @@
         compio::time::sleep(REPORT_DELAY).await;
         let begun = streams.unreported.take();
         let peers = instance.stream_peers();
+        let recorder = instance
+            .live_leader(Instant::now())
+            .map(|leader| leader.instance)
+            .filter(|leader| peers.contains(leader));
+        instance.record_streams(begun.iter().cloned());
         let mut by_holder: BTreeMap<InstanceId, Vec<BegunStreams>> =
             BTreeMap::new();
         for (key, origin) in begun {
-            for holder in holders(key, peers.iter(), HOLDERS) {
+            let mut told = holders(key, peers.iter(), HOLDERS);
+            let is_recorded =
+                instance.version_records.has_several(&origin.service);
+            let recorder = recorder.iter().filter(|_| is_recorded);
+            told.extend(recorder.cloned());
+            told.sort_unstable();
+            told.dedup();
+            for holder in told {
                 add(by_holder.entry(holder).or_default(), key, &origin);
             }
         }
@@ -177,20 +227,29 @@
     }
 }
 
-/// Returns where a stream began, or `None` if that is not certain. `service`
-/// is the one that the resumed stream is for, and `is_only_service` tells that
-/// its route has no other.
+/// Reports the streams of a service that began here lately once more, because
+/// those of a service with several software versions are recorded.
+pub(crate) fn record_recent(instance: &FleetInstance, service: &ServiceName) {
+    let streams = &instance.streams;
+    let recent = streams.recent.borrow().clone();
+    for (key, origin, _) in recent {
+        if origin.service == *service {
+            streams.report(key, origin);
+        }
+    }
+}
+
+/// Returns where a stream began, or `None` if that is not certain: by what this
+/// instance and others know, or by the records in the store.
 pub(crate) async fn find_origin(
     instance: &Rc<FleetInstance>,
-    key: Option<StreamKey>,
-    service: &ServiceName,
-    is_only_service: bool,
-    request_id: &str,
+    resumed: &ResumedStream<'_>,
 ) -> Option<StreamOrigin> {
     let began = Instant::now();
+    let ResumedStream { key, service, is_only_service, .. } = *resumed;
     let own = own_knowledge(instance, key, service);
     if let OriginKnowledge::Known(origin) = own {
-        log_found(request_id, Some(&origin), "here", 0, began);
+        log_found(resumed, Some(&origin), "here", 0, began);
         return Some(origin);
     }
     let peers = instance.stream_peers();
@@ -198,18 +257,60 @@
     let mut answers = vec![own];
     answers
         .extend(ask(instance, key.unwrap_or_default(), service, &asked).await);
-    let service = Some(service).filter(|_| is_only_service);
-    let origin = decide(&answers, peers.is_empty(), service);
+    let only_service = Some(service).filter(|_| is_only_service);
+    let mut origin = decide(&answers, peers.is_empty(), only_service);
     let is_known = answers
         .iter()
         .any(|answer| matches!(answer, OriginKnowledge::Known(_)));
-    let by = if is_known { "others" } else { "only_version" };
-    log_found(request_id, origin.as_ref(), by, answers.len() - 1, began);
+    let mut by = if is_known { "others" } else { "only_version" };
+    if origin.is_none() {
+        (origin, by) = find_recorded(instance, resumed).await;
+    }
+    log_found(resumed, origin.as_ref(), by, answers.len() - 1, began);
     origin
 }
 
+/// Returns where a stream began by the records in the store, and which of them
+/// tells it. The stream began before the records are read.
+async fn find_recorded(
+    instance: &Rc<FleetInstance>,
+    resumed: &ResumedStream<'_>,
+) -> (Option<StreamOrigin>, &'static str) {
+    let reads = async {
+        let ResumedStream { key, service, is_only_service, .. } = *resumed;
+        if !version_records::read(instance).await {
+            return None;
+        }
+        if is_only_service
+            && let Some(version) = instance.version_records.only(service)
+        {
+            let service = service.clone();
+            let origin = StreamOrigin { service, software_version: version };
+            return Some((origin, "version_record"));
+        }
+        let key = key?;
+        if !stream_records::read(instance).await {
+            return None;
+        }
+        let origins = instance.streams.origins.borrow();
+        let origin = origins.get(key, Instant::now())?;
+        Some((origin.clone(), "stream_record"))
+    };
+    let is_out = instance.store_reachability.borrow().is_unreachable();
+    let found = match is_out {
+        true => None,
+        false => {
+            compio::time::timeout(RECORDS_TIMEOUT, reads).await.ok().flatten()
+        }
+    };
+    match found {
+        Some((origin, by)) => (Some(origin), by),
+        None => (None, "nobody"),
+    }
+}
+
 fn log_found(
-    request: &str,
+    resumed: &ResumedStream<'_>,
     origin: Option<&StreamOrigin>,
     by: &'static str,
     answers: usize,
@@ -220,7 +321,9 @@
         .increment(1);
     tracing::info!(
         event = "stream_origin",
-        request,
+        request = resumed.request_id,
+        resumes = resumed.began_as,
+        last_event = resumed.last_event,
         by,
         service = origin.map(|origin| origin.service.as_str()),
         software_version =
--- /dev/null
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -0,0 +1,237 @@
+//! Keeps the record of each service's software versions in the platform's
+//! store, and reads it for streams that nobody knows.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use sedgewall_clock::Instant;
+use sedgewall_fleet::{
+    back_off::{BackOff, CallKind},
+    endpoint::SoftwareVersion,
+    route::ServiceName,
+    version_record::RecordedVersions,
+};
+use sedgewall_platform::{
+    StoreError,
+    store::{Freshness, Revision},
+};
+use serde::{Deserialize, Serialize};
+
+use super::{coalesced::Coalesced, instance::FleetInstance, streams};
+
+/// The kind of records in the store, which are named by their services.
+const VERSIONS_KIND: &str = "sedgewall-software-versions";
+
+/// The maximum delay before an instance adds a version to a record, so that
+/// one of those that find it missing adds it for all.
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(150);
+
+/// The interval at which the versions of known endpoints are noted, and
+/// versions without endpoints are looked for.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The record of one service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct VersionRecord {
+    versions: BTreeSet<SoftwareVersion>,
+}
+
+/// The records as last read.
+#[derive(Default)]
+pub(crate) struct VersionRecords {
+    recorded: RefCell<RecordedVersions>,
+    revisions: RefCell<HashMap<ServiceName, Revision>>,
+    read: Rc<Coalesced>,
+}
+
+impl VersionRecords {
+    /// Returns whether requests may be sent to endpoints of a version.
+    pub(crate) fn allows(
+        &self,
+        service: &str,
+        version: &SoftwareVersion,
+    ) -> bool {
+        self.recorded.borrow().allows(service, version, Instant::now())
+    }
+
+    /// Returns whether streams of a service may have begun at several versions.
+    pub(crate) fn has_several(&self, service: &str) -> bool {
+        self.recorded.borrow().has_several(service)
+    }
+
+    /// Returns the only version at which streams of a service may have begun,
+    /// as last read.
+    pub(crate) fn only(&self, service: &str) -> Option<SoftwareVersion> {
+        self.recorded.borrow().only(service).cloned()
+    }
+}
+
+/// Reads all records, with everything that was recorded before the call.
+/// Returns whether the store has answered.
+pub(crate) async fn read(instance: &Rc<FleetInstance>) -> bool {
+    let caller = instance.clone();
+    let coalesced = instance.version_records.read.clone();
+    coalesced.run(move || list(caller.clone())).await
+}
+
+async fn list(instance: Rc<FleetInstance>) -> bool {
+    let listed = instance.store.list(VERSIONS_KIND, Freshness::Newest).await;
+    let listing = match listed {
+        Ok(listing) => listing,
+        Err(err) => {
+            let cause = err.to_string();
+            tracing::warn!(event = "version_records_not_read", cause);
+            return false;
+        }
+    };
+    for object in listing.objects {
+        match VersionRecord::deserialize(&object.spec) {
+            Ok(record) => {
+                apply(&instance, &object.name, object.revision, &record)
+            }
+            Err(err) => {
+                let (service, cause) = (object.name, err.to_string());
+                tracing::error!(
+                    event = "version_record_unreadable",
+                    service,
+                    cause
+                );
+            }
+        }
+    }
+    true
+}
+
+fn apply(
+    instance: &FleetInstance,
+    service: &ServiceName,
+    revision: Revision,
+    record: &VersionRecord,
+) {
+    let records = &instance.version_records;
+    records.revisions.borrow_mut().insert(service.clone(), revision);
+    let has_several = records.recorded.borrow_mut().apply(
+        service,
+        &record.versions,
+        Instant::now(),
+    );
+    if has_several {
+        tracing::info!(
+            event = "several_software_versions",
+            service,
+            versions = ?record.versions,
+        );
+        streams::record_recent(instance, service);
+    }
+}
+
+/// Adds a version to the record of a service unless it is there, with retries
+/// until the store has it.
+pub(crate) async fn record(
+    instance: &Rc<FleetInstance>,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+) {
+    let mut back_off = BackOff::within(instance.in_force_within());
+    let mut has_waited = false;
+    loop {
+        let is_read = read(instance).await;
+        if instance.version_records.allows(service, version) {
+            return;
+        }
+        if !is_read {
+            let pause = back_off.failed(CallKind::Watcher, true);
+            compio::time::sleep(pause).await;
+            continue;
+        }
+        back_off.answered();
+        if !std::mem::replace(&mut has_waited, true) {
+            let delay = MAX_WRITE_DELAY.mul_f64(rand::random());
+            compio::time::sleep(delay).await;
+            continue;
+        }
+        if let Err(err) = add(instance, service, version).await {
+            let cause = err.to_string();
+            tracing::warn!(event = "version_not_recorded", service, cause);
+            let pause = back_off.failed(CallKind::Watcher, true);
+            compio::time::sleep(pause).await;
+        }
+    }
+}
+
+async fn add(
+    instance: &FleetInstance,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+) -> Result<(), StoreError> {
+    let records = &instance.version_records;
+    let mut versions = records.recorded.borrow().versions(service);
+    versions.insert(version.clone());
+    tracing::info!(event = "version_recorded", service, %version);
+    write(instance, service, versions).await
+}
+
+/// Writes the record of a service if it has not changed since it was read.
+async fn write(
+    instance: &FleetInstance,
+    service: &ServiceName,
+    versions: BTreeSet<SoftwareVersion>,
+) -> Result<(), StoreError> {
+    let record = VersionRecord { versions };
+    let Ok(spec) = serde_json::to_value(&record) else { return Ok(()) };
+    let known =
+        instance.version_records.revisions.borrow().get(service).copied();
+    let store = &instance.store;
+    let written = match known {
+        Some(revision) => {
+            store.replace(VERSIONS_KIND, service, revision, &spec).await
+        }
+        None => store.create(VERSIONS_KIND, service, &spec).await,
+    };
+    match written {
+        Ok(object) => apply(instance, service, object.revision, &record),
+        // Another instance was first; what it has written is read next.
+        Err(StoreError::Conflict(_) | StoreError::NotFound) => {}
+        Err(err) => return Err(err),
+    }
+    Ok(())
+}
+
+/// Removes versions from the records whose endpoints have been gone for long,
+/// while this instance holds the lease. Never returns.
+pub(crate) async fn clean_up(instance: Rc<FleetInstance>) {
+    loop {
+        compio::time::sleep(CLEANUP_INTERVAL).await;
+        let now = Instant::now();
+        record_present(&instance, now);
+        if instance.current_lease(now).is_none()
+            || instance.store_reachability.borrow().is_unreachable()
+        {
+            continue;
+        }
+        let outdated =
+            instance.version_records.recorded.borrow().outdated(now);
+        for (service, kept) in outdated {
+            tracing::info!(event = "versions_gone", service, ?kept);
+            if let Err(err) = write(&instance, &service, kept).await {
+                let cause = err.to_string();
+                tracing::warn!(event = "versions_not_removed", service, cause);
+            }
+        }
+    }
+}
+
+fn record_present(instance: &FleetInstance, now: Instant) {
+    let view = instance.view.borrow();
+    let mut recorded = instance.version_records.recorded.borrow_mut();
+    for state in view.endpoints() {
+        let endpoint = &state.endpoint;
+        if let Some(version) = &endpoint.software_version {
+            recorded.record_present(&endpoint.service, version, now);
+        }
+    }
+}
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -13,7 +13,9 @@
 
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    endpoint::Endpoint, freshness::WatchedKind, note::Note,
+    endpoint::{Endpoint, SoftwareVersion},
+    freshness::WatchedKind,
+    note::Note,
     read_progress::WATCH_ANSWER_TIME,
 };
 use sedgewall_platform::{
@@ -26,7 +28,7 @@
     instance::FleetInstance,
     list_watch::{FRESH_WATCHERS, ObjectHandler},
     notify::Notify,
-    poison,
+    poison, version_records,
 };
 
 /// The timeout of a watch of endpoints. A connection that died silently is
@@ -59,13 +61,17 @@
 const WATCH_DELAY: Duration = Duration::from_millis(50);
 
 /// Handles the entries of endpoints.
+#[derive(Clone)]
 pub(crate) struct Endpoints {
     instance: Rc<FleetInstance>,
+    /// Entries whose software versions are not recorded yet. Their endpoints
+    /// get no requests before.
+    unrecorded: Rc<RefCell<HashMap<EndpointId, Endpoint>>>,
     /// Endpoints whose entries lapsed and may come back soon, with the
     /// revision at which they were missing.
     lapsed: Rc<RefCell<HashMap<EndpointId, Revision>>>,
     /// Whether the answer that is being handled lacks a known entry.
-    has_missing: Cell<bool>,
+    has_missing: Rc<Cell<bool>>,
 }
 
 impl ObjectHandler for Endpoints {
@@ -158,12 +164,66 @@
         Endpoints {
             instance: instance.clone(),
             lapsed: Rc::default(),
-            has_missing: Cell::new(false),
+            unrecorded: Rc::default(),
+            has_missing: Rc::default(),
         }
     }
 
-    /// Applies an entry.
+    /// Applies an entry, once its software version is recorded.
     fn apply(&self, endpoint: Endpoint) {
+        let records = &self.instance.version_records;
+        let unrecorded =
+            endpoint.software_version.as_ref().filter(|version| {
+                !endpoint.is_draining
+                    && !records.allows(&endpoint.service, version)
+            });
+        match unrecorded.cloned() {
+            Some(version) => self.apply_once_recorded(endpoint, version),
+            None => self.apply_now(endpoint),
+        }
+    }
+
+    /// Keeps an entry until its software version is recorded.
+    fn apply_once_recorded(
+        &self,
+        endpoint: Endpoint,
+        version: SoftwareVersion,
+    ) {
+        let service = endpoint.service.clone();
+        let is_same = {
+            let (service, version) = (service.clone(), version.clone());
+            move |entry: &Endpoint| {
+                entry.service == service
+                    && entry.software_version.as_ref() == Some(&version)
+            }
+        };
+        let mut unrecorded = self.unrecorded.borrow_mut();
+        let is_being_recorded = unrecorded.values().any(&is_same);
+        unrecorded.insert(endpoint.id.clone(), endpoint);
+        if is_being_recorded {
+            return;
+        }
+        let handler = self.clone();
+        compio::runtime::spawn(async move {
+            version_records::record(&handler.instance, &service, &version)
+                .await;
+            let recorded: Vec<Endpoint> = handler
+                .unrecorded
+                .borrow_mut()
+                .extract_if(|_, entry| is_same(entry))
+                .map(|(_, entry)| entry)
+                .collect();
+            for entry in recorded {
+                handler.apply_now(entry);
+            }
+            handler.instance.wake_all();
+            handler.instance.notify_planner();
+        })
+        .detach();
+    }
+
+    fn apply_now(&self, endpoint: Endpoint) {
+        self.unrecorded.borrow_mut().remove(&endpoint.id);
         let mut view = self.instance.view.borrow_mut();
         // An entry that comes back belongs to the same incarnation of the
         // endpoint, but the engine must report again what it holds.
@@ -215,6 +275,7 @@
     fn entry_missing(&self, id: &EndpointId, revision: Revision) {
         let now = Instant::now();
         self.has_missing.set(true);
+        self.unrecorded.borrow_mut().remove(id);
         let reachability = self.instance.store_reachability.borrow();
         let left = reachability.missing_entry_grace(now);
         if left.is_zero() {
