Count the grace of each replaced version of weights by itself

Requests ran on weights that had been replaced 5.1 to 7.3 s before: a second new version, named before the first one was loaded, granted all older ones the full grace anew, since only the newest version was kept.

Each version is now kept with the time at which it became known. A version may be used until a newer one has been known for 2.5 s, and a request states the version that its engine has where an older one may no longer be used.

The test fails on the rule before by reading: it expects no send at 5.1 s, where the second version had been known for 0.1 s.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,6 +14,7 @@
 mod learned_weights;
 mod limits;
 pub mod load_interpretation;
+mod named_versions;
 mod pools;
 mod rooms;
 mod software_versions;
@@ -33,7 +34,7 @@
 pub use self::in_flight::Totals;
 use self::in_flight::{PeerLoad, ReceivedTotals};
 pub use self::limits::AnsweredRequest;
-use self::software_versions::PastVersions;
+use self::{named_versions::NamedVersions, software_versions::PastVersions};
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     adapter_index::AdapterIndex,
@@ -52,11 +53,6 @@
     route::ServiceName,
 };
 
-/// How long requests may use an old version after a newer one was announced.
-/// The platform allows 5 s until the request runs; the remainder is for
-/// queueing at the engine.
-const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
-
 /// The maximum number of entries in one note. Each takes about 80 bytes, and a
 /// datagram holds 64 kB.
 const MAX_ENTRIES: usize = 256;
@@ -79,7 +75,7 @@
     next_total: usize,
     /// The interval at which each other instance publishes its work in flight.
     peer_interval: Duration,
-    newest: HashMap<AdapterKey, (WeightVersion, Instant)>,
+    newest: HashMap<AdapterKey, NamedVersions>,
     departures: Departures,
     incarnations: Incarnations,
     /// This instance's shares of the limits that endpoints announce.
@@ -422,13 +418,15 @@
     pub fn newest_versions(
         &self,
     ) -> impl Iterator<Item = (&AdapterKey, WeightVersion)> {
-        self.newest.iter().map(|(key, (version, _))| (key, *version))
+        self.newest
+            .iter()
+            .filter_map(|(key, named)| Some((key, named.newest()?.0)))
     }
 
     /// Returns the number of announced versions of weights, counting each
     /// increase.
     pub fn versions_announced(&self) -> u64 {
-        self.newest.values().map(|(version, _)| version).sum()
+        self.newest_versions().map(|(_, version)| version).sum()
     }
 
     /// Records an announced version of a model or adapter. Returns whether it
@@ -439,12 +437,13 @@
         version: WeightVersion,
         now: Instant,
     ) -> bool {
-        let known = self.newest.get(key).map_or(0, |(known, _)| *known);
-        let is_new = version > known;
-        if is_new {
-            self.newest.insert(key.clone(), (version, now));
+        match self.newest.get_mut(key) {
+            Some(named) => named.record(version, now),
+            None => {
+                let named = self.newest.entry(key.clone()).or_default();
+                version > 0 && named.record(version, now)
+            }
         }
-        is_new
     }
 
     /// Returns the newest announced version of a model or adapter, and when
@@ -453,7 +452,7 @@
         &self,
         key: &AdapterKey,
     ) -> Option<(WeightVersion, Instant)> {
-        self.newest.get(key).copied()
+        self.newest.get(key)?.newest()
     }
 
     /// Returns all endpoints.
--- a/crates/fleet/src/view/choice.rs
+++ b/crates/fleet/src/view/choice.rs
@@ -11,7 +11,7 @@
 use sedgewall_state::id::EndpointId;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FleetView, OLD_VERSION_GRACE};
+use super::FleetView;
 use crate::{
     adapter::{AdapterKey, WeightVersion},
     endpoint::SoftwareVersion,
@@ -243,10 +243,8 @@
         need: Need<'_>,
         now: Instant,
     ) -> Target {
-        let newest = need.key.and_then(|key| self.newest.get(key));
-        let expect_version = newest
-            .filter(|(_, since)| now - *since >= OLD_VERSION_GRACE)
-            .map(|(version, _)| *version);
+        let expect_version =
+            need.key.and_then(|key| self.expected(state, key, now));
         Target {
             id: state.endpoint.id.clone(),
             address: state.endpoint.address,
@@ -264,8 +262,22 @@
         version: WeightVersion,
         now: Instant,
     ) -> bool {
-        let Some((newest, since)) = self.newest.get(key) else { return false };
-        version < *newest && now - *since >= OLD_VERSION_GRACE
+        let named = self.newest.get(key);
+        named.is_some_and(|named| version < named.oldest_usable(now))
+    }
+
+    /// Returns the version that an engine must have loaded, or none if it may
+    /// have any. Of several versions that may be used, it is the one that the
+    /// engine is known to have.
+    fn expected(
+        &self,
+        state: &EndpointState,
+        key: &AdapterKey,
+        now: Instant,
+    ) -> Option<WeightVersion> {
+        let oldest = self.newest.get(key)?.oldest_usable(now);
+        let loaded = state.placement(key).map(|p| p.version);
+        (oldest > 0).then(|| oldest.max(loaded.unwrap_or(oldest)))
     }
 
     fn cost(&self, state: &EndpointState, need: Need<'_>) -> f64 {
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -573,3 +573,28 @@
     let new = Need { exclude: &exclude, ..need(&key) };
     assert_eq!(view.choose(new, now), Choice::Full);
 }
+
+/// Guards against requests on weights that were replaced long ago, because a
+/// further version granted all older ones more time.
+#[test]
+fn a_further_version_grants_replaced_ones_no_more_time() {
+    let start = Instant::now();
+    let mut view = FleetView::new("z1");
+    view.apply_entry(endpoint("e1", "z1", &[1]), start);
+    let sent = |view: &FleetView, now| match choose(view, &key(1), now) {
+        Choice::Send(target) => Some(target.expect_version),
+        _ => None,
+    };
+    view.record_version(&key(1), 2, start);
+    let at = |ms| start + Duration::from_millis(ms);
+    assert_eq!(sent(&view, at(2_000)), Some(None));
+    assert_eq!(sent(&view, at(2_600)), None);
+    view.record_version(&key(1), 3, at(5_000));
+    assert_eq!(sent(&view, at(5_100)), None);
+    // Version 2 may be used for a while.
+    let mut entry = endpoint("e2", "z1", &[1]);
+    entry.models[0].adapters[0].1 = 2;
+    view.apply_entry(entry, at(5_100));
+    assert_eq!(sent(&view, at(5_200)), Some(Some(2)));
+    assert_eq!(sent(&view, at(7_600)), None);
+}
