Record software versions only for services whose streams may be resumed

Only services of resumable routes need the record; a configuration that makes a service one of them has its versions recorded.

--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -119,7 +119,7 @@
     event_loop.spawn("streams", streams::report_begun(instance.clone()));
     event_loop
         .spawn("stream_records", stream_records::write(instance.clone()));
-    event_loop.spawn("versions", version_records::clean_up(instance.clone()));
+    event_loop.spawn("versions", version_records::keep(instance.clone()));
     event_loop
         .spawn("notes_sent", notes::run_sender(instance.clone(), sender));
     event_loop.spawn("lease", lease::run(instance.clone()));
--- a/crates/sedgewalld/src/fleet/version_records.rs
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -11,7 +11,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, CallKind},
-    endpoint::SoftwareVersion,
+    endpoint::{Endpoint, SoftwareVersion},
     route::ServiceName,
     version_record::RecordedVersions,
 };
@@ -21,7 +21,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{coalesced::Coalesced, instance::FleetInstance, streams};
+use super::{
+    coalesced::Coalesced, instance::FleetInstance, notify::Notify, streams,
+};
 
 /// The kind of records in the store, which are named by their services.
 const VERSIONS_KIND: &str = "sedgewall-software-versions";
@@ -46,6 +48,23 @@
     recorded: RefCell<RecordedVersions>,
     revisions: RefCell<HashMap<ServiceName, Revision>>,
     read: Rc<Coalesced>,
+    /// Notified when another configuration is in force.
+    pub(crate) configuration_notify: Notify,
+}
+
+impl FleetInstance {
+    /// Returns whether the versions of a service must be recorded before its
+    /// endpoints get requests: a stream of it may be resumed, or that is not
+    /// known yet.
+    pub(crate) fn needs_version_record(&self, service: &str) -> bool {
+        self.routing().is_none_or(|routing| {
+            let mut resumable =
+                routing.routes.iter().filter(|route| route.is_resumable);
+            resumable.any(|route| {
+                route.backends.iter().any(|b| b.service == service)
+            })
+        })
+    }
 }
 
 impl VersionRecords {
@@ -130,7 +149,7 @@
 }
 
 /// Adds a version to the record of a service unless it is there, with retries
-/// until the store has it.
+/// until the store has it or the service needs no record.
 pub(crate) async fn record(
     instance: &Rc<FleetInstance>,
     service: &ServiceName,
@@ -138,7 +157,7 @@
 ) {
     let mut back_off = BackOff::within(instance.in_force_within());
     let mut has_waited = false;
-    loop {
+    while instance.needs_version_record(service) {
         let is_read = read(instance).await;
         if instance.version_records.allows(service, version) {
             return;
@@ -201,11 +220,18 @@
     Ok(())
 }
 
-/// Removes versions from the records whose endpoints have been gone for long,
-/// while this instance holds the lease. Never returns.
-pub(crate) async fn clean_up(instance: Rc<FleetInstance>) {
+/// Adds the versions of endpoints that are used and not recorded, because a new
+/// configuration makes their streams resumable, and removes those whose
+/// endpoints have been gone for long, while this instance holds the lease.
+/// Never returns.
+pub(crate) async fn keep(instance: Rc<FleetInstance>) {
     loop {
-        compio::time::sleep(CLEANUP_INTERVAL).await;
+        let records = &instance.version_records;
+        if records.configuration_notify.wait(CLEANUP_INTERVAL).await {
+            for (service, version) in unrecorded(&instance) {
+                record(&instance, &service, &version).await;
+            }
+        }
         let now = Instant::now();
         record_present(&instance, now);
         if instance.current_lease(now).is_none()
@@ -225,6 +251,22 @@
     }
 }
 
+/// Returns the versions of known endpoints that must be recorded and are not.
+fn unrecorded(
+    instance: &FleetInstance,
+) -> BTreeSet<(ServiceName, SoftwareVersion)> {
+    let view = instance.view.borrow();
+    let used = view.endpoints().filter_map(|state| {
+        let Endpoint { service, software_version, .. } = &state.endpoint;
+        Some((service.clone(), software_version.clone()?))
+    });
+    used.filter(|(service, version)| {
+        instance.needs_version_record(service)
+            && !instance.version_records.allows(service, version)
+    })
+    .collect()
+}
+
 fn record_present(instance: &FleetInstance, now: Instant) {
     let view = instance.view.borrow();
     let mut recorded = instance.version_records.recorded.borrow_mut();
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -171,11 +171,13 @@
 
     /// Applies an entry, once its software version is recorded.
     fn apply(&self, endpoint: Endpoint) {
-        let records = &self.instance.version_records;
+        let instance = &self.instance;
+        let service = &endpoint.service;
         let unrecorded =
             endpoint.software_version.as_ref().filter(|version| {
                 !endpoint.is_draining
-                    && !records.allows(&endpoint.service, version)
+                    && instance.needs_version_record(service)
+                    && !instance.version_records.allows(service, version)
             });
         match unrecorded.cloned() {
             Some(version) => self.apply_once_recorded(endpoint, version),
