Record streams sooner while a service has several software versions

A stream whose record is not written when all instances are lost is refused at each of its tries.

The lease holder now writes 10 ms after each write, those of 50 ms to the same object, and streams are reported to it after 5 ms.

--- a/crates/sedgewalld/src/fleet/stream_records.rs
+++ b/crates/sedgewalld/src/fleet/stream_records.rs
@@ -3,8 +3,8 @@
 //! Instances remember where streams began, and the records outlive all of
 //! them. They are needed only while a service has several software versions;
 //! otherwise its version record tells the same. All instances report the
-//! streams that begin to the lease holder, which writes those of a moment as
-//! one object. The objects form a ring, so that each write replaces the oldest.
+//! streams that begin to the lease holder, which writes those of 50 ms to one
+//! object. The objects form a ring, so that the oldest are replaced.
 
 use std::{
     cell::RefCell,
@@ -13,6 +13,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     note::BegunStreams,
     stream_origins::{StreamKey, StreamOrigin},
@@ -29,11 +30,16 @@
 /// The kind of the records in the store.
 const STREAMS_KIND: &str = "sedgewall-streams";
 
-/// The interval between two writes.
-const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// The pause between two writes. A stream whose instances are lost before its
+/// record is written cannot go on.
+const WRITE_PAUSE: Duration = Duration::from_millis(10);
 
-/// The number of objects in the ring. Each is kept for at least as many
-/// intervals, 24 s, which is longer than callers resume a stream. The store
+/// How long an object takes further streams. Each write of that time replaces
+/// the one before.
+const OBJECT_TIME: Duration = Duration::from_millis(50);
+
+/// The number of objects in the ring. Each is kept for at least as many times
+/// [`OBJECT_TIME`], 24 s, which is longer than callers resume a stream. The store
 /// lists them on one page.
 const RING_LEN: usize = 480;
 
@@ -67,7 +73,12 @@
 struct Ring {
     epoch: Epoch,
     revisions: Vec<Option<Revision>>,
-    next: usize,
+    /// The object that takes further streams.
+    slot: usize,
+    /// When its first stream was written.
+    slot_since: Option<Instant>,
+    /// The streams that were written to it.
+    written: Vec<(StreamKey, StreamOrigin)>,
 }
 
 impl FleetInstance {
@@ -146,7 +157,7 @@
         if let Some(ring) = &mut ring {
             write_next(&instance, ring).await;
         }
-        compio::time::sleep(WRITE_INTERVAL).await;
+        compio::time::sleep(WRITE_PAUSE).await;
     }
 }
 
@@ -155,58 +166,59 @@
     async fn read(instance: &FleetInstance, epoch: Epoch) -> Option<Ring> {
         let listed =
             instance.store.list(STREAMS_KIND, Freshness::Newest).await;
-        let mut ring =
-            Ring { epoch, revisions: vec![None; RING_LEN], next: 0 };
+        let mut ring = Ring {
+            epoch,
+            revisions: vec![None; RING_LEN],
+            slot: 0,
+            slot_since: None,
+            written: Vec::new(),
+        };
         let mut newest = None;
         for object in listed.ok()?.objects {
             let Some(slot) = slot_of(&object.name) else { continue };
             ring.revisions[slot] = Some(object.revision);
             if newest.is_none_or(|revision| revision < object.revision) {
                 newest = Some(object.revision);
-                ring.next = (slot + 1) % RING_LEN;
+                ring.slot = (slot + 1) % RING_LEN;
             }
         }
         Some(ring)
     }
 }
 
-/// Writes pending streams as the next object. They stay pending if the store
+/// Writes pending streams to the current object. They stay pending if the store
 /// does not take them.
 async fn write_next(instance: &FleetInstance, ring: &mut Ring) {
     let records = &instance.stream_records;
+    let is_over =
+        ring.slot_since.is_some_and(|since| since.elapsed() >= OBJECT_TIME);
+    if is_over || ring.written.len() >= MAX_STREAMS {
+        ring.slot = (ring.slot + 1) % RING_LEN;
+        ring.slot_since = None;
+        ring.written.clear();
+    }
     let pending = {
         let mut pending = records.pending.borrow_mut();
-        let len = pending.len().min(MAX_STREAMS);
+        let room = MAX_STREAMS - ring.written.len();
+        let len = pending.len().min(room);
         pending.drain(..len).collect::<Vec<_>>()
     };
-    let mut by_origin: BTreeMap<(&str, &str), BegunStreams> = BTreeMap::new();
-    for (key, origin) in &pending {
-        let id = (&*origin.service, &*origin.software_version.0);
-        let streams = by_origin.entry(id).or_insert_with(|| BegunStreams {
-            origin: origin.clone(),
-            keys: Vec::new(),
-        });
-        streams.keys.push(*key);
-    }
-    let since_epoch =
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let record = StreamRecord {
-        written_unix_ms: since_epoch.as_millis() as u64,
-        streams: by_origin.into_values().collect(),
-    };
+    let record = StreamRecord::of(ring.written.iter().chain(&pending));
     let Ok(spec) = serde_json::to_value(&record) else { return };
-    let (slot, store) = (ring.next, &instance.store);
+    let (slot, store) = (ring.slot, &instance.store);
     let name = format!("slot-{slot}");
-    let written = match ring.revisions[slot] {
+    let began = Instant::now();
+    let result = match ring.revisions[slot] {
         Some(revision) => {
             store.replace(STREAMS_KIND, &name, revision, &spec).await
         }
         None => store.create(STREAMS_KIND, &name, &spec).await,
     };
-    match written {
+    match result {
         Ok(object) => {
             ring.revisions[slot] = Some(object.revision);
-            ring.next = (slot + 1) % RING_LEN;
+            ring.slot_since.get_or_insert(began);
+            ring.written.extend(pending);
             return;
         }
         // An earlier write was carried out, or another instance holds the
@@ -222,6 +234,29 @@
     records.pending.borrow_mut().splice(0..0, pending);
 }
 
+impl StreamRecord {
+    fn of<'a>(
+        streams: impl Iterator<Item = &'a (StreamKey, StreamOrigin)>,
+    ) -> StreamRecord {
+        let mut by_origin: BTreeMap<(&str, &str), BegunStreams> =
+            BTreeMap::new();
+        for (key, origin) in streams {
+            let id = (&*origin.service, &*origin.software_version.0);
+            let begun = by_origin.entry(id).or_insert_with(|| BegunStreams {
+                origin: origin.clone(),
+                keys: Vec::new(),
+            });
+            begun.keys.push(*key);
+        }
+        let since_epoch =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        StreamRecord {
+            written_unix_ms: since_epoch.as_millis() as u64,
+            streams: by_origin.into_values().collect(),
+        }
+    }
+}
+
 fn slot_of(name: &str) -> Option<usize> {
     let slot = name.strip_prefix("slot-")?.parse().ok()?;
     (slot < RING_LEN).then_some(slot)
--- a/crates/sedgewalld/src/fleet/streams.rs
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -31,6 +31,10 @@
 /// How long streams that begin are collected before others are told of them.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
+/// The same while streams are recorded. A stream whose instances are lost
+/// before cannot go on.
+const RECORDED_REPORT_DELAY: Duration = Duration::from_millis(5);
+
 /// How long an instance at which no stream begins waits for a notification.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
@@ -177,7 +181,15 @@
             streams.unreported_notify.wait(IDLE_WAIT).await;
             continue;
         }
-        compio::time::sleep(REPORT_DELAY).await;
+        let is_recorded =
+            streams.unreported.borrow().first().is_some_and(|(_, origin)| {
+                instance.version_records.has_several(&origin.service)
+            });
+        let delay = match is_recorded {
+            true => RECORDED_REPORT_DELAY,
+            false => REPORT_DELAY,
+        };
+        compio::time::sleep(delay).await;
         let begun = streams.unreported.take();
         let peers = instance.stream_peers();
         let recorder = instance
