Delete the entries of instances that are gone for good

The pause is now derived from the instances that are alive, and the lease holder deletes the entry of an instance that it has not heard for 300 s.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod load_rate_limiter;
 pub mod load_times;
 pub mod loop_stats;
+pub mod lost_instances;
 pub mod note;
 pub mod note_schedule;
 pub mod order;
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -30,7 +30,7 @@
     poison, reach, stream_records, streams, version_records,
     watch_configuration::{Configuration, Versions},
     watch_endpoints::Endpoints,
-    watch_instances::{Instances, keep_registered},
+    watch_instances::{Instances, delete_lost, keep_registered},
     watch_poison::{self, PoisonRequests},
 };
 use crate::{
@@ -163,6 +163,7 @@
     event_loop.spawn("poison", poison::search(instance.clone()));
     event_loop.spawn("poison", watch_poison::keep_records(instance.clone()));
     event_loop.spawn("lease", keep_registered(instance.clone()));
+    event_loop.spawn("lease", delete_lost(instance.clone()));
 }
 
 fn store_address(url: &str) -> Result<SocketAddr, DaemonError> {
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -34,7 +34,10 @@
     suspicion::Suspicions,
     view::FleetView,
 };
-use sedgewall_platform::{Store, StoreError, store::StoreEra};
+use sedgewall_platform::{
+    Store, StoreError,
+    store::{Revision, StoreEra},
+};
 use sedgewall_protocol::settings::{FleetSettings, Settings};
 use sedgewall_state::id::{
     EndpointId, Epoch, Incarnation, InstanceId, ZoneName,
@@ -99,6 +102,8 @@
     pub(crate) takes_forwarded: bool,
     /// Whether the instance knows where streams began.
     pub(crate) tracks_streams: bool,
+    /// The revision of the other instance's entry.
+    pub(crate) revision: Revision,
     /// When the other instance's entry was first read here.
     pub(crate) known_since: Instant,
 }
--- a/crates/sedgewalld/src/fleet/peers.rs
+++ b/crates/sedgewalld/src/fleet/peers.rs
@@ -137,7 +137,20 @@
             })
     }
 
-    fn is_live(&self, id: &InstanceId, peer: &Peer, now: Instant) -> bool {
+    /// Returns the number of other instances that are alive.
+    pub(crate) fn live_peer_count(&self) -> usize {
+        let now = Instant::now();
+        let peers = self.peers.borrow();
+        peers.iter().filter(|(id, peer)| self.is_live(id, peer, now)).count()
+    }
+
+    /// Returns whether a listed instance counts as alive.
+    pub(crate) fn is_live(
+        &self,
+        id: &InstanceId,
+        peer: &Peer,
+        now: Instant,
+    ) -> bool {
         now - peer.known_since < NEW_PEER_GRACE
             || self.view.borrow().is_live_peer(id, now)
     }
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -352,7 +352,7 @@
 
 /// Returns the pause before the next watch of endpoints.
 fn watch_pause(instance: &FleetInstance) -> Duration {
-    let peers = instance.peers.borrow().len() as u32;
+    let peers = instance.live_peer_count() as u32;
     ENDPOINTS_PAUSE.max(PAUSE_PER_INSTANCE * peers).min(MAX_PAUSE)
 }
 
--- a/crates/sedgewalld/src/fleet/watch_instances.rs
+++ b/crates/sedgewalld/src/fleet/watch_instances.rs
@@ -7,12 +7,13 @@
 use sedgewall_fleet::{
     back_off::{BackOff, CallKind},
     freshness::WatchedKind,
+    lost_instances::LostInstances,
 };
 use sedgewall_platform::{
     StoreError,
-    store::{Change, Listing, StoredObject},
+    store::{Change, Listing, Revision, StoredObject},
 };
-use sedgewall_state::id::ZoneName;
+use sedgewall_state::id::{InstanceId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -38,6 +39,9 @@
 /// How long one wait for the loss of the own entry takes.
 const OWN_ENTRY_WAIT: Duration = Duration::from_secs(60);
 
+/// The interval at which instances that are gone for good are looked for.
+const LOST_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The entry of an instance in the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct InstanceEntry {
@@ -97,6 +101,9 @@
 
     fn handle_change(&self, change: Change) {
         if change.is_deleted {
+            if change.object.name == *self.0.id() {
+                self.0.own_entry_notify.notify();
+            }
             let gone = change.object.name;
             self.0.peers.borrow_mut().remove(&gone);
             self.0.store_reports.borrow_mut().retain(|id| *id != gone);
@@ -123,6 +130,7 @@
                     reads_pools: entry.reads_pools,
                     takes_forwarded: entry.takes_forwarded,
                     tracks_streams: entry.tracks_streams,
+                    revision: object.revision,
                     known_since: known
                         .map_or_else(Instant::now, |peer| peer.known_since),
                 };
@@ -136,8 +144,9 @@
     }
 }
 
-/// Writes this instance's own entry, and again whenever a list does not show
-/// it, because the store was restored from a copy without it. Never returns.
+/// Writes this instance's own entry, and again whenever it is missing: the
+/// store was restored from a copy without it, or the lease holder deleted it
+/// because this instance was cut off. Never returns.
 pub(crate) async fn keep_registered(instance: Rc<FleetInstance>) {
     loop {
         register(&instance).await;
@@ -146,6 +155,53 @@
     }
 }
 
+/// Deletes the entries of instances that are gone for good, while this
+/// instance holds the lease. Never returns.
+pub(crate) async fn delete_lost(instance: Rc<FleetInstance>) {
+    let mut lost = LostInstances::default();
+    loop {
+        compio::time::sleep(LOST_CHECK_INTERVAL).await;
+        let now = Instant::now();
+        let entries = lost_entries(&instance, &mut lost, now);
+        if instance.current_lease(now).is_none()
+            || instance.store_reachability.borrow().is_unreachable()
+        {
+            continue;
+        }
+        for (id, revision) in entries {
+            tracing::info!(event = "lost_instance_deleted", instance = id);
+            let deleted =
+                instance.store.delete(INSTANCES_KIND, &id, revision).await;
+            if let Err(err) = deleted {
+                let cause = err.to_string();
+                tracing::warn!(
+                    event = "lost_instance_kept",
+                    instance = id,
+                    cause,
+                );
+            }
+        }
+    }
+}
+
+/// Returns the entries of instances that are gone for good, with the revision
+/// at which each was read.
+fn lost_entries(
+    instance: &FleetInstance,
+    lost: &mut LostInstances,
+    now: Instant,
+) -> Vec<(InstanceId, Revision)> {
+    let peers = instance.peers.borrow();
+    let listed =
+        peers.iter().map(|(id, peer)| (id, instance.is_live(id, peer, now)));
+    let lost = lost.record(listed, now);
+    let entries = lost.into_iter().filter_map(|id| {
+        let revision = peers.get(&id)?.revision;
+        Some((id, revision))
+    });
+    entries.collect()
+}
+
 /// Writes this instance's own entry, with retries until the store has it.
 async fn register(instance: &FleetInstance) {
     let entry = InstanceEntry {
