Compute the digests of what is known less often

Digests are now used for 250 ms, unless another instance reports a different one. A read of the store makes the next report show its result at once.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -218,3 +218,14 @@
 /// [`WatchedKind::ALL`]. Kinds that were never confirmed are missing.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FreshnessReport(pub Vec<Option<KindReport>>);
+
+impl FreshnessReport {
+    /// Returns whether the reporting instance has another state of some kind
+    /// than the one with these digests.
+    pub fn differs_from(&self, digests: &[u64]) -> bool {
+        let reported = self.0.iter().zip(digests);
+        reported
+            .filter_map(|(report, digest)| Some((report.as_ref()?, digest)))
+            .any(|(report, digest)| report.digest != *digest)
+    }
+}
--- a/crates/fleet/tests/freshness_rules.rs
+++ b/crates/fleet/tests/freshness_rules.rs
@@ -4,7 +4,9 @@
 
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
-use sedgewall_fleet::freshness::{Freshness, MIN_WATCH, Turn, WatchedKind};
+use sedgewall_fleet::freshness::{
+    Freshness, FreshnessReport, KindReport, MIN_WATCH, Turn, WatchedKind,
+};
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
 const LONGEST_WATCH: Duration = Duration::from_secs(12);
@@ -120,3 +122,11 @@
         prop_assert!(due <= known_until + IN_FORCE_WITHIN - ms(200));
     }
 }
+
+#[test]
+fn a_report_differs_if_one_reported_kind_does() {
+    let report = |digest| KindReport { age_ms: 1, digest };
+    let reports = FreshnessReport(vec![Some(report(7)), None]);
+    assert!(!reports.differs_from(&[7, 8]));
+    assert!(reports.differs_from(&[6, 8]));
+}
--- a/crates/sedgewalld/src/fleet/freshness.rs
+++ b/crates/sedgewalld/src/fleet/freshness.rs
@@ -4,16 +4,20 @@
 use std::{cell::RefCell, time::Duration};
 
 use sedgewall_clock::Instant;
-use sedgewall_fleet::freshness::{
-    Freshness, FreshnessReport, KindReport, Turn, WatchedKind,
+use sedgewall_fleet::{
+    catch_up::StateSummary,
+    freshness::{Freshness, FreshnessReport, KindReport, Turn, WatchedKind},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::instance::FleetInstance;
 
-/// How long computed digests are used. A large fleet has thousands of entries,
-/// and relays encode many datagrams at once.
-const DIGESTS_VALID_FOR: Duration = Duration::from_millis(50);
+/// How long computed digests are used while those of others are the same. A
+/// large fleet has thousands of entries, and each instance gets many reports.
+const DIGESTS_VALID_FOR: Duration = Duration::from_millis(250);
+
+/// The same if another instance reports a different digest.
+const DIFFERENT_DIGESTS_VALID_FOR: Duration = Duration::from_millis(50);
 
 /// The freshness of all watched kinds.
 pub(crate) struct FreshnessTable {
@@ -47,6 +51,8 @@
     /// Records that all changes of a kind before `until` are known.
     pub(crate) fn confirm(&self, kind: WatchedKind, until: Instant) {
         self.kinds.borrow_mut()[kind as usize].confirm(until);
+        // The next report must show it.
+        self.snapshot.take();
     }
 }
 
@@ -62,7 +68,8 @@
 
     /// Returns what to report to the other instances.
     pub(crate) fn freshness_report(&self, now: Instant) -> FreshnessReport {
-        let Snapshot { kinds, digests, .. } = self.snapshot(now);
+        let Snapshot { kinds, digests, .. } =
+            self.snapshot(now, DIGESTS_VALID_FOR);
         let reports = kinds.iter().zip(digests).map(|(kind, digest)| {
             // Rounded up, so that the report never claims too much.
             let age = kind.age(now)?.as_millis() as u64 + 1;
@@ -81,9 +88,13 @@
         if report.0.is_empty() {
             return;
         }
-        let Snapshot { digests, .. } = self.snapshot(now);
+        let mut known = self.snapshot(now, DIGESTS_VALID_FOR);
+        if report.differs_from(&known.digests) {
+            known = self.snapshot(now, DIFFERENT_DIGESTS_VALID_FOR);
+        }
         let mut kinds = self.freshness.kinds.borrow_mut();
-        let reported = report.0.iter().zip(digests).zip(kinds.iter_mut());
+        let reported =
+            report.0.iter().zip(known.digests).zip(kinds.iter_mut());
         for ((reported, own_digest), kind) in reported {
             if let Some(KindReport { age_ms, digest }) = *reported
                 && digest == own_digest
@@ -94,16 +105,15 @@
     }
 
     /// Returns the digests of all kinds, with the freshness that belongs to
-    /// them.
-    fn snapshot(&self, now: Instant) -> Snapshot {
+    /// them, computed within `max_age`.
+    fn snapshot(&self, now: Instant, max_age: Duration) -> Snapshot {
         let known = *self.freshness.snapshot.borrow();
-        if let Some(known) =
-            known.filter(|known| now < known.at + DIGESTS_VALID_FOR)
-        {
+        if let Some(known) = known.filter(|known| now < known.at + max_age) {
             return known;
         }
         let kinds = *self.freshness.kinds.borrow();
-        let digests = WatchedKind::ALL.map(|kind| self.digest(kind));
+        let summary = self.state_summary();
+        let digests = WatchedKind::ALL.map(|kind| self.digest(kind, &summary));
         let snapshot = Snapshot { at: now, kinds, digests };
         *self.freshness.snapshot.borrow_mut() = Some(snapshot);
         snapshot
@@ -111,11 +121,11 @@
 
     /// Returns a number that identifies the known state of a kind: of
     /// endpoints, which of them take requests.
-    fn digest(&self, kind: WatchedKind) -> u64 {
+    fn digest(&self, kind: WatchedKind, summary: &StateSummary) -> u64 {
         match kind {
-            WatchedKind::Configuration => self.state_summary().configuration,
-            WatchedKind::Versions => self.state_summary().versions,
-            WatchedKind::Condemned => self.state_summary().condemned,
+            WatchedKind::Configuration => summary.configuration,
+            WatchedKind::Versions => summary.versions,
+            WatchedKind::Condemned => summary.condemned,
             WatchedKind::Endpoints => {
                 let view = self.view.borrow();
                 let serving = view
