Hold back an endpoint that restarts at another software version

While the version of an entry was being recorded, its endpoint kept getting requests if it had been known at an earlier version, and its streams counted as begun at that one: after a loss of all instances they could be joined to it.

Such an endpoint now gets no requests until its entry is applied, and no stream is taken to have begun at the only recorded version while the version of a known entry is not recorded. Found by reading; the test of the view fails without it, since the call does not exist there.

--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -127,6 +127,8 @@
     pub(crate) saturated_until: Option<Instant>,
     /// The cooldown that the endpoint asked this instance for.
     pub(crate) cooldown: Cooldown,
+    /// Whether the endpoint gets no requests until its next entry is applied.
+    pub(crate) is_held_back: bool,
 }
 
 impl Placement {
@@ -201,6 +203,7 @@
             warm: VecDeque::new(),
             saturated_until: None,
             cooldown: Cooldown::default(),
+            is_held_back: false,
         }
     }
 
@@ -257,9 +260,10 @@
     }
 
     /// Returns whether the endpoint may get requests: it is neither draining,
-    /// nor ejected, nor cooling down.
+    /// nor held back, nor ejected, nor cooling down.
     pub fn is_usable(&self, now: Instant) -> bool {
         !self.endpoint.is_draining
+            && !self.is_held_back
             && self.health.is_usable(now)
             && self.cooldown.left(now).is_none()
     }
@@ -310,6 +314,7 @@
 
     /// Applies the endpoint's entry in the platform's list.
     pub(crate) fn apply_entry(&mut self, endpoint: Endpoint, now: Instant) {
+        self.is_held_back = false;
         if self.is_ordered_by_us {
             self.end_replacements(&endpoint);
             self.endpoint = endpoint;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -40,7 +40,7 @@
     adapter_index::AdapterIndex,
     cooldown::Cooldown,
     departure::{Departure, Departures},
-    endpoint::{Endpoint, EngineReport},
+    endpoint::{Endpoint, EngineReport, SoftwareVersion},
     endpoint_state::EndpointState,
     engine_pools::PoolSplit,
     incarnation::{Incarnation, IncarnationStatus, Incarnations},
@@ -188,6 +188,16 @@
         true
     }
 
+    /// Stops requests to an endpoint until its next entry is applied, if the
+    /// known one shows another software version: the endpoint has restarted,
+    /// and streams that begin there do not begin at the known version.
+    pub fn hold_back(&mut self, id: &EndpointId, version: &SoftwareVersion) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            let known = state.endpoint.software_version.as_ref();
+            state.is_held_back |= known != Some(version);
+        }
+    }
+
     /// Keeps the known software version of an endpoint whose entry comes from
     /// another instance, which does not pass it on.
     fn record_software_version(
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -598,3 +598,24 @@
     assert_eq!(sent(&view, at(5_200)), Some(Some(2)));
     assert_eq!(sent(&view, at(7_600)), None);
 }
+
+/// Guards against streams that count as begun at the version which an endpoint
+/// had before it restarted.
+#[test]
+fn an_endpoint_with_another_version_gets_nothing_until_its_entry_is_applied() {
+    let now = Instant::now();
+    let version = |text: &str| SoftwareVersion(text.to_owned());
+    let entry = |text: &str, revision: u64| Endpoint {
+        software_version: Some(version(text)),
+        revision: revision.into(),
+        ..endpoint("e1", "z1", &[1])
+    };
+    let mut view = FleetView::new("z1");
+    view.apply_entry(entry("v1", 1), now);
+    view.hold_back(&"e1".to_owned(), &version("v1"));
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e1"));
+    view.hold_back(&"e1".to_owned(), &version("v2"));
+    assert_eq!(choose(&view, &key(1), now), Choice::NoEndpoint);
+    view.apply_entry(entry("v2", 2), now);
+    assert_eq!(sent_to(&choose(&view, &key(1), now)), Some("e1"));
+}
--- a/crates/sedgewalld/src/fleet/version_records.rs
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -19,6 +19,7 @@
     StoreError,
     store::{Freshness, Revision},
 };
+use sedgewall_state::id::EndpointId;
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -48,6 +49,9 @@
     recorded: RefCell<RecordedVersions>,
     revisions: RefCell<HashMap<ServiceName, Revision>>,
     read: Rc<Coalesced>,
+    /// Entries whose software versions are not recorded yet. Their endpoints
+    /// get no requests before.
+    pub(crate) unrecorded: RefCell<HashMap<EndpointId, Endpoint>>,
     /// Notified when another configuration is in force.
     pub(crate) configuration_notify: Notify,
 }
@@ -83,9 +87,15 @@
     }
 
     /// Returns the only version at which streams of a service may have begun,
-    /// as last read.
+    /// as last read. There is none while a version is not recorded yet:
+    /// instances that learned of its endpoint otherwise may have used it.
     pub(crate) fn only(&self, service: &str) -> Option<SoftwareVersion> {
-        self.recorded.borrow().only(service).cloned()
+        let is_unrecorded =
+            |entry: &Endpoint| entry.service == service && !entry.is_draining;
+        match self.unrecorded.borrow().values().any(is_unrecorded) {
+            true => None,
+            false => self.recorded.borrow().only(service).cloned(),
+        }
     }
 }
 
--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -64,9 +64,6 @@
 #[derive(Clone)]
 pub(crate) struct Endpoints {
     instance: Rc<FleetInstance>,
-    /// Entries whose software versions are not recorded yet. Their endpoints
-    /// get no requests before.
-    unrecorded: Rc<RefCell<HashMap<EndpointId, Endpoint>>>,
     /// Endpoints whose entries lapsed and may come back soon, with the
     /// revision at which they were missing.
     lapsed: Rc<RefCell<HashMap<EndpointId, Revision>>>,
@@ -164,7 +161,6 @@
         Endpoints {
             instance: instance.clone(),
             lapsed: Rc::default(),
-            unrecorded: Rc::default(),
             has_missing: Rc::default(),
         }
     }
@@ -199,7 +195,9 @@
                     && entry.software_version.as_ref() == Some(&version)
             }
         };
-        let mut unrecorded = self.unrecorded.borrow_mut();
+        let instance = &self.instance;
+        instance.view.borrow_mut().hold_back(&endpoint.id, &version);
+        let mut unrecorded = instance.version_records.unrecorded.borrow_mut();
         let is_being_recorded = unrecorded.values().any(&is_same);
         unrecorded.insert(endpoint.id.clone(), endpoint);
         if is_being_recorded {
@@ -209,7 +207,8 @@
         compio::runtime::spawn(async move {
             version_records::record(&handler.instance, &service, &version)
                 .await;
-            let recorded: Vec<Endpoint> = handler
+            let records = &handler.instance.version_records;
+            let recorded: Vec<Endpoint> = records
                 .unrecorded
                 .borrow_mut()
                 .extract_if(|_, entry| is_same(entry))
@@ -225,7 +224,8 @@
     }
 
     fn apply_now(&self, endpoint: Endpoint) {
-        self.unrecorded.borrow_mut().remove(&endpoint.id);
+        let records = &self.instance.version_records;
+        records.unrecorded.borrow_mut().remove(&endpoint.id);
         let mut view = self.instance.view.borrow_mut();
         // An entry that comes back belongs to the same incarnation of the
         // endpoint, but the engine must report again what it holds.
@@ -277,7 +277,7 @@
     fn entry_missing(&self, id: &EndpointId, revision: Revision) {
         let now = Instant::now();
         self.has_missing.set(true);
-        self.unrecorded.borrow_mut().remove(id);
+        self.instance.version_records.unrecorded.borrow_mut().remove(id);
         let reachability = self.instance.store_reachability.borrow();
         let left = reachability.missing_entry_grace(now);
         if left.is_zero() {
