--- a/crates/sedgewalld/src/fleet/version_records.rs
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -2,7 +2,7 @@
 //! store, and reads it for streams that nobody knows.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
@@ -49,6 +49,10 @@
     recorded: RefCell<RecordedVersions>,
     revisions: RefCell<HashMap<ServiceName, Revision>>,
     read: Rc<Coalesced>,
+    /// Lists that may be seconds old.
+    old_read: Rc<Coalesced>,
+    /// The delay before this instance adds versions to records.
+    write_delay: OnceCell<Duration>,
     /// Entries whose software versions are not recorded yet. Their endpoints
     /// get no requests before.
     pub(crate) unrecorded: RefCell<HashMap<EndpointId, Endpoint>>,
@@ -104,11 +108,19 @@
 pub(crate) async fn read(instance: &Rc<FleetInstance>) -> bool {
     let caller = instance.clone();
     let coalesced = instance.version_records.read.clone();
-    coalesced.run(move || list(caller.clone())).await
+    coalesced.run(move || list(caller.clone(), Freshness::Newest)).await
 }
 
-async fn list(instance: Rc<FleetInstance>) -> bool {
-    let listed = instance.store.list(VERSIONS_KIND, Freshness::Newest).await;
+/// Reads all records as they were some seconds ago, which is cheaper. A
+/// version is kept in its record for much longer than that.
+async fn read_old(instance: &Rc<FleetInstance>) -> bool {
+    let caller = instance.clone();
+    let coalesced = instance.version_records.old_read.clone();
+    coalesced.run(move || list(caller.clone(), Freshness::SecondsOld)).await
+}
+
+async fn list(instance: Rc<FleetInstance>, freshness: Freshness) -> bool {
+    let listed = instance.store.list(VERSIONS_KIND, freshness).await;
     let listing = match listed {
         Ok(listing) => listing,
         Err(err) => {
@@ -142,7 +154,13 @@
     record: &VersionRecord,
 ) {
     let records = &instance.version_records;
-    records.revisions.borrow_mut().insert(service.clone(), revision);
+    let mut revisions = records.revisions.borrow_mut();
+    if revisions.get(service).is_some_and(|known| revision < *known) {
+        // A list that is seconds old.
+        return;
+    }
+    revisions.insert(service.clone(), revision);
+    drop(revisions);
     let has_several = records.recorded.borrow_mut().apply(
         service,
         &record.versions,
@@ -168,8 +186,13 @@
     let mut back_off = BackOff::within(instance.in_force_within());
     let mut has_waited = false;
     while instance.needs_version_record(service) {
-        let is_read = read(instance).await;
-        if instance.version_records.allows(service, version) {
+        // At a start, all instances read the records of all services.
+        let is_read = match has_waited {
+            false => read_old(instance).await,
+            true => read(instance).await,
+        };
+        let records = &instance.version_records;
+        if records.allows(service, version) {
             return;
         }
         if !is_read {
@@ -179,8 +202,10 @@
         }
         back_off.answered();
         if !std::mem::replace(&mut has_waited, true) {
-            let delay = MAX_WRITE_DELAY.mul_f64(rand::random());
-            compio::time::sleep(delay).await;
+            let delay = records
+                .write_delay
+                .get_or_init(|| MAX_WRITE_DELAY.mul_f64(rand::random()));
+            compio::time::sleep(*delay).await;
             continue;
         }
         if let Err(err) = add(instance, service, version).await {
