--- a/crates/fleet/src/view/named_versions.rs
+++ b/crates/fleet/src/view/named_versions.rs
@@ -6,10 +6,10 @@
 
 use crate::adapter::WeightVersion;
 
-/// How long a version may still be used after a newer one was announced. The
-/// platform allows 5 s until the request runs; the remainder is for queueing at
-/// the engine. It is
+/// How long a version may still be used after a newer one was announced. It is
 /// counted for each version by itself: a further version grants no more time.
+/// The platform allows 5 s until the request runs; the remainder is for
+/// queueing at the engine.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(2_500);
 
 /// The versions that may be used, oldest first, and when this instance learned
