Read the store by the rank that an instance has when its turn comes

At a start, 70 of 109 instances read the configuration and the versions of weights at once, 4.0 s after they had started: the turn was taken when the watch was opened, before the other instances had been listed, so that each took itself for the first. The turn is now looked at when the read is due, and read_due states the rank.

instances_that_start_together_read_in_turn fails with the turn of the begin.

--- a/crates/sedgewalld/src/fleet/list_watch.rs
+++ b/crates/sedgewalld/src/fleet/list_watch.rs
@@ -16,7 +16,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     back_off::{BackOff, CallKind},
-    freshness::{Freshness as FreshnessState, MIN_WATCH, WatchedKind},
+    freshness::{Freshness as FreshnessState, MIN_WATCH, Turn, WatchedKind},
 };
 use sedgewall_platform::{
     StoreError,
@@ -129,8 +129,9 @@
     Answered(Changes),
     /// The kind was to be listed again.
     Notified,
-    /// The newest state had not been confirmed for too long.
-    Overdue,
+    /// The newest state had not been confirmed for too long, and it is this
+    /// instance's turn to read it.
+    Overdue(Turn),
 }
 
 async fn run<F: ObjectHandler>(instance: Rc<FleetInstance>, handler: F) {
@@ -271,8 +272,8 @@
         let changes = match ended? {
             WatchEnd::Answered(changes) => changes,
             WatchEnd::Notified => return Ok(None),
-            WatchEnd::Overdue => {
-                self.note_overdue(Some(sent));
+            WatchEnd::Overdue(turn) => {
+                self.note_overdue(turn, Some(sent));
                 return Ok(Some(since));
             }
         };
@@ -339,23 +340,25 @@
                 watched.map(WatchEnd::Answered)
             }
             () = notified => Ok(WatchEnd::Notified),
-            () = overdue => Ok(WatchEnd::Overdue),
+            turn = overdue => Ok(WatchEnd::Overdue(turn)),
         }
     }
 
-    /// Waits until the newest state must be read. Never returns during the
-    /// read itself, whose timeout bounds it.
-    async fn overdue(&self, is_read: bool) {
+    /// Waits until the newest state must be read, and returns this instance's
+    /// turn. Never returns during the read itself, whose timeout bounds it.
+    async fn overdue(&self, is_read: bool) -> Turn {
         if is_read {
             return std::future::pending().await;
         }
-        let turn = self.instance.turn();
+        let draw = rand::random();
         loop {
+            // The rank changes while other instances come and go.
+            let turn = Turn { draw, ..self.instance.turn() };
             let known = self.instance.freshness.of(F::WATCHED_KIND);
             let left =
                 known.read_due(turn).saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return;
+                return turn;
             }
             compio::time::sleep(left).await;
         }
@@ -364,7 +367,7 @@
     /// Makes the next watch read the newest state on a new connection: those
     /// that are open may be dead. `watch_sent` is when the open watch was
     /// sent, if there is one.
-    fn note_overdue(&mut self, watch_sent: Option<Instant>) {
+    fn note_overdue(&mut self, turn: Turn, watch_sent: Option<Instant>) {
         self.is_read_due = true;
         self.instance.store.close_idle_connections();
         let known = self.instance.freshness.of(F::WATCHED_KIND);
@@ -372,6 +375,7 @@
         tracing::info!(
             event = "read_due",
             kind = F::KIND,
+            rank = turn.rank,
             age_ms = age.map(|age| age.as_millis() as u64),
             watch_open_ms =
                 watch_sent.map(|sent| sent.elapsed().as_millis() as u64),
@@ -408,17 +412,15 @@
     /// read. Returns whether the kind must be listed again.
     async fn pause_unless_overdue(&mut self, pause: Duration) -> bool {
         let notify = self.handler.relist_notify();
-        let is_overdue = {
+        let turn = {
             let mut paused = pin!(notify.wait(pause).fuse());
             let mut overdue = pin!(self.overdue(false).fuse());
             select! {
                 is_notified = paused => return is_notified,
-                () = overdue => true,
+                turn = overdue => turn,
             }
         };
-        if is_overdue {
-            self.note_overdue(None);
-        }
+        self.note_overdue(turn, None);
         false
     }
 
