--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -219,6 +219,48 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FreshnessReport(pub Vec<Option<KindReport>>);
 
+/// The state of all kinds at one time, by its digests, and how old the
+/// knowledge of it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Snapshot {
+    /// The freshness of the kinds, in the order of [`WatchedKind::ALL`].
+    pub kinds: [Freshness; WatchedKind::ALL.len()],
+    /// The digests of the kinds.
+    pub digests: [u64; WatchedKind::ALL.len()],
+}
+
+impl Snapshot {
+    /// Returns what to report to the other instances.
+    pub fn report(&self, now: Instant) -> FreshnessReport {
+        let kinds = self.kinds.iter().zip(self.digests);
+        let reports = kinds.map(|(kind, digest)| {
+            // Rounded up, so that the report never claims too much.
+            let age_ms = kind.age(now)?.as_millis() as u64 + 1;
+            Some(KindReport { age_ms, digest })
+        });
+        FreshnessReport(reports.collect())
+    }
+
+    /// Applies a report of another instance to the kinds of which both have
+    /// the same state, here and in `current`, which may be newer.
+    pub fn apply(
+        &mut self,
+        report: &FreshnessReport,
+        current: &mut [Freshness; WatchedKind::ALL.len()],
+        now: Instant,
+    ) {
+        for (idx, reported) in report.0.iter().enumerate() {
+            if let Some(KindReport { age_ms, digest }) = *reported
+                && self.digests.get(idx) == Some(&digest)
+            {
+                let age = Duration::from_millis(age_ms);
+                self.kinds[idx].record_report(age, now);
+                current[idx].record_report(age, now);
+            }
+        }
+    }
+}
+
 impl FreshnessReport {
     /// Returns whether the reporting instance has another state of some kind
     /// than the one with these digests.
--- a/crates/fleet/tests/freshness_rules.rs
+++ b/crates/fleet/tests/freshness_rules.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::freshness::{
-    Freshness, FreshnessReport, KindReport, MIN_WATCH, Turn, WatchedKind,
+    Freshness, FreshnessReport, KindReport, MIN_WATCH, Snapshot, Turn,
+    WatchedKind,
 };
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
@@ -54,6 +55,27 @@
     assert_eq!(freshness.read_due(turn(1)), due + ms(800));
 }
 
+/// Guards against most instances reading the store at once: the lease holder
+/// reported the ages that it had known before another instance's read.
+#[test]
+fn what_a_report_confirms_is_in_the_next_report() {
+    let now = Instant::now();
+    let kinds = WatchedKind::ALL.map(|_| Freshness::new(ms(2_000), now));
+    let mut current = kinds;
+    let mut holder = Snapshot { kinds, digests: [1, 2, 3, 4, 5] };
+    let later = now + ms(1_500);
+    let read = KindReport { age_ms: 10, digest: 2 };
+    let of_another_state = KindReport { age_ms: 10, digest: 9 };
+    let report =
+        FreshnessReport(vec![Some(of_another_state), Some(read), None]);
+    holder.apply(&report, &mut current, later);
+    let passed_on = KindReport { age_ms: 51, digest: 2 };
+    let expected = vec![None, Some(passed_on), None, None, None];
+    assert_eq!(holder.report(later + ms(40)), FreshnessReport(expected));
+    assert_eq!(current[1].age(later), Some(ms(10)));
+    assert_eq!(current[0].age(later), None);
+}
+
 #[test]
 fn a_report_that_is_older_than_the_own_knowledge_changes_nothing() {
     let (mut freshness, now) = running(WatchedKind::Configuration);
--- a/crates/sedgewalld/src/fleet/freshness.rs
+++ b/crates/sedgewalld/src/fleet/freshness.rs
@@ -6,7 +6,7 @@
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     catch_up::StateSummary,
-    freshness::{Freshness, FreshnessReport, KindReport, Turn, WatchedKind},
+    freshness::{Freshness, FreshnessReport, Snapshot, Turn, WatchedKind},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,15 +22,8 @@
 /// The freshness of all watched kinds.
 pub(crate) struct FreshnessTable {
     kinds: RefCell<[Freshness; WatchedKind::ALL.len()]>,
-    snapshot: RefCell<Option<Snapshot>>,
-}
-
-/// What was known of all kinds at one time.
-#[derive(Clone, Copy)]
-struct Snapshot {
-    at: Instant,
-    kinds: [Freshness; WatchedKind::ALL.len()],
-    digests: [u64; WatchedKind::ALL.len()],
+    /// The last snapshot, and when it was taken.
+    snapshot: RefCell<Option<(Instant, Snapshot)>>,
 }
 
 impl FreshnessTable {
@@ -68,14 +61,8 @@
 
     /// Returns what to report to the other instances.
     pub(crate) fn freshness_report(&self, now: Instant) -> FreshnessReport {
-        let Snapshot { kinds, digests, .. } =
-            self.snapshot(now, DIGESTS_VALID_FOR);
-        let reports = kinds.iter().zip(digests).map(|(kind, digest)| {
-            // Rounded up, so that the report never claims too much.
-            let age = kind.age(now)?.as_millis() as u64 + 1;
-            Some(KindReport { age_ms: age, digest })
-        });
-        FreshnessReport(reports.collect())
+        let (_, snapshot) = self.snapshot(now, DIGESTS_VALID_FOR);
+        snapshot.report(now)
     }
 
     /// Applies a report of another instance. Where the other instance has the
@@ -89,34 +76,31 @@
             return;
         }
         let mut known = self.snapshot(now, DIGESTS_VALID_FOR);
-        if report.differs_from(&known.digests) {
+        if report.differs_from(&known.1.digests) {
             known = self.snapshot(now, DIFFERENT_DIGESTS_VALID_FOR);
         }
-        let mut kinds = self.freshness.kinds.borrow_mut();
-        let reported =
-            report.0.iter().zip(known.digests).zip(kinds.iter_mut());
-        for ((reported, own_digest), kind) in reported {
-            if let Some(KindReport { age_ms, digest }) = *reported
-                && digest == own_digest
-            {
-                kind.record_report(Duration::from_millis(age_ms), now);
-            }
-        }
+        let mut current = self.freshness.kinds.borrow_mut();
+        known.1.apply(report, &mut current, now);
+        // The next report passes on what was confirmed.
+        *self.freshness.snapshot.borrow_mut() = Some(known);
     }
 
-    /// Returns the digests of all kinds, with the freshness that belongs to
-    /// them, computed within `max_age`.
-    fn snapshot(&self, now: Instant, max_age: Duration) -> Snapshot {
+    /// Returns a snapshot that was taken within `max_age`, and when it was.
+    fn snapshot(
+        &self,
+        now: Instant,
+        max_age: Duration,
+    ) -> (Instant, Snapshot) {
         let known = *self.freshness.snapshot.borrow();
-        if let Some(known) = known.filter(|known| now < known.at + max_age) {
+        if let Some(known) = known.filter(|(at, _)| now < *at + max_age) {
             return known;
         }
         let kinds = *self.freshness.kinds.borrow();
         let summary = self.state_summary();
         let digests = WatchedKind::ALL.map(|kind| self.digest(kind, &summary));
-        let snapshot = Snapshot { at: now, kinds, digests };
-        *self.freshness.snapshot.borrow_mut() = Some(snapshot);
-        snapshot
+        let taken = (now, Snapshot { kinds, digests });
+        *self.freshness.snapshot.borrow_mut() = Some(taken);
+        taken
     }
 
     /// Returns a number that identifies the known state of a kind: of
