Order no newer version while an engine has as many loads as it accepts

An engine accepts four loads at once. The replacement now waits for a load to end.

a_replacement_counts_against_the_limit_of_concurrent_loads fails before (a load in place of no order).

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -292,6 +292,9 @@
             if is_adapter && !is_settled || !self.is_known(&endpoint) {
                 continue;
             }
+            if is_adapter && is_replaceable && !self.takes_load(&endpoint) {
+                continue;
+            }
             let first = match key.adapter {
                 None => self.order_before_model_load(&endpoint),
                 Some(_) => PrecedingOrder::None,
@@ -561,6 +564,13 @@
         state.is_some_and(|state| self.make_room(state) == Some(None))
     }
 
+    /// Returns whether an engine accepts one more load beside those that are
+    /// in progress.
+    fn takes_load(&self, id: &EndpointId) -> bool {
+        let state = self.view.get(id);
+        state.is_some_and(|state| !self.is_loading_limit_reached(state))
+    }
+
     fn rate(&self, key: &AdapterKey) -> f64 {
         self.demand.get(key).map_or(0.0, |d| d.rate_per_s(self.now))
     }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -86,6 +86,15 @@
     }
 }
 
+/// Returns a configuration whose engines have this many places for adapters.
+pub fn routing_with_places(places: u32) -> RoutingConfiguration {
+    let mut routing = routing();
+    let engines =
+        routing.services.values_mut().filter_map(|s| s.engine.as_mut());
+    engines.for_each(|engine| engine.adapter_slots = places);
+    routing
+}
+
 pub fn choose(
     view: &FleetView,
     key: &AdapterKey,
--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use common::{
-    MODEL, PLACES, SERVICE, endpoint, key, report, requests, routing, status,
+    MODEL, PLACES, SERVICE, endpoint, key, report, requests, routing,
+    routing_with_places, status,
 };
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
@@ -545,11 +546,7 @@
     let mut planner = planner(1, now);
     let mut times = LoadTimes::default();
     let mut demand = Demand::default();
-    let mut roomy = routing();
-    for service in roomy.services.values_mut() {
-        let engine = service.engine.as_mut().expect("an engine");
-        engine.adapter_slots = 9;
-    }
+    let roomy = routing_with_places(9);
     let mut ordered = |n: std::ops::RangeInclusive<u32>, view: &mut _, at| {
         for n in n {
             add_waiting_requests(&mut demand, n, 1, at);
@@ -669,3 +666,35 @@
         "{tasks:?}"
     );
 }
+
+/// Guards against a fifth load at an engine that accepts four at once: a newer
+/// version was ordered whatever was being loaded.
+#[test]
+fn a_replacement_counts_against_the_limit_of_concurrent_loads() {
+    let now = Instant::now();
+    let mut view = synced(&[("e1", &[9])], now);
+    let mut demand = Demand::default();
+    let mut planner = planner(1, now);
+    let mut times = LoadTimes::default();
+    let roomy = routing_with_places(9);
+    let mut loads_at = |wanted: &[u32], view: &mut FleetView, at| {
+        for n in wanted {
+            add_waiting_requests(&mut demand, *n, 1, at);
+        }
+        let orders = planner.plan(&roomy, view, &mut demand, &mut times, at);
+        for order in &orders {
+            if let Task::Load(key, _) = &order.task {
+                view.order_accepted(&order.endpoint, key, at);
+            }
+        }
+        loads(&orders).into_iter().map(|(_, key)| key).collect::<Vec<_>>()
+    };
+    assert_eq!(loads_at(&[1, 2, 3, 4], &mut view, now).len(), 4);
+    let later = now + Duration::from_millis(150);
+    view.record_version(&key(9), 2, later);
+    assert_eq!(loads_at(&[9], &mut view, later), []);
+
+    let sent = later + Duration::from_millis(200);
+    view.confirm_load(&"e1".to_owned(), &key(1), true);
+    assert_eq!(loads_at(&[], &mut view, sent), [key(9)]);
+}
