Drop a waiting entry once a list shows that its endpoint has gone

An entry of a software version that is not recorded yet waits for its record. If the endpoint left meanwhile, and a list showed that instead of the watch, as after a loss of history, the entry was applied all the same once the version was recorded, and the endpoint could get requests after it had gone (DRAIN). A list looked for missing entries in the view only, where waiting ones are not.

Found by reading. an_endpoint_that_leaves_before_its_version_is_recorded_is_not_used fails before (one line for the endpoint in place of none).

--- a/crates/sedgewalld/src/fleet/watch_endpoints.rs
+++ b/crates/sedgewalld/src/fleet/watch_endpoints.rs
@@ -127,9 +127,14 @@
             .filter(|state| state.endpoint.revision <= listing.revision)
             .map(|state| state.id().clone())
             .collect();
-        for id in known.iter().filter(|id| !listed.contains(id)) {
+        let is_gone = |id: &EndpointId| !listed.contains(id);
+        for id in known.iter().filter(|id| is_gone(id)) {
             self.entry_missing(id, listing.revision);
         }
+        // Entries that wait for their records are not in the view yet.
+        self.instance.version_records.unrecorded.borrow_mut().retain(
+            |id, entry| !is_gone(id) || entry.revision > listing.revision,
+        );
         for endpoint in read {
             self.apply(endpoint);
         }
