--- a/crates/fleet/src/endpoint_state.rs
+++ b/crates/fleet/src/endpoint_state.rs
@@ -50,10 +50,8 @@
 /// is asked for a report. Usually its entry shows the end within seconds.
 const REPLACEMENT_REPORT_INTERVAL: Duration = Duration::from_secs(6);
 
-/// A load whose end was not confirmed counts as in progress for this multiple
-/// of its expected duration. A new lease holder learns the weight store's
-/// speed only from the first loads, and must not order more loads than an
-/// engine accepts concurrently.
+/// A load should have ended after this multiple of its expected duration. A new
+/// lease holder learns the weight store's speed only from the first loads.
 const LOAD_TIME_FACTOR: u32 = 4;
 
 /// The minimum age of a load that counts as overdue. A report does not show
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,8 +7,9 @@
 //! reloads it from its own memory, without the weight store.
 //!
 //! The invariants: no engine is ordered to hold more adapters than it has
-//! places; no engine gets an order before it has reported what it holds; and
-//! loads of base models stay within the rate of the weight store.
+//! places, or to load more at once than it accepts; no engine gets an order
+//! before it has reported what it holds; and loads of base models stay within
+//! the rate of the weight store.
 
 mod target;
 
@@ -75,7 +76,7 @@
     load_limiter: LoadRateLimiter,
     ordered: HashMap<(EndpointId, AdapterKey), Instant>,
     /// When each engine was last asked which loads have ended.
-    confirmed: HashMap<EndpointId, Instant>,
+    loads_asked_at: HashMap<EndpointId, Instant>,
     /// The engines whose count of orders an order of this epoch has raised.
     raised: HashSet<EndpointId>,
     /// Time of the last full planning pass.
@@ -98,7 +99,7 @@
             epoch,
             load_limiter,
             ordered: HashMap::new(),
-            confirmed: HashMap::new(),
+            loads_asked_at: HashMap::new(),
             raised: HashSet::new(),
             last_full_pass: None,
         }
@@ -162,7 +163,7 @@
 
     fn expire_orders(&mut self, now: Instant) {
         self.ordered.retain(|_, at| now - *at < ORDER_RETRY_INTERVAL);
-        self.confirmed.retain(|_, at| now - *at < CONFIRM_INTERVAL);
+        self.loads_asked_at.retain(|_, at| now - *at < CONFIRM_INTERVAL);
     }
 }
 
@@ -220,11 +221,11 @@
             .map(|state| (state.endpoint.id.clone(), state.endpoint.address))
             .collect();
         for (endpoint, address) in overdue {
-            let asked = self.planner.confirmed.get(&endpoint);
+            let asked = self.planner.loads_asked_at.get(&endpoint);
             if asked.is_some_and(|at| self.now - *at < CONFIRM_INTERVAL) {
                 continue;
             }
-            self.planner.confirmed.insert(endpoint.clone(), self.now);
+            self.planner.loads_asked_at.insert(endpoint.clone(), self.now);
             let task = Task::ConfirmLoads;
             orders.push(Order { endpoint, address, task, is_cold: false });
         }
