Tests: an endpoint drains after a copy that shows an earlier incarnation

An instance knew the endpoint's second incarnation, the store was restored from a copy that shows the first one, which ended the second one here, and the entry by which the second one drains was then ignored (entry_ignored, 113@4 after 93@4).

The test shows it without processes and fails.

--- a/crates/fleet/tests/restore_rules.rs
+++ b/crates/fleet/tests/restore_rules.rs
@@ -66,6 +66,23 @@
     assert!(is_usable(&view));
 }
 
+/// Guards against requests to an endpoint that drains: a restored copy showed
+/// it as it was before its last restart, and its own entry after that was then
+/// taken for one of an incarnation that has ended.
+#[test]
+fn an_endpoint_drains_after_a_copy_that_shows_an_earlier_incarnation() {
+    let started_at = |ms, endpoint| Endpoint {
+        born: Some(ms),
+        ..endpoint
+    };
+    let view = view_of(vec![
+        started_at(2_000, entry(1, 106, false)),
+        started_at(1_000, entry(2, 93, false)),
+        started_at(2_000, entry(2, 113, true)),
+    ]);
+    assert!(!is_usable(&view));
+}
+
 #[test]
 fn a_late_entry_of_an_earlier_era_changes_nothing() {
     let view = view_of(vec![entry(2, 450, true), entry(1, 480, false)]);
