--- a/crates/fleet/tests/restore_rules.rs
+++ b/crates/fleet/tests/restore_rules.rs
@@ -71,10 +71,7 @@
 /// taken for one of an incarnation that has ended.
 #[test]
 fn an_endpoint_drains_after_a_copy_that_shows_an_earlier_incarnation() {
-    let started_at = |ms, endpoint| Endpoint {
-        born: Some(ms),
-        ..endpoint
-    };
+    let started_at = |ms, endpoint| Endpoint { born: Some(ms), ..endpoint };
     let view = view_of(vec![
         started_at(2_000, entry(1, 106, false)),
         started_at(1_000, entry(2, 93, false)),
