--- a/crates/fleet/tests/placement_rules.rs
+++ b/crates/fleet/tests/placement_rules.rs
@@ -29,6 +29,15 @@
     PlacementPlanner::new(epoch, LoadRateLimiter::new(WINDOW, 1.1), now)
 }
 
+/// Records that the engines have accepted the loads among these orders.
+fn accept_loads(view: &mut FleetView, orders: &[Order], now: Instant) {
+    for order in orders {
+        if let Task::Load(key, _) = &order.task {
+            view.order_accepted(&order.endpoint, key, now);
+        }
+    }
+}
+
 /// Plans without any observed load times.
 fn plan(
     planner: &mut PlacementPlanner,
@@ -611,11 +620,7 @@
             add_waiting_requests(&mut demand, n, 1, now);
         }
         let orders = plan(&mut planner, view, &mut demand, now);
-        for order in &orders {
-            if let Task::Load(key, _) = &order.task {
-                view.order_accepted(&order.endpoint, key, now);
-            }
-        }
+        accept_loads(view, &orders, now);
         loads(&orders).len()
     };
     // The replacement of adapter 1 and one more adapter fill four places.
@@ -648,11 +653,7 @@
             add_waiting_requests(&mut demand, *n, 1, now);
         }
         let orders = plan(&mut planner, view, &mut demand, now);
-        for order in &orders {
-            if let Task::Load(key, _) = &order.task {
-                view.order_accepted(&order.endpoint, key, now);
-            }
-        }
+        accept_loads(view, &orders, now);
         orders.into_iter().map(|order| order.task).collect::<Vec<_>>()
     };
     assert_eq!(tasks_at(&mut view, &[3, 4], start).len(), 2);
@@ -711,11 +712,7 @@
             add_waiting_requests(&mut demand, *n, 1, now);
         }
         let orders = planner.plan(&roomy, view, &mut demand, &mut times, now);
-        for order in &orders {
-            if let Task::Load(key, _) = &order.task {
-                view.order_accepted(&order.endpoint, key, now);
-            }
-        }
+        accept_loads(view, &orders, now);
         orders.into_iter().map(|order| order.task).collect::<Vec<_>>()
     };
     assert_eq!(tasks_at(&mut view, &[1, 2, 3, 4], start).len(), 4);
@@ -775,11 +772,7 @@
             add_waiting_requests(&mut demand, *n, 1, at);
         }
         let orders = planner.plan(&roomy, view, &mut demand, &mut times, at);
-        for order in &orders {
-            if let Task::Load(key, _) = &order.task {
-                view.order_accepted(&order.endpoint, key, at);
-            }
-        }
+        accept_loads(view, &orders, at);
         loads(&orders).into_iter().map(|(_, key)| key).collect::<Vec<_>>()
     };
     assert_eq!(loads_at(&[1, 2, 3, 4], &mut view, now).len(), 4);
