Log the time left and the silence of what is ended

Cause: a stream that is cut at its deadline and one that is cut before it were told apart by comparison with the route only. Change: send_failed, refused and stream_broken state left_ms; send_failed its took_ms, stream_broken its silent_ms. Result: builds; no logic is touched.

--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -491,7 +491,9 @@
             cause,
             framing = self.body.framing().name(),
             bytes = self.bytes,
+            silent_ms = self.last_bytes.elapsed().as_millis() as u64,
             held_ms = self.call.arrived.elapsed().as_millis() as u64,
+            left_ms = self.call.left().as_millis() as u64,
         );
         io::Error::other(cause)
     }
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -98,6 +98,8 @@
         cause = err.name(),
         detail = err.detail(),
         in_flight = target.in_flight,
+        took_ms = progress.engine_time.as_millis() as u64,
+        left_ms = call.left().as_millis() as u64,
     );
 }
 
@@ -209,6 +211,7 @@
         runs = progress.runs,
         is_later_try = call.is_later_try,
         held_ms = call.arrived.elapsed().as_millis() as u64,
+        left_ms = call.left().as_millis() as u64,
         queue_position = progress.turn.map(|turn| turn.position),
         retry_in_ms = retry_in.flatten().map(|d| d.as_millis() as u64),
     );
