Keep a silent attempt open until another one answers

What callers saw: a stream of a sound engine ended after 3.2 s of 6 ("no bytes within the idle timeout"), and a repeatable request answered 502 or 504 after 2.5 targets, though its endpoint would have answered in time.

Cause: a timer gave an attempt up before it was known that another could follow. If the retry budget was spent, every endpoint was tried or no other version was there, the request failed for the silence alone. A verdict that all endpoints were silent did the same.

Change: the attempts of a request are open at the same time (open_attempts.rs). After 2.5 targets, or once the endpoints are silent, another endpoint and a retry are sought; the second attempt begins beside the first, and the first response is forwarded. A resumable stream of a silent engine moves in the same way, and stays open until the other engine takes it. A stream that cannot move is bounded by its deadline. Requests that may run once are still sent once.

--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -77,6 +77,21 @@
         service: &str,
         now: Instant,
         instances: usize,
+    ) -> bool {
+        let is_left = self.is_left(service, now, instances);
+        if is_left {
+            self.usage(service).retries.push_back(now);
+        }
+        is_left
+    }
+
+    /// Returns whether a retry at a service is left for this instance, among
+    /// this many instances.
+    pub fn is_left(
+        &mut self,
+        service: &str,
+        now: Instant,
+        instances: usize,
     ) -> bool {
         let RetryAllowance { share, slack, window } = self.allowance;
         let restored = self.restarted_at.map_or(1.0, |restarted_at| {
@@ -88,11 +103,7 @@
         usage.forget(window, now);
         let from_share = share * usage.requests.len() as f64;
         let allowed = USED_FRACTION * (fixed + from_share);
-        if usage.retries.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        usage.retries.push_back(now);
-        true
+        usage.retries.len() as f64 + 1.0 <= allowed
     }
 
     fn usage(&mut self, service: &str) -> &mut Usage {
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -3,13 +3,11 @@
 
 use std::{
     cell::{OnceCell, RefCell},
-    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use futures_util::{FutureExt, select};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
@@ -39,7 +37,6 @@
     in_flight::InFlightGuard,
     instance::{FleetInstance, ObservedLoad},
     poison,
-    reach::SilenceSignal,
 };
 
 /// The timeout for connecting to an endpoint. Within a region a connection
@@ -72,7 +69,8 @@
     pub(crate) resumed: Resumed,
     /// What another instance says of the request, if it was forwarded here.
     pub(crate) forwarded: Option<Forwarded>,
-    /// The endpoint to which the request was last sent, and when.
+    /// The send whose response is forwarded, or the last one as long as there
+    /// is no response. `None` if it went to another instance.
     pub(crate) sent_to: RefCell<Option<SentTo>>,
     /// What the request may have in common with others that crash endpoints,
     /// computed on first use.
@@ -109,14 +107,19 @@
     Unreachable(String),
     /// The attempt failed, and the endpoint may have run the request.
     Unclear(String),
-    /// The attempt timed out, and the endpoint may have run the request.
+    /// The deadline passed, and the endpoint may have run the request.
     TimedOut,
-    /// This instance lost all endpoints of the service while it waited for the
-    /// response, and the endpoint may have run the request.
-    PathLost,
+    /// A later attempt took the place of this one, and the endpoint may have
+    /// run the request.
+    Replaced,
 }
 
 impl AttemptError {
+    /// Returns the error for an error response of the endpoint.
+    pub(crate) fn failed(status: StatusCode) -> AttemptError {
+        AttemptError::Unclear(format!("endpoint answered {status}"))
+    }
+
     /// Returns whether the endpoint certainly did not run the request.
     pub(crate) fn is_not_run(&self) -> bool {
         match self {
@@ -125,7 +128,7 @@
             | AttemptError::Unreachable(_) => true,
             AttemptError::Unclear(_)
             | AttemptError::TimedOut
-            | AttemptError::PathLost => false,
+            | AttemptError::Replaced => false,
         }
     }
 
@@ -146,7 +149,7 @@
             AttemptError::Unreachable(_) => "unreachable",
             AttemptError::Unclear(_) => "unclear",
             AttemptError::TimedOut => "timed_out",
-            AttemptError::PathLost => "path_lost",
+            AttemptError::Replaced => "replaced",
         }
     }
 }
@@ -210,6 +213,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns when the request was sent to the endpoint whose response is
+    /// forwarded, or when it arrived if it went to another instance.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_to.borrow().as_ref().map_or(self.arrived, |sent| sent.at)
+    }
+
     /// Returns the key of a stream of this customer that began as the request
     /// with this id.
     pub(crate) fn stream_key(&self, request_id: &str) -> StreamKey {
@@ -286,29 +295,23 @@
     xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64
 }
 
-/// The bounds of one attempt.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SendLimits {
-    /// The timeout until the response headers arrive.
-    pub(crate) within: Duration,
-    /// Whether an error response of the endpoint is the final answer, because
-    /// no other attempt follows.
-    pub(crate) is_last: bool,
-}
-
-/// Sends a request to an endpoint and waits for the response headers.
+/// Sends a request to an endpoint and waits for the response headers until the
+/// deadline of the request.
+///
+/// An error response is returned like any other. Whether it is the final
+/// answer depends on the attempts that may follow.
 pub(crate) async fn send(
     instance: &Rc<FleetInstance>,
     call: &CallerRequest,
     target: &Target,
     last_event: Option<&str>,
-    limits: SendLimits,
 ) -> Result<GoodAnswer, AttemptError> {
     let prompt_tokens = call.metadata.prompt_tokens;
     let mut in_flight_guard =
         InFlightGuard::begin(instance, &target.id, call.key(), prompt_tokens);
     let request = build(call, target, last_event);
     let began = Instant::now();
+    let sent_to = SentTo { endpoint: target.id.clone(), at: began };
     let answered = AnsweredRequest {
         endpoint: target.id.clone(),
         born: instance.view.borrow().incarnation(&target.id),
@@ -317,13 +320,8 @@
     instance.view.borrow_mut().record_sent(&target.id, began);
     instance.reach.borrow_mut().record_sent(&call.service, began);
     let sending = instance.pool.send(target.address, request, CONNECT_TIMEOUT);
-    let sending = compio::time::timeout(limits.within, sending);
-    let sent = match limits.is_last {
-        true => Some(sending.await),
-        false => unless_silent(instance, &call.service, sending).await,
-    };
-    let ended = match sent {
-        Some(Ok(Ok(answer))) => {
+    let ended = match compio::time::timeout(call.left(), sending).await {
+        Ok(Ok(answer)) => {
             instance.reach.borrow_mut().record_heard(&call.service);
             let status = answer.status;
             let metadata = ResponseMetadata::read(status, &answer.headers);
@@ -335,27 +333,28 @@
             announcements::apply_response(
                 instance, call, &answered, status, &metadata,
             );
-            classify(call, answer, metadata, limits.is_last)
+            classify(call, answer, metadata)
         }
-        Some(Ok(Err(SendError::NotSent(cause)))) => {
+        Ok(Err(SendError::NotSent(cause))) => {
             Err(AttemptError::Unreachable(cause))
         }
-        Some(Ok(Err(SendError::Broken(cause)))) => {
+        Ok(Err(SendError::Broken(cause))) => {
             let loss = Loss::Unanswered;
-            poison::run_broken(instance, call, target, loss, &cause);
+            poison::run_broken(instance, call, target, began, loss, &cause);
             Err(AttemptError::Unclear(cause))
         }
-        Some(Err(_)) => {
-            poison::run_lost(instance, call, Loss::Broken);
+        Err(_) => {
+            poison::run_lost(instance, call, &sent_to, Loss::Broken);
             Err(AttemptError::TimedOut)
         }
-        None => Err(AttemptError::PathLost),
     };
     in_flight_guard.response_started();
     if ended.as_ref().is_err_and(AttemptError::is_not_run) {
         in_flight_guard.rejected();
     }
-    if ended.is_ok() && call.key().is_some() {
+    if ended.as_ref().is_ok_and(|answer| !answer.status.is_server_error())
+        && call.key().is_some()
+    {
         let tokens = target.unread_tokens + prompt_tokens;
         let mut view = instance.view.borrow_mut();
         view.observe_first_event(&call.service, tokens, began.elapsed());
@@ -366,20 +365,15 @@
     ended.map(|answer| GoodAnswer { answer, guard })
 }
 
-/// Waits for the end of an attempt. Returns `None` if the endpoints of the
-/// service fall silent before that.
-pub(super) async fn unless_silent<T>(
+/// Records that a later attempt has taken the place of this one, which brought
+/// no response in the time in which the later one did, or in which another
+/// endpoint could be found.
+pub(crate) fn record_replaced(
     instance: &Rc<FleetInstance>,
-    service: &str,
-    attempt: impl Future<Output = T>,
-) -> Option<T> {
-    let mut signal = SilenceSignal::register(instance, service);
-    let mut silent = pin!(signal.silent().fuse());
-    let mut attempt = pin!(attempt.fuse());
-    select! {
-        ended = attempt => Some(ended),
-        () = silent => None,
-    }
+    call: &CallerRequest,
+    target: &Target,
+) {
+    record_outcome(instance, call, target, &Err(AttemptError::Replaced));
 }
 
 fn build(
@@ -409,7 +403,6 @@
     call: &CallerRequest,
     mut answer: PooledResponse,
     metadata: ResponseMetadata,
-    is_last: bool,
 ) -> Result<PooledResponse, AttemptError> {
     answer.apply_connection_header();
     let status = answer.status;
@@ -442,10 +435,8 @@
             "success response without proof that an endpoint made it".into(),
         ));
     }
-    if status.is_server_error() && !(is_last && metadata.is_sealed) {
-        return Err(AttemptError::Unclear(format!(
-            "endpoint answered {status}"
-        )));
+    if status.is_server_error() && !metadata.is_sealed {
+        return Err(AttemptError::failed(status));
     }
     Ok(answer)
 }
@@ -550,10 +541,11 @@
             state.health.unreachable(now);
             !state.health.is_usable(now)
         }
-        Err(AttemptError::Unclear(_) | AttemptError::TimedOut) => {
-            state.health.failed(now)
-        }
-        Err(AttemptError::PathLost) => false,
+        Err(
+            AttemptError::Unclear(_)
+            | AttemptError::TimedOut
+            | AttemptError::Replaced,
+        ) => state.health.failed(now),
     };
     if is_ejected {
         let cause = ended.as_ref().err().map_or("failed", |err| err.name());
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -113,8 +113,11 @@
             let cause = err.to_string();
             match responder {
                 Responder::Endpoint(target) => {
+                    let sent = call.sent_at();
                     let loss = Loss::Broken;
-                    poison::run_broken(instance, call, target, loss, &cause);
+                    poison::run_broken(
+                        instance, call, target, sent, loss, &cause,
+                    );
                 }
                 Responder::Instance { id, .. } => {
                     forwarding::body_broken(call, id, &cause);
@@ -123,7 +126,7 @@
             Reason::OutcomeUnknown
         }
         None => {
-            poison::run_lost(instance, call, Loss::Broken);
+            poison::last_run_lost(instance, call, Loss::Broken);
             Reason::TimedOut
         }
     };
--- a/crates/sedgewalld/src/fleet/endpoint_choice.rs
+++ b/crates/sedgewalld/src/fleet/endpoint_choice.rs
@@ -134,10 +134,11 @@
         now: Instant,
     ) -> Found {
         let (instance, call) = (self.instance, self.call);
+        let excluded = progress.excluded();
         let need = Need {
             service: &call.service,
             key: call.key(),
-            exclude: &progress.tried,
+            exclude: &excluded,
             software_version: progress.software_version.as_ref(),
             draw: self.draw,
             prompt_tokens: call.metadata.prompt_tokens,
--- a/crates/sedgewalld/src/fleet/forwarding.rs
+++ b/crates/sedgewalld/src/fleet/forwarding.rs
@@ -30,9 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    attempt::{CallerRequest, SendLimits},
-    instance::FleetInstance,
-    progress::Progress,
+    attempt::CallerRequest, instance::FleetInstance, progress::Progress,
     refusal::Reason,
 };
 
@@ -213,13 +211,12 @@
 }
 
 /// Sends a request through another instance, and waits for the headers of the
-/// response.
+/// response until the deadline of the request.
 pub(crate) async fn send(
     instance: &Rc<FleetInstance>,
     call: &CallerRequest,
     progress: &Progress,
     last_event: Option<&str>,
-    limits: SendLimits,
 ) -> Result<ForwardedAnswer, ForwardError> {
     let mut tried = Vec::new();
     let mut refused = ForwardError::NoInstance;
@@ -235,7 +232,7 @@
         log_forwarded(call, &to, progress);
         let sending =
             instance.peer_pool.send(address, request, CONNECT_TIMEOUT);
-        let sent = compio::time::timeout(limits.within, sending).await;
+        let sent = compio::time::timeout(call.left(), sending).await;
         match sent {
             Ok(Ok(mut answer)) => {
                 answer.apply_connection_header();
--- a/crates/sedgewalld/src/fleet/mod.rs
+++ b/crates/sedgewalld/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod note_sender;
 mod notes;
 mod notify;
+mod open_attempts;
 mod orders;
 mod peers;
 mod permits;
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -25,7 +25,10 @@
 use sedgewall_transport::ProbeOutcome;
 
 use super::{
-    attempt::CallerRequest, instance::FleetInstance, reach, refusal::Reason,
+    attempt::{CallerRequest, SentTo},
+    instance::FleetInstance,
+    reach,
+    refusal::Reason,
     watch_poison,
 };
 
@@ -123,6 +126,7 @@
     instance: &Rc<FleetInstance>,
     call: &CallerRequest,
     target: &Target,
+    sent: Instant,
     loss: Loss,
     cause: &str,
 ) {
@@ -134,23 +138,37 @@
         customer = call.customer.as_ref().map(|c| c.name.as_str()),
         parts = part_names(call),
         endpoint = target.id,
-        sent_ms_ago = sent_ms_ago(call),
+        sent_ms_ago = sent.elapsed().as_millis() as u64,
         is_unanswered = loss == Loss::Unanswered,
         cause,
         held_ms = call.arrived.elapsed().as_millis() as u64,
     );
-    run_lost(instance, call, loss);
+    let to = SentTo { endpoint: target.id.clone(), at: sent };
+    run_lost(instance, call, &to, loss);
     probe_endpoint(instance, target.id.clone(), target.address);
 }
 
-/// Records that the last run of a request will bring no response. The run
-/// counts against the request if its endpoint turns out to have crashed.
+/// Records that the run whose response is forwarded, or else the last run of a
+/// request, will bring no response.
+pub(crate) fn last_run_lost(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    loss: Loss,
+) {
+    let sent_to = call.sent_to.borrow().clone();
+    if let Some(sent_to) = sent_to {
+        run_lost(instance, call, &sent_to, loss);
+    }
+}
+
+/// Records that a run of a request will bring no response. The run counts
+/// against the request if its endpoint turns out to have crashed.
 pub(crate) fn run_lost(
     instance: &FleetInstance,
     call: &CallerRequest,
+    sent: &SentTo,
     loss: Loss,
 ) {
-    let Some(sent) = call.sent_to.borrow().clone() else { return };
     remember_parts(instance, call);
     let incarnation = incarnation_of(instance, &sent.endpoint);
     let now = Instant::now();
@@ -660,11 +678,6 @@
     (!names.is_empty()).then(|| names.join(" "))
 }
 
-fn sent_ms_ago(call: &CallerRequest) -> Option<u64> {
-    let sent_to = call.sent_to.borrow();
-    sent_to.as_ref().map(|sent| sent.at.elapsed().as_millis() as u64)
-}
-
 fn endpoint_names(endpoints: &[EndpointIncarnation]) -> String {
     let ids: Vec<&str> = endpoints.iter().map(|e| e.id.as_str()).collect();
     ids.join(" ")
--- a/crates/sedgewalld/src/fleet/progress.rs
+++ b/crates/sedgewalld/src/fleet/progress.rs
@@ -1,6 +1,6 @@
 //! The attempts made so far for one request.
 
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
 use sedgewall_fleet::{
     endpoint::SoftwareVersion,
@@ -12,8 +12,11 @@
 use super::attempt::{CallerRequest, Resumed, hash_fraction};
 
 /// The attempts made so far for one request.
+#[derive(Clone)]
 pub(crate) struct Progress {
     pub(crate) tried: Vec<EndpointId>,
+    /// The endpoints that may be at work on the request.
+    pub(crate) open_at: Vec<EndpointId>,
     /// The software version at which the stream began, once it has. It may go
     /// on at no other.
     pub(crate) software_version: Option<SoftwareVersion>,
@@ -52,6 +55,7 @@
         };
         Progress {
             tried: Vec::new(),
+            open_at: Vec::new(),
             software_version,
             sends,
             runs,
@@ -65,6 +69,14 @@
         }
     }
 
+    /// Returns the endpoints that the request must not be sent to.
+    pub(crate) fn excluded(&self) -> Cow<'_, [EndpointId]> {
+        match self.open_at.is_empty() {
+            true => Cow::Borrowed(&self.tried),
+            false => Cow::Owned([&*self.tried, &*self.open_at].concat()),
+        }
+    }
+
     /// Returns the delay after which the caller of a rejected request may
     /// retry.
     pub(crate) fn retry_delay(&self, call: &CallerRequest) -> Duration {
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -4,11 +4,14 @@
 //! the last complete event. Any other stream ends where it broke, and never
 //! looks complete. A response that ends inside an event has broken off,
 //! whatever its framing says.
+//!
+//! An engine that is silent has not failed. Its stream moves if another engine
+//! takes it, and stays open until then.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, future::pending, io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{FutureExt, select_biased, stream};
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     endpoint::SoftwareVersion,
@@ -21,28 +24,32 @@
 
 use super::{
     attempt::{
-        CallerRequest, GoodAnswer, Responder, Resumed, SendGuard,
-        unless_silent,
+        self, CallerRequest, GoodAnswer, Responder, Resumed, SendGuard, SentTo,
     },
     buffered_delivery, forwarding,
     in_flight::OpenRequestGuard,
     instance::FleetInstance,
+    open_attempts::{
+        Destination, MAX_ENGINE_OVERLAP, OpenAttempts, silent_or_until,
+    },
     poison,
     progress::Progress,
     refusal::Reason,
-    request_log, retries,
+    request_log,
+    retries::{self, SEEK_INTERVAL},
 };
 
-/// A lower bound of a stream's idle timeout.
-const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A lower bound of the silence after which a resumable stream looks for
+/// another engine.
+const MIN_SILENCE: Duration = Duration::from_secs(2);
 
-/// A lower bound of a stream's idle timeout, in multiples of the route's
-/// target latency. The longest of the three bounds applies.
-const IDLE_TIMEOUT_TARGETS: u32 = 4;
+/// A lower bound of that silence, in multiples of the route's target latency.
+/// The longest of the three bounds applies.
+const SILENCE_TARGETS: u32 = 4;
 
-/// A lower bound of a stream's idle timeout, in multiples of the longest gap
-/// between events that is in time.
-const IDLE_TIMEOUT_GAPS: u32 = 8;
+/// A lower bound of that silence, in multiples of the longest gap between
+/// events that is in time.
+const SILENCE_GAPS: u32 = 8;
 
 pub(super) struct StreamRelay {
     instance: Rc<FleetInstance>,
@@ -87,10 +94,29 @@
     Broken(SendError),
     /// The response ended, and its stream did not.
     Early(EarlyEnd),
-    Idle,
+    /// The stream was moved from a silent engine to another one, which failed.
+    NotMoved(Reason),
     DeadlinePassed,
-    /// All endpoints of the service have been silent for a while.
+}
+
+/// What comes first while a response is read.
+enum Step {
+    Read(Option<Result<Bytes, SendError>>),
+    /// The engine has been silent for long enough to look for another one.
     Silent,
+    /// The stream can move there.
+    MayMove(Destination),
+    DeadlinePassed,
+}
+
+/// The outcome of an attempt to move a stream from a silent engine.
+enum Move {
+    /// The stream goes on at the other engine.
+    Moved,
+    /// The silent engine has sent something meanwhile.
+    Awake(Option<Result<Bytes, SendError>>),
+    /// The other engine failed, and the silent one is still open.
+    Failed,
 }
 
 /// Returns a body that forwards an engine's events.
@@ -254,31 +280,188 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, StreamFailure> {
+        let mut is_silent = false;
+        loop {
+            let step = match is_silent {
+                false => self.read_until_silent().await,
+                true => self.read_until_may_move().await,
+            };
+            match step {
+                Step::Read(read) => return self.check_read(read),
+                Step::Silent => is_silent = true,
+                Step::MayMove(to) => match self.move_to(to).await? {
+                    Move::Moved => is_silent = false,
+                    Move::Awake(read) => return self.check_read(read),
+                    Move::Failed => {}
+                },
+                Step::DeadlinePassed => {
+                    return Err(StreamFailure::DeadlinePassed);
+                }
+            }
+        }
+    }
+
+    /// Reads until the engine has been silent for long enough to look for
+    /// another one, if the stream is resumable.
+    async fn read_until_silent(&mut self) -> Step {
         let left = self.call.left();
-        let idle_timeout = self.idle_timeout();
-        let within = idle_timeout.min(left);
-        let read = compio::time::timeout(within, self.body.next());
+        let Some(silence) = self.silence_limit() else {
+            let read = compio::time::timeout(left, self.body.next()).await;
+            return read.map_or(Step::DeadlinePassed, Step::Read);
+        };
+        let until = Instant::now() + silence.min(left);
         let is_direct = self.responder.endpoint().is_some();
-        let read = match is_direct && self.events.is_resumable() {
-            true => {
-                let service = &self.call.service;
-                unless_silent(&self.instance, service, read).await
+        let mut silent = pin!(
+            silent_or_until(&self.instance, &self.call, is_direct, until)
+                .fuse()
+        );
+        let mut read = pin!(self.body.next().fuse());
+        select_biased! {
+            read = read => Step::Read(read),
+            () = silent => match self.call.left().is_zero() {
+                true => Step::DeadlinePassed,
+                false => Step::Silent,
+            },
+        }
+    }
+
+    /// Reads from a silent engine until another one can take the stream.
+    async fn read_until_may_move(&mut self) -> Step {
+        let may_move = self.may_move();
+        let StreamRelay { instance, call, progress, body, .. } = self;
+        let mut destination = pin!(
+            async {
+                if !may_move {
+                    return pending().await;
+                }
+                // Also the pause after a move that failed.
+                compio::time::sleep(SEEK_INTERVAL).await;
+                retries::seek_destination(instance, call, progress).await
+            }
+            .fuse()
+        );
+        let mut deadline = pin!(compio::time::sleep(call.left()).fuse());
+        let mut read = pin!(body.next().fuse());
+        select_biased! {
+            read = read => Step::Read(read),
+            () = deadline => Step::DeadlinePassed,
+            to = destination => Step::MayMove(to),
+        }
+    }
+
+    /// Returns whether the rest of the stream may be sent to another engine
+    /// while this one is silent.
+    fn may_move(&self) -> bool {
+        let is_version_known =
+            !self.has_begun || self.progress.software_version.is_some();
+        is_version_known
+            && retries::may_begin_beside(&self.call, &self.progress, 1)
+    }
+
+    /// Sends the rest of the stream to another engine. The silent one stays
+    /// open until that one has answered, or could have rejected the request.
+    async fn move_to(
+        &mut self,
+        to: Destination,
+    ) -> Result<Move, StreamFailure> {
+        let (instance, call) = (self.instance.clone(), self.call.clone());
+        let last_event = self.last_event();
+        let silent = call.sent_to.borrow().clone();
+        let mut progress = self.progress.clone();
+        progress.runs += 1;
+        let mut open =
+            OpenAttempts::new(&instance, &call, last_event.as_deref());
+        open.begin(&mut progress, to);
+        let mut moving = Box::pin(
+            retries::wait_for_answer(&instance, &call, &mut progress, open)
+                .fuse(),
+        );
+        let first = {
+            let mut read = pin!(self.body.next().fuse());
+            let overlap = compio::time::sleep(MAX_ENGINE_OVERLAP);
+            let mut overlap = pin!(overlap.fuse());
+            select_biased! {
+                read = read => Some(Err(read)),
+                found = moving => Some(Ok(found)),
+                () = overlap => None,
             }
-            false => Some(read.await),
         };
-        let Some(read) = read else { return Err(StreamFailure::Silent) };
-        if is_direct && matches!(read, Ok(Some(Ok(_)) | None)) {
+        let found = match first {
+            Some(Ok(Ok((good, responder))))
+                if good.answer.status.is_success() =>
+            {
+                self.close_silent(silent.as_ref());
+                (good, responder)
+            }
+            Some(outcome) => {
+                drop(moving);
+                *call.sent_to.borrow_mut() = silent;
+                progress.open_at = self.progress.open_at.clone();
+                let (has_run, moved) = match outcome {
+                    // The attempt that is given up may have run.
+                    Err(read) => (true, Move::Awake(read)),
+                    Ok(found) => (found.is_ok(), Move::Failed),
+                };
+                // The run of the silent engine goes on.
+                progress.runs -= u32::from(!has_run);
+                self.progress = progress;
+                return Ok(moved);
+            }
+            None => {
+                self.close_silent(silent.as_ref());
+                match moving.as_mut().await {
+                    Ok((good, responder))
+                        if good.answer.status.is_success() =>
+                    {
+                        (good, responder)
+                    }
+                    Ok(_) => {
+                        let reason = Reason::OutcomeUnknown;
+                        return Err(StreamFailure::NotMoved(reason));
+                    }
+                    Err(reason) => {
+                        return Err(StreamFailure::NotMoved(reason));
+                    }
+                }
+            }
+        };
+        drop(moving);
+        if let Some(silent) = silent {
+            progress.tried.push(silent.endpoint);
+        }
+        self.progress = progress;
+        self.adopt(found, last_event.as_deref());
+        Ok(Move::Moved)
+    }
+
+    /// Closes the connection to a silent engine, in whose place another one
+    /// goes on.
+    fn close_silent(&mut self, sent_to: Option<&SentTo>) {
+        self.body.close();
+        self.send_guard = None;
+        if let Some(target) = self.responder.endpoint() {
+            attempt::record_replaced(&self.instance, &self.call, target);
+        }
+        // The other instance records what its endpoints do.
+        if let Some(sent_to) = sent_to {
+            let loss = Loss::Broken;
+            poison::run_lost(&self.instance, &self.call, sent_to, loss);
+        }
+    }
+
+    fn check_read(
+        &mut self,
+        read: Option<Result<Bytes, SendError>>,
+    ) -> Result<Option<Bytes>, StreamFailure> {
+        let is_direct = self.responder.endpoint().is_some();
+        if is_direct && !matches!(read, Some(Err(_))) {
             let mut reach = self.instance.reach.borrow_mut();
             reach.record_heard(&self.call.service);
         }
         match read {
-            Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
-            Ok(Some(Err(err))) => Err(StreamFailure::Broken(err)),
-            Ok(None) => self.check_end(),
-            Err(_) if left <= idle_timeout => {
-                Err(StreamFailure::DeadlinePassed)
-            }
-            Err(_) => Err(StreamFailure::Idle),
+            Some(Ok(bytes)) => Ok(Some(bytes)),
+            Some(Err(err)) => Err(StreamFailure::Broken(err)),
+            None => self.check_end(),
         }
     }
 
@@ -295,16 +478,23 @@
         }
     }
 
-    fn idle_timeout(&self) -> Duration {
+    /// Returns how long an engine may be silent before another one is sought
+    /// for its stream, or `None` if the stream cannot move.
+    fn silence_limit(&self) -> Option<Duration> {
         let route = &self.call.route;
-        if !route.is_stream {
-            // A response that is not streamed is bounded by its deadline.
-            return Duration::MAX;
+        if !route.is_stream || !self.events.is_resumable() {
+            return None;
         }
         let gap = route.gap.unwrap_or_default();
-        MIN_IDLE_TIMEOUT
-            .max(route.target_latency * IDLE_TIMEOUT_TARGETS)
-            .max(gap * IDLE_TIMEOUT_GAPS)
+        let limit = MIN_SILENCE
+            .max(route.target_latency * SILENCE_TARGETS)
+            .max(gap * SILENCE_GAPS);
+        Some(limit)
+    }
+
+    fn last_event(&mut self) -> Option<String> {
+        let framer = self.events.framer()?;
+        framer.last_id().map(str::to_owned)
     }
 
     fn finish(&mut self) {
@@ -348,12 +538,17 @@
     /// Continues the stream on another engine, if the route and the retry
     /// budget allow it. Returns whether it continues.
     async fn resume(&mut self, failure: &StreamFailure) -> bool {
+        if let StreamFailure::NotMoved(reason) = failure {
+            self.log_not_resumed(*reason);
+            return false;
+        }
         if !self.events.is_resumable()
             || matches!(failure, StreamFailure::DeadlinePassed)
         {
             return false;
         }
         self.progress.runs += 1;
+        self.progress.open_at.clear();
         if let Some(target) = self.responder.endpoint() {
             self.progress.tried.push(target.id.clone());
         }
@@ -365,9 +560,7 @@
             self.log_not_resumed(Reason::StreamVersionUnknown);
             return false;
         }
-        let Some(framer) = self.events.framer() else { return false };
-        framer.discard_partial();
-        let last_event = framer.last_id().map(str::to_owned);
+        let last_event = self.last_event();
         let call = self.call.clone();
         let found = retries::send_with_retries(
             &self.instance,
@@ -375,19 +568,30 @@
             &mut self.progress,
             last_event.as_deref(),
         );
-        let (good, responder) = match found.await {
+        let found = match found.await {
             Ok(found) => found,
             Err(reason) => {
                 self.log_not_resumed(reason);
                 return false;
             }
         };
-        if !good.answer.status.is_success() {
+        if !found.0.answer.status.is_success() {
             return false;
         }
+        self.adopt(found, last_event.as_deref());
+        true
+    }
+
+    /// Goes on with the response of another endpoint, which begins after the
+    /// last complete event.
+    fn adopt(
+        &mut self,
+        (good, responder): (GoodAnswer, Responder),
+        last_event: Option<&str>,
+    ) {
         tracing::info!(
             event = "resumed",
-            request = call.metadata.request_id,
+            request = self.call.metadata.request_id,
             from = self.responder.id(),
             to = responder.id(),
             software_version = self
@@ -398,11 +602,13 @@
             has_begun = self.has_begun,
             after_event = last_event,
         );
+        if let Some(framer) = self.events.framer() {
+            framer.discard_partial();
+        }
         self.body = good.answer.body;
         self.is_answered = false;
         self.send_guard = Some(good.guard);
         self.responder = responder;
-        true
     }
 
     /// Logs why a stream that broke off does not continue here.
@@ -431,11 +637,11 @@
         let cause = match failure {
             StreamFailure::Broken(err) => err.to_string(),
             StreamFailure::Early(early) => early.to_string(),
-            StreamFailure::Silent => return,
-            StreamFailure::Idle | StreamFailure::DeadlinePassed => {
+            StreamFailure::NotMoved(_) => return,
+            StreamFailure::DeadlinePassed => {
                 // The other instance records what its endpoints do.
                 if self.responder.endpoint().is_some() {
-                    poison::run_lost(instance, call, Loss::Broken);
+                    poison::last_run_lost(instance, call, Loss::Broken);
                 }
                 return;
             }
@@ -446,7 +652,8 @@
                     true => Loss::Broken,
                     false => Loss::Unanswered,
                 };
-                poison::run_broken(instance, call, target, loss, &cause);
+                let sent = call.sent_at();
+                poison::run_broken(instance, call, target, sent, loss, &cause);
             }
             Responder::Instance { id, .. } => {
                 forwarding::body_broken(call, id, &cause);
@@ -477,11 +684,10 @@
         let cause = match failure {
             StreamFailure::Broken(err) => err.to_string(),
             StreamFailure::Early(early) => early.to_string(),
-            StreamFailure::Idle => {
-                "no bytes within the idle timeout".to_owned()
+            StreamFailure::NotMoved(reason) => {
+                format!("moved to an engine that failed: {}", reason.name())
             }
             StreamFailure::DeadlinePassed => "deadline passed".to_owned(),
-            StreamFailure::Silent => "all endpoints are silent".to_owned(),
         };
         metrics::counter!("sedgewall_streams_broken_total").increment(1);
         tracing::warn!(
@@ -529,7 +735,11 @@
             request_log::caller_left(&self.call, self.bytes);
         }
         if !self.is_over {
-            poison::run_lost(&self.instance, &self.call, Loss::CallerLeft);
+            poison::last_run_lost(
+                &self.instance,
+                &self.call,
+                Loss::CallerLeft,
+            );
         }
     }
 }
--- a/crates/sedgewalld/src/fleet/request_log.rs
+++ b/crates/sedgewalld/src/fleet/request_log.rs
@@ -49,7 +49,11 @@
     fn drop(&mut self) {
         if !self.is_answered {
             caller_left(&self.call, 0);
-            poison::run_lost(&self.instance, &self.call, Loss::CallerLeft);
+            poison::last_run_lost(
+                &self.instance,
+                &self.call,
+                Loss::CallerLeft,
+            );
         }
     }
 }
@@ -87,6 +91,7 @@
     progress: &Progress,
     target: &Target,
     err: &AttemptError,
+    took: Duration,
 ) {
     metrics::counter!("sedgewall_sends_failed_total", "cause" => err.name())
         .increment(1);
@@ -98,7 +103,7 @@
         cause = err.name(),
         detail = err.detail(),
         in_flight = target.in_flight,
-        took_ms = progress.engine_time.as_millis() as u64,
+        took_ms = took.as_millis() as u64,
         left_ms = call.left().as_millis() as u64,
     );
 }
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -3,32 +3,31 @@
 //! This module enforces the retry rules. A request is sent to another endpoint
 //! only if it certainly did not run or is safe to repeat, and only within the
 //! retry budget that all instances share. A refusal says "not run" only if no
-//! endpoint can have run the request.
+//! endpoint can have run the request. How long an attempt is silent before
+//! another one may begin beside it is decided in [`super::open_attempts`].
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use sedgewall_clock::Instant;
 
 use super::{
-    attempt::{
-        self, AttemptError, CallerRequest, GoodAnswer, Responder, SendGuard,
-        SendLimits, SentTo,
-    },
-    forwarding::{self, ForwardError, Path},
+    attempt::{AttemptError, CallerRequest, GoodAnswer, Responder},
+    forwarding::{ForwardError, Path},
     instance::FleetInstance,
+    open_attempts::{Destination, EndedAttempt, Event, OpenAttempts},
     poison,
     progress::Progress,
     refusal::Reason,
     request_log, waiting,
 };
 
-/// The timeout of an attempt of a repeatable request, in multiples of the
-/// route's target latency. After it, the request goes to another endpoint.
-const ATTEMPT_TIMEOUT_TARGETS: f64 = 2.5;
-
 /// The maximum number of sends for one request, including those that an
 /// endpoint rejected.
-const MAX_SENDS: u32 = 6;
+pub(crate) const MAX_SENDS: u32 = 6;
+
+/// The interval at which a request with a silent attempt looks for another
+/// endpoint.
+pub(crate) const SEEK_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Sends the request to endpoints until one answers, within the retry rules.
 /// While this instance reaches none, sends it through other instances.
@@ -38,6 +37,72 @@
     progress: &mut Progress,
     last_event: Option<&str>,
 ) -> Result<(GoodAnswer, Responder), Reason> {
+    let open = OpenAttempts::new(instance, call, last_event);
+    wait_for_answer(instance, call, progress, open).await
+}
+
+/// Waits until one of the open attempts brings a response, and begins others
+/// within the retry rules.
+pub(crate) async fn wait_for_answer<'a>(
+    instance: &'a Rc<FleetInstance>,
+    call: &'a CallerRequest,
+    progress: &mut Progress,
+    mut open: OpenAttempts<'a>,
+) -> Result<(GoodAnswer, Responder), Reason> {
+    // An endpoint's error response, which is the final answer unless another
+    // attempt that is open brings a better one.
+    let mut error_response = None;
+    loop {
+        if open.is_empty() {
+            let to = find_destination(instance, call, progress).await?;
+            open.begin(progress, to);
+        }
+        let ended = match open.next_event(progress).await {
+            Event::Ended(ended) => ended,
+            Event::MayBegin(to) => {
+                open.begin(progress, to);
+                continue;
+            }
+            Event::OverlapEnded => {
+                open.keep_last(progress);
+                continue;
+            }
+        };
+        progress.engine_time = ended.took();
+        let Err(failure) = ended.check() else {
+            open.close(&ended, progress);
+            return ended.into_answer().ok_or(Reason::OutcomeUnknown);
+        };
+        record_failure(call, progress, &ended, &failure);
+        if ended.is_error_response() {
+            error_response = Some(ended);
+        }
+        if !open.is_empty() {
+            continue;
+        }
+        let Err(reason) = check_failure(call, progress, failure) else {
+            error_response = None;
+            continue;
+        };
+        let Some(ended) = error_response.take() else { return Err(reason) };
+        open.close(&ended, progress);
+        return ended.into_answer().ok_or(reason);
+    }
+}
+
+/// Why an attempt brought no answer that is good enough to be the final one
+/// while others may follow.
+pub(crate) enum Failure {
+    Endpoint(AttemptError),
+    Instance(ForwardError),
+}
+
+/// Finds out where to send a request that no endpoint works on.
+async fn find_destination(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &mut Progress,
+) -> Result<Destination, Reason> {
     loop {
         if progress.runs > 0 {
             poison::check_repetition(instance, call).await?;
@@ -45,10 +110,8 @@
         poison::decide_ends(instance, call).await;
         poison::check(instance, call, progress.runs)?;
         if may_forward(instance, call) {
-            match forward(instance, call, progress, last_event).await? {
-                Some(answered) => return Ok(answered),
-                None => continue,
-            }
+            take_retry_if_repeated(instance, call, progress)?;
+            return Ok(Destination::Instance);
         }
         count_request(instance, call, progress);
         let target = match waiting::wait_for_endpoint(instance, call, progress)
@@ -66,35 +129,62 @@
         // While the request waited for capacity, other instances may have
         // reported crashes under it.
         poison::check(instance, call, progress.runs)?;
-        if progress.arrivals > 0 && !take_retry(instance, call) {
-            return Err(match progress.runs {
-                0 => Reason::RetriesSpent,
-                _ => Reason::OutcomeUnknown,
-            });
-        }
-        progress.sends += 1;
-        let to = SentTo { endpoint: target.id.clone(), at: Instant::now() };
-        *call.sent_to.borrow_mut() = Some(to);
-        let limits = send_limits(call, progress);
-        let began = Instant::now();
-        let sent =
-            attempt::send(instance, call, &target, last_event, limits).await;
-        progress.engine_time = began.elapsed();
-        let err = match sent {
-            Ok(good) => return Ok((good, Responder::Endpoint(target))),
-            Err(err) => err,
-        };
-        request_log::send_failed(call, progress, &target, &err);
-        progress.runs += u32::from(!err.is_not_run());
-        progress.arrivals +=
-            u32::from(!matches!(err, AttemptError::Unreachable(_)));
-        if !matches!(err, AttemptError::Misdirected) || call.key().is_none() {
-            progress.tried.push(target.id.clone());
+        take_retry_if_repeated(instance, call, progress)?;
+        return Ok(Destination::Endpoint(target));
+    }
+}
+
+/// Returns whether another attempt may begin beside this many open ones.
+pub(crate) fn may_begin_beside(
+    call: &CallerRequest,
+    progress: &Progress,
+    open: u32,
+) -> bool {
+    call.is_repeatable()
+        && progress.runs + open < call.route.max_attempts
+        && progress.sends < MAX_SENDS
+}
+
+/// Looks for a destination of another attempt beside the open ones until there
+/// is one, and takes a retry for it.
+pub(crate) async fn seek_destination(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &Progress,
+) -> Destination {
+    loop {
+        let found = find_beside(instance, call, progress).await;
+        if let Some(to) = found.filter(|_| take_retry(instance, call)) {
+            return to;
         }
-        check_retry(call, progress, &err)?;
+        compio::time::sleep(SEEK_INTERVAL).await;
     }
 }
 
+/// Returns where another attempt may be sent beside the open ones, if there is
+/// such a destination and a retry is left for it.
+async fn find_beside(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &Progress,
+) -> Option<Destination> {
+    if !is_retry_left(instance, call) {
+        return None;
+    }
+    let mut progress = progress.clone();
+    progress.runs += 1;
+    poison::check_repetition(instance, call).await.ok()?;
+    poison::check(instance, call, progress.runs).ok()?;
+    if may_forward(instance, call) {
+        return Some(Destination::Instance);
+    }
+    let target = waiting::wait_for_endpoint(instance, call, &mut progress)
+        .await
+        .ok()?;
+    poison::check(instance, call, progress.runs).ok()?;
+    Some(Destination::Endpoint(target))
+}
+
 /// Counts the request towards the retry budget, once.
 fn count_request(
     instance: &FleetInstance,
@@ -113,65 +203,92 @@
     call.forwarded.is_none() && instance.path(&call.service) == Path::Forward
 }
 
-/// Sends the request through another instance. Returns `None` if another
-/// attempt is allowed.
-async fn forward(
-    instance: &Rc<FleetInstance>,
+/// Records that an attempt has failed.
+fn record_failure(
     call: &CallerRequest,
     progress: &mut Progress,
-    last_event: Option<&str>,
-) -> Result<Option<(GoodAnswer, Responder)>, Reason> {
-    if progress.arrivals > 0 && !take_retry(instance, call) {
-        return Err(match progress.runs {
-            0 => Reason::RetriesSpent,
-            _ => Reason::OutcomeUnknown,
-        });
+    ended: &EndedAttempt<'_>,
+    failure: &Failure,
+) {
+    match (failure, ended.target()) {
+        (Failure::Endpoint(err), Some(target)) => {
+            let took = ended.took();
+            request_log::send_failed(call, progress, target, err, took);
+            progress.runs += u32::from(!err.is_not_run());
+            progress.arrivals +=
+                u32::from(!matches!(err, AttemptError::Unreachable(_)));
+            if !matches!(err, AttemptError::Misdirected)
+                || call.key().is_none()
+            {
+                progress.tried.push(target.id.clone());
+            }
+        }
+        (Failure::Instance(ForwardError::Unclear { .. }), _) => {
+            progress.sends += 1;
+            progress.runs += 1;
+            progress.arrivals += 1;
+        }
+        _ => {}
     }
-    *call.sent_to.borrow_mut() = None;
-    let limits = send_limits(call, progress);
-    let began = Instant::now();
-    let sent =
-        forwarding::send(instance, call, progress, last_event, limits).await;
-    progress.engine_time = began.elapsed();
-    let is_timeout = match sent {
-        Ok(forwarded) => {
-            let forwarding::ForwardedAnswer {
-                answer,
-                through,
-                software_version,
-                guard,
-            } = forwarded;
-            let guard = SendGuard::Instance { _guard: guard };
-            let good = GoodAnswer { answer, guard };
-            let id = through;
-            let responder = Responder::Instance { id, software_version };
-            return Ok(Some((good, responder)));
+}
+
+/// Returns `Ok` if another attempt is allowed after the last open one has
+/// failed, otherwise the reason for the final answer.
+fn check_failure(
+    call: &CallerRequest,
+    progress: &mut Progress,
+    failure: Failure,
+) -> Result<(), Reason> {
+    let err = match failure {
+        Failure::Endpoint(err) => err,
+        Failure::Instance(ForwardError::Unclear { is_timeout: true }) => {
+            AttemptError::TimedOut
         }
-        Err(ForwardError::Refused { reason, .. }) if progress.runs > 0 => {
+        Failure::Instance(ForwardError::Unclear { is_timeout: false }) => {
+            AttemptError::Unclear(String::new())
+        }
+        Failure::Instance(ForwardError::Refused { reason, .. })
+            if progress.runs > 0 =>
+        {
             return Err(match reason {
                 Reason::TimedOut => reason,
                 _ => Reason::OutcomeUnknown,
             });
         }
-        Err(ForwardError::Refused { reason, retry_after }) => {
+        Failure::Instance(ForwardError::Refused { reason, retry_after }) => {
             progress.stated_retry_delay = retry_after;
             return Err(reason);
         }
-        Err(ForwardError::NoInstance) if progress.runs > 0 => {
-            return Err(Reason::OutcomeUnknown);
+        Failure::Instance(ForwardError::NoInstance) => {
+            return Err(match progress.runs {
+                0 => Reason::NobodyThere,
+                _ => Reason::OutcomeUnknown,
+            });
         }
-        Err(ForwardError::NoInstance) => return Err(Reason::NobodyThere),
-        Err(ForwardError::Unclear { is_timeout }) => is_timeout,
     };
-    progress.sends += 1;
-    progress.runs += 1;
-    progress.arrivals += 1;
-    let err = match is_timeout {
-        true => AttemptError::TimedOut,
-        false => AttemptError::Unclear(String::new()),
-    };
-    check_retry(call, progress, &err)?;
-    Ok(None)
+    check_retry(call, progress, &err)
+}
+
+/// Takes one retry if the request may have reached an endpoint before.
+fn take_retry_if_repeated(
+    instance: &FleetInstance,
+    call: &CallerRequest,
+    progress: &Progress,
+) -> Result<(), Reason> {
+    if progress.arrivals == 0 || take_retry(instance, call) {
+        return Ok(());
+    }
+    Err(match progress.runs {
+        0 => Reason::RetriesSpent,
+        _ => Reason::OutcomeUnknown,
+    })
+}
+
+/// Returns whether the budget that all instances share has a retry left.
+fn is_retry_left(instance: &FleetInstance, call: &CallerRequest) -> bool {
+    let now = Instant::now();
+    let instances = instance.instance_count();
+    instance.budget.borrow_mut().is_left(&call.service, now, instances)
 }
 
 /// Takes one retry out of the budget that all instances share.
@@ -207,13 +324,3 @@
         _ => Reason::OutcomeUnknown,
     })
 }
-
-fn send_limits(call: &CallerRequest, progress: &Progress) -> SendLimits {
-    let left = call.left();
-    let is_last =
-        !call.is_repeatable() || progress.runs + 1 >= call.route.max_attempts;
-    let time_limit =
-        call.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_TARGETS);
-    let within = if is_last { left } else { left.min(time_limit) };
-    SendLimits { within, is_last }
-}
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -464,6 +464,11 @@
         }
     }
 
+    /// Closes the connection. The rest of the body is lost.
+    pub fn close(&mut self) {
+        self.connection = None;
+    }
+
     /// Returns whether the body's stated length has been read. Then
     /// [`PooledBody::next`] returns `None` next.
     pub fn is_complete(&self) -> bool {
