Send long bodies on connections without TCP_USER_TIMEOUT

What callers saw: 502 for an unsafe request with a body of 60 kB whose endpoint stood still for 3 s and then went on.

Cause: the kernel applies TCP_USER_TIMEOUT (1.5 s) also while the receive window of the peer is closed. A process that stands still with a part of the body unread looked like a machine that lost power, and its connection was closed.

Change: a body of more than 4 kB, which may not fit a window, goes out on a connection without the timeout, which is then closed; the deadline of the request bounds it. Shorter bodies and all other calls keep the timeout.

Result: a_request_that_a_silent_endpoint_has_not_read_whole_is_served, with a receive buffer of 4 kB, failed on (502 after 3.2 s) and passes.

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -45,6 +45,12 @@
 /// connection: a machine that lost power does not close it.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The maximum length of a body that is sent with [`TCP_USER_TIMEOUT`], in
+/// bytes. The kernel applies the timeout also while the receive window of the
+/// endpoint is closed. A body of this length fits the window of an endpoint
+/// that does not read for a while.
+const MAX_TIMED_BODY_LEN: u64 = 4 << 10;
+
 /// Error of sending a request to an endpoint.
 ///
 /// `NotSent` means that the endpoint certainly did not receive the request: no
@@ -72,6 +78,8 @@
     /// Drives the connection; dropping the task closes the socket.
     _task: JoinHandle<()>,
     reusable_until: Instant,
+    /// Whether the connection may return to the pool.
+    is_reusable: bool,
 }
 
 type Idle = Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>;
@@ -157,7 +165,8 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// Uses an idle connection if there is one. A request that such a
-    /// connection hands back unsent goes to the next connection.
+    /// connection hands back unsent goes to the next connection. A long body
+    /// gets a connection of its own, on which unread bytes have no timeout.
     ///
     /// # Errors
     ///
@@ -169,6 +178,13 @@
         mut request: Request<Full<Bytes>>,
         connect_within: Duration,
     ) -> Result<PooledResponse, SendError> {
+        let len = request.body().size_hint().lower();
+        if len > MAX_TIMED_BODY_LEN {
+            let mut connection =
+                self.connect(address, connect_within, None).await?;
+            connection.is_reusable = false;
+            return self.send_first(address, connection, request).await;
+        }
         while let Some(connection) = self.take_idle(address) {
             match self.send_on(address, connection, request).await {
                 Ok(answer) => return Ok(answer),
@@ -176,7 +192,19 @@
                 Err(SendFailure::Failed(err)) => return Err(err),
             }
         }
-        let connection = self.connect(address, connect_within).await?;
+        let timeout = Some(TCP_USER_TIMEOUT);
+        let connection =
+            self.connect(address, connect_within, timeout).await?;
+        self.send_first(address, connection, request).await
+    }
+
+    /// Sends the first request on a connection.
+    async fn send_first(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<PooledResponse, SendError> {
         match self.send_on(address, connection, request).await {
             Ok(answer) => Ok(answer),
             Err(SendFailure::Unsent(_)) => {
@@ -197,8 +225,9 @@
         let connecting = TcpStream::connect(address);
         match compio::time::timeout(within, connecting).await {
             Ok(Ok(stream)) => {
+                let timeout = Some(TCP_USER_TIMEOUT);
                 if let Ok(connection) =
-                    self.handshake_http1(address, stream).await
+                    self.handshake_http1(address, stream, timeout).await
                 {
                     let mut idle = self.idle.borrow_mut();
                     idle.entry(address).or_default().push(connection);
@@ -227,6 +256,7 @@
         &self,
         address: SocketAddr,
         within: Duration,
+        user_timeout: Option<Duration>,
     ) -> Result<Connection, SendError> {
         let not_sent = |err: String| SendError::NotSent(err);
         let stream =
@@ -234,7 +264,8 @@
                 .await
                 .map_err(|_| not_sent(format!("not within {within:?}")))?
                 .map_err(|err| not_sent(err.to_string()))?;
-        let connection = self.handshake_http1(address, stream).await;
+        let connection =
+            self.handshake_http1(address, stream, user_timeout).await;
         connection.map_err(|err| not_sent(err.to_string()))
     }
 
@@ -242,8 +273,9 @@
         &self,
         address: SocketAddr,
         stream: TcpStream,
+        user_timeout: Option<Duration>,
     ) -> Result<Connection, hyper::Error> {
-        set_socket_options(&stream);
+        set_socket_options(&stream, user_timeout);
         reset_on_close(&stream);
         let mut builder = http1::Builder::new();
         if let Some(max_buffer) = self.max_buffer {
@@ -258,7 +290,8 @@
         });
         self.opened.set(self.opened.get() + 1);
         let reusable_until = Instant::now() + DEFAULT_KEEP_ALIVE;
-        Ok(Connection { sender, _task: task, reusable_until })
+        let is_reusable = true;
+        Ok(Connection { sender, _task: task, reusable_until, is_reusable })
     }
 
     async fn send_on(
@@ -297,17 +330,20 @@
     Failed(SendError),
 }
 
-/// Sets TCP_NODELAY, and TCP_USER_TIMEOUT, which closes the connection to a
-/// peer that no longer acknowledges data.
+/// Sets TCP_NODELAY, and TCP_USER_TIMEOUT if there is one, which closes the
+/// connection to a peer that no longer acknowledges data.
 ///
 /// If an option cannot be set, the connection is used without it, and the
 /// timeout of each request still bounds the wait.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
+pub(crate) fn set_socket_options(
+    stream: &TcpStream,
+    user_timeout: Option<Duration>,
+) {
     if let Err(err) = stream.set_nodelay(true) {
         debug!("pool: cannot set TCP_NODELAY: {err}.");
     }
     let socket = SockRef::from(stream);
-    if let Err(err) = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)) {
+    if let Err(err) = socket.set_tcp_user_timeout(user_timeout) {
         debug!("pool: cannot set TCP_USER_TIMEOUT: {err}.");
     }
 }
@@ -479,7 +515,8 @@
         let Some((address, connection)) = self.connection.take() else {
             return;
         };
-        let is_open = self.framing != BodyFraming::UntilClose;
+        let is_open =
+            self.framing != BodyFraming::UntilClose && connection.is_reusable;
         if is_open && Instant::now() < connection.reusable_until {
             let mut idle = self.idle.borrow_mut();
             idle.entry(address).or_default().push(connection);
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -27,9 +27,10 @@
 use log::{debug, warn};
 use socket2::SockRef;
 
-#[cfg(doc)]
-use crate::pool::TCP_USER_TIMEOUT;
-use crate::{body::LocalBody, pool::set_socket_options};
+use crate::{
+    body::LocalBody,
+    pool::{TCP_USER_TIMEOUT, set_socket_options},
+};
 
 /// The future of a handler's response to one request.
 pub type ResponseFuture = Pin<Box<dyn Future<Output = Response<LocalBody>>>>;
@@ -228,7 +229,7 @@
     // TCP_NODELAY, because streamed tokens are small and must not be delayed
     // to be sent together; TCP_USER_TIMEOUT, because a caller's machine that
     // lost power does not close its connection.
-    set_socket_options(&stream);
+    set_socket_options(&stream, Some(TCP_USER_TIMEOUT));
     if let Some(slow_clients) = limits.slow_clients {
         set_slow_client_options(&stream, slow_clients);
     }
