Take a retry for a stream that goes on after a break

What callers saw: nothing wrong; the service got more repeated requests than the retry budget allows when engines broke streams off.

Cause: StreamRelay::resume counted the broken run, but not its arrival at the service, so that the next send took no retry out of the budget.

Change: resume counts the arrival.

Result: a_broken_stream_without_a_retry_does_not_go_on failed before (three runs instead of one) and passes; all eleven tests of silent_endpoints.rs pass.

--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -548,6 +548,7 @@
             return false;
         }
         self.progress.runs += 1;
+        self.progress.arrivals += 1;
         self.progress.open_at.clear();
         if let Some(target) = self.responder.endpoint() {
             self.progress.tried.push(target.id.clone());
