Close a silent stream only while another attempt is open

While a resumable stream moved from a silent engine, and the other engine rejected it, the wait for a third one could outlast the overlap, and the silent engine was closed with nothing in its place. A silent engine that broke during the move took the good attempt with it. A request that was forwarded beside an open attempt was stated as not run, so that the other instance could make one run too many.

Change: a move whose attempts have all failed ends at once and leaves the silent engine open; a silent engine that breaks counts as closed; open attempts are stated as runs to the other instance, and an attempt that is given up for an engine that came back counts as an arrival.

--- a/crates/sedgewalld/src/fleet/open_attempts.rs
+++ b/crates/sedgewalld/src/fleet/open_attempts.rs
@@ -8,6 +8,7 @@
 //! The invariant: while an attempt is open, the request has not failed.
 
 use std::{
+    cell::Cell,
     future::pending,
     pin::{Pin, pin},
     rc::Rc,
@@ -57,6 +58,9 @@
     last_began: Instant,
     /// The number of attempts that have begun.
     begun: u32,
+    /// Whether the request is also open elsewhere, so that it has not failed
+    /// when these attempts have.
+    is_open_elsewhere: Option<&'a Cell<bool>>,
 }
 
 struct OpenAttempt<'a> {
@@ -104,9 +108,19 @@
             attempts: Vec::new(),
             last_began: Instant::now(),
             begun: 0,
+            is_open_elsewhere: None,
         }
     }
 
+    /// Sets a flag that states whether the request is also open elsewhere.
+    pub(crate) fn beside(self, is_open: &'a Cell<bool>) -> OpenAttempts<'a> {
+        OpenAttempts { is_open_elsewhere: Some(is_open), ..self }
+    }
+
+    pub(crate) fn is_open_elsewhere(&self) -> bool {
+        self.is_open_elsewhere.is_some_and(Cell::get)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.attempts.is_empty()
     }
@@ -130,7 +144,9 @@
             }
             Destination::Instance => {
                 set_sent_to(call, None, began);
-                let progress = progress.clone();
+                let mut progress = progress.clone();
+                // The other instance must count the open attempts as runs.
+                progress.runs += self.attempts.len() as u32;
                 let sending = Box::pin(async move {
                     let sent = forwarding::send(
                         instance, call, &progress, last_event,
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -369,8 +369,10 @@
         let silent = call.sent_to.borrow().clone();
         let mut progress = self.progress.clone();
         progress.runs += 1;
+        let is_silent_open = Cell::new(true);
         let mut open =
-            OpenAttempts::new(&instance, &call, last_event.as_deref());
+            OpenAttempts::new(&instance, &call, last_event.as_deref())
+                .beside(&is_silent_open);
         open.begin(&mut progress, to);
         let mut moving = Box::pin(
             retries::wait_for_answer(&instance, &call, &mut progress, open)
@@ -386,6 +388,8 @@
                 () = overlap => None,
             }
         };
+        // A silent engine that breaks has not come back.
+        let first = first.filter(|first| !matches!(first, Err(Some(Err(_)))));
         let found = match first {
             Some(Ok(Ok((good, responder))))
                 if good.answer.status.is_success() =>
@@ -402,6 +406,7 @@
                     Err(read) => (true, Move::Awake(read)),
                     Ok(found) => (found.is_ok(), Move::Failed),
                 };
+                progress.arrivals += u32::from(has_run);
                 // The run of the silent engine goes on.
                 progress.runs -= u32::from(!has_run);
                 self.progress = progress;
@@ -409,6 +414,7 @@
             }
             None => {
                 self.close_silent(silent.as_ref());
+                is_silent_open.set(false);
                 match moving.as_mut().await {
                     Ok((good, responder))
                         if good.answer.status.is_success() =>
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -81,6 +81,9 @@
             continue;
         }
         let Err(reason) = check_failure(call, progress, failure) else {
+            if open.is_open_elsewhere() {
+                return Err(Reason::OutcomeUnknown);
+            }
             error_response = None;
             continue;
         };
