Record the streams that the lease holder was told of before

Cause: instances report the streams of their last 20 s once, when they learn of the second version. A lease holder that learned of it later dropped what had been reported to it, since it records only services of several versions.

An instance that learns of several versions now records the streams of the service that it was told of in the last 20 s, if it holds the lease.

--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -105,6 +105,22 @@
         (now - *at < ORIGIN_VALID_FOR).then_some(origin)
     }
 
+    /// Returns the streams of a service that were recorded within `max_age`,
+    /// oldest first.
+    pub fn recent<'a>(
+        &'a self,
+        service: &'a str,
+        max_age: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = (StreamKey, &'a StreamOrigin)> {
+        self.recorded.iter().filter_map(move |(key, at)| {
+            let (origin, known_at) = self.known.get(key)?;
+            let is_recent = known_at == at && now - *at < max_age;
+            (is_recent && origin.service == service)
+                .then_some((*key, &**origin))
+        })
+    }
+
     /// Forgets streams that have ended for certain, and the oldest ones beyond
     /// the maximum number.
     pub fn forget(&mut self, now: Instant) {
--- a/crates/fleet/tests/stream_origin_rules.rs
+++ b/crates/fleet/tests/stream_origin_rules.rs
@@ -198,3 +198,22 @@
     view.apply_entry(restarted, now);
     assert!(!view.has_software_version(&service, &version("v1")));
 }
+
+#[test]
+fn the_recent_streams_of_a_service_are_returned_oldest_first() {
+    let start = Instant::now();
+    let other = StreamOrigin {
+        service: "another".to_owned(),
+        software_version: version("v1"),
+    };
+    let mut origins = StreamOrigins::default();
+    origins.record(1, &origin("v1"), start);
+    origins.record(2, &origin("v1"), start + Duration::from_secs(5));
+    origins.record(3, &other, start + Duration::from_secs(6));
+    origins.record(4, &origin("v2"), start + Duration::from_secs(7));
+    origins.record(2, &origin("v1"), start + Duration::from_secs(8));
+    let now = start + Duration::from_secs(20);
+    let recent: Vec<_> =
+        origins.recent(SERVICE, Duration::from_secs(20), now).collect();
+    assert_eq!(recent, [(4, &origin("v2")), (2, &origin("v1"))]);
+}
--- a/crates/sedgewalld/src/fleet/streams.rs
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -241,8 +241,19 @@
 
 /// Reports the streams of a service that began here lately once more, because
 /// those of a service with several software versions are recorded.
+///
+/// The lease holder may learn of the second version after the others, which
+/// report their streams once only. So it also records those that it was told
+/// of before.
 pub(crate) fn record_recent(instance: &FleetInstance, service: &ServiceName) {
     let streams = &instance.streams;
+    let known: Vec<_> = streams
+        .origins
+        .borrow()
+        .recent(service, MAX_STREAM_AGE, Instant::now())
+        .map(|(key, origin)| (key, origin.clone()))
+        .collect();
+    instance.record_streams(known.into_iter());
     let recent = streams.recent.borrow().clone();
     for (key, origin, _) in recent {
         if origin.service == *service {
