Confirm the only version of a service by its record

Cause: a stream that nobody knew was taken to have begun at the only version that the answering instances knew. Two instances that heard each other alone confirmed each other's view, as long as neither had noticed that the store was silent.

A stream that no instance knows now goes on only by the records in the store, read after the try came. No endpoint gets requests before its version is recorded, so that a record with one version is certain. An instance that cannot read it refuses the try. The price is one read, shared by tries at a time.

--- a/crates/sedgewalld/src/fleet/streams.rs
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -19,7 +19,7 @@
     route::ServiceName,
     stream_origins::{
         HOLDERS, MAX_ASKED, MAX_STREAM_AGE, OriginKnowledge, StreamKey,
-        StreamOrigin, StreamOrigins, decide, holders,
+        StreamOrigin, StreamOrigins, holders,
     },
 };
 use sedgewall_state::id::InstanceId;
@@ -269,7 +269,7 @@
     resumed: &ResumedStream<'_>,
 ) -> Option<StreamOrigin> {
     let began = Instant::now();
-    let ResumedStream { key, service, is_only_service, .. } = *resumed;
+    let ResumedStream { key, service, .. } = *resumed;
     let own = own_knowledge(instance, key, service);
     if let OriginKnowledge::Known(origin) = own {
         log_found(resumed, Some(&origin), "here", 0, began);
@@ -280,15 +280,17 @@
     let mut answers = vec![own];
     answers
         .extend(ask(instance, key.unwrap_or_default(), service, &asked).await);
-    let only_service = Some(service).filter(|_| is_only_service);
-    let mut origin = decide(&answers, peers.is_empty(), only_service);
-    let is_known = answers
-        .iter()
-        .any(|answer| matches!(answer, OriginKnowledge::Known(_)));
-    let mut by = if is_known { "others" } else { "only_version" };
-    if origin.is_none() {
-        (origin, by) = find_recorded(instance, resumed).await;
-    }
+    let known = answers.iter().find_map(|answer| match answer {
+        OriginKnowledge::Known(origin) => Some(origin.clone()),
+        _ => None,
+    });
+    // All that answer may lack the same endpoints, while they do not notice
+    // that the store is silent. Only the records, read after the try came,
+    // show that no stream of the service began at another version.
+    let (origin, by) = match known {
+        Some(origin) => (Some(origin), "others"),
+        None => find_recorded(instance, resumed).await,
+    };
     log_found(resumed, origin.as_ref(), by, answers.len() - 1, began);
     origin
 }
