Limit the wait that follows from an announced limit or demand

Cause: a demand near the largest float in a note of another instance makes the share of this one so small that the time until its next permit is beyond any Duration, and Duration::from_secs_f64 panics. A limit announced as next to nothing does the same. Change: the wait is limited to an hour.

--- a/crates/fleet/src/limit_share.rs
+++ b/crates/fleet/src/limit_share.rs
@@ -39,6 +39,9 @@
 /// instance that just starts needs a share.
 const ASSUMED_DEMAND: f64 = 1.0;
 
+/// The longest time that is stated until the next permit.
+const MAX_READY_IN: Duration = Duration::from_secs(60 * 60);
+
 /// The capacity of a bucket beyond one request, as time at its rate. Requests
 /// arrive in bursts.
 const BURST: Duration = Duration::from_millis(100);
@@ -373,8 +376,7 @@
         self.tokens = (self.tokens + since * rate_per_s).min(most);
         self.filled = now;
         if self.tokens < 1.0 {
-            let missing_s = (1.0 - self.tokens) / rate_per_s;
-            let ready_in = Duration::from_secs_f64(missing_s);
+            let ready_in = wait_of((1.0 - self.tokens) / rate_per_s);
             return Permit::Denied { ready_in };
         }
         self.tokens -= 1.0;
@@ -406,7 +408,7 @@
         match draw < fraction {
             true => Permit::Granted,
             false => {
-                let ready_in = Duration::from_secs_f64(1.0 / per_s);
+                let ready_in = wait_of(1.0 / per_s);
                 Permit::Denied { ready_in }
             }
         }
@@ -447,3 +449,10 @@
         self.count * (-age / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
     }
 }
+
+/// Returns a wait of this many seconds, at most [`MAX_READY_IN`]. The number is
+/// derived from what others announce, and may be beyond any [`Duration`].
+fn wait_of(wait_s: f64) -> Duration {
+    let wait = Duration::try_from_secs_f64(wait_s);
+    wait.unwrap_or(MAX_READY_IN).min(MAX_READY_IN)
+}
--- a/crates/fleet/tests/limit_model.rs
+++ b/crates/fleet/tests/limit_model.rs
@@ -308,6 +308,37 @@
     }
 }
 
+/// A share of next to nothing makes the time until the next permit longer than
+/// any `Duration`.
+#[test]
+fn a_report_of_an_enormous_demand_is_no_panic() {
+    let mut now = Instant::now();
+    let endpoint = ENDPOINT.to_owned();
+    let mut shares = LimitShares::default();
+    let limit = AnnouncedLimit::PerSecond(4.0);
+    shares.observe(&endpoint, None, limit, now, now);
+    let report = LimitReport {
+        endpoint: endpoint.clone(),
+        born: None,
+        per_s: Some(4.0),
+        age_ms: 0,
+        wanted_per_s: f32::MAX,
+    };
+    let until = now + Duration::from_secs(60);
+    let from = "other".to_owned();
+    for is_total in [false, true] {
+        let source = ReportSource { from: &from, is_total, until };
+        shares.apply_report(&report, source, now);
+        for instances in [1, 1_000] {
+            now += Duration::from_millis(10);
+            let request =
+                PermitRequest { draw: 0.5, instances: Some(instances) };
+            let permit = shares.take(&endpoint, request, now);
+            assert!(matches!(permit, Permit::Denied { .. }));
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(16))]
 
