--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -365,9 +365,8 @@
     ended.map(|answer| GoodAnswer { answer, guard })
 }
 
-/// Records that a later attempt has taken the place of this one, which brought
-/// no response in the time in which the later one did, or in which another
-/// endpoint could be found.
+/// Records that a later attempt has taken the place of this one, which counts
+/// as a failure of its endpoint.
 pub(crate) fn record_replaced(
     instance: &Rc<FleetInstance>,
     call: &CallerRequest,
--- a/crates/sedgewalld/src/fleet/open_attempts.rs
+++ b/crates/sedgewalld/src/fleet/open_attempts.rs
@@ -70,7 +70,7 @@
     sending: Pin<Box<dyn Future<Output = Outcome> + 'a>>,
 }
 
-/// How an attempt ended.
+/// What an attempt brought, by where the request was sent.
 pub(crate) enum Outcome {
     Endpoint(Result<GoodAnswer, AttemptError>),
     Instance(Result<ForwardedAnswer, ForwardError>),
@@ -212,8 +212,7 @@
         Event::Ended(Box::new(ended))
     }
 
-    /// Gives up all attempts but the last one, in whose favour the others are
-    /// closed.
+    /// Closes all attempts but the last one, which has taken their place.
     pub(crate) fn keep_last(&mut self, progress: &mut Progress) {
         let last = self.attempts.len().saturating_sub(1);
         for attempt in self.attempts.drain(..last) {
@@ -260,7 +259,8 @@
         self.record_end(call, progress);
     }
 
-    /// Records that the attempt is closed though it came in no other's way.
+    /// Records that the attempt is closed because an earlier one has answered,
+    /// which says nothing about its endpoint.
     fn closed(
         self,
         instance: &Rc<FleetInstance>,
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -388,7 +388,7 @@
                 () = overlap => None,
             }
         };
-        // A silent engine that breaks has not come back.
+        // An engine that breaks has not come back, and the move goes on.
         let first = first.filter(|first| !matches!(first, Err(Some(Err(_)))));
         let found = match first {
             Some(Ok(Ok((good, responder))))
--- a/crates/sedgewalld/src/fleet/retries.rs
+++ b/crates/sedgewalld/src/fleet/retries.rs
@@ -93,8 +93,8 @@
     }
 }
 
-/// Why an attempt brought no answer that is good enough to be the final one
-/// while others may follow.
+/// Why an attempt did not bring the final answer, by where the request was
+/// sent.
 pub(crate) enum Failure {
     Endpoint(AttemptError),
     Instance(ForwardError),
