Close a connection only after a look at what has arrived

Callers lost requests on kept connections when an instance stopped as planned: the connection was closed without a response up to 0.65 s after the request had been sent. Nothing was logged.

Cause: 2.4 s after SIGTERM each connection on which no request was in progress was closed by hyper's graceful_shutdown. That judges by what was read; a request that the kernel held, or that had been read in the same turn of the loop, went with the connection. The later the event loop, the more. After a response that was begun before the signal, the connection closed at once, and the caller's next request crossed the close.

The server now owns the end of its connections (connection.rs). It polls the connection, looks at the socket, and closes it only if no byte of a request is buffered or waits in the kernel, in ten consecutive checks. The checks are counted, so that a late loop closes late. The sending side is shut down first, and the rest is read, so that no reset discards the last response. The steps of a shutdown are types (shutdown.rs). hyper's timeout of headers, which closes in the same way, is replaced by the same check.

To tell why a connection ended, sedgewall_connections_closed_total counts the reason and whether bytes were left unread, and closed_unread is logged.

--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -30,7 +30,7 @@
     delivery,
     forwarding::{self, Forwarded, Path},
     in_flight::OpenRequestGuard,
-    instance::{FleetInstance, Stage},
+    instance::FleetInstance,
     intake,
     progress::Progress,
     refusal::{self, Reason},
@@ -64,7 +64,7 @@
     let delay = instance.event_loop.delay(now);
     let arrived = now.checked_sub(delay).unwrap_or(now);
     forwarding::remove_marks(request.headers_mut());
-    let mut response = match intake::enter(&instance, &request).await {
+    match intake::enter(&instance, &request).await {
         Ok(()) => match read(&instance, request, forwarded, arrived).await {
             Ok(call) => serve(&instance, Rc::new(call), open).await,
             Err(refused) => refuse_early(refused, arrived),
@@ -74,12 +74,7 @@
             let after = retry_delay(DEFAULT_TIME_LIMIT, None, draw);
             refusal::answer(reason, after, forwarded.is_some())
         }
-    };
-    if instance.stage.get() == Stage::Leaving {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
 }
 
 /// A request that was refused before a [`CallerRequest`] was made of it.
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -15,8 +15,8 @@
     settings::{FleetSettings, Settings},
 };
 use sedgewall_transport::{
-    Handler, LocalBody, OpenConnections, Overload, ServerLimits, Stop, serve,
-    serve_until, stop_signal,
+    Announced, Closed, Handler, LocalBody, OpenConnections, Overload, Running,
+    Server, ServerLimits, Shutdown, ShutdownWatch, serve, shutdown,
 };
 
 use super::{
@@ -103,7 +103,7 @@
         buffer_budget_bytes = instance.buffers.as_ref().map(|b| b.limit()),
         version = env!("CARGO_PKG_VERSION"),
     );
-    let (stopping, stop) = stop_signal();
+    let (running, watch) = shutdown();
     let orders = OrderQueues::new(instance.clone(), sender.clone());
     event_loop.spawn("log", log.clone().run());
     start_watches(&instance);
@@ -132,7 +132,7 @@
     compio::runtime::spawn(serve_callers(
         instance.clone(),
         callers,
-        stop,
+        watch,
         connections.clone(),
     ))
     .detach();
@@ -147,7 +147,7 @@
     ))
     .detach();
     wait_for_stop(signals).await;
-    shut_down(&instance, stopping, &connections).await;
+    shut_down(&instance, running, &connections).await;
     log.flush();
     Ok(())
 }
@@ -181,7 +181,7 @@
 async fn serve_callers(
     instance: Rc<FleetInstance>,
     listener: TcpListener,
-    stop: Stop,
+    shutdown: ShutdownWatch,
     open: OpenConnections,
 ) {
     let connections = instance.settings.limits.connections;
@@ -196,7 +196,25 @@
     });
     let overload: Overload =
         Rc::new(move || instance.intake.refuse_connection());
-    serve_until(listener, limits, handler, overload, stop, open).await;
+    Server::new(handler, limits)
+        .shutdown(shutdown)
+        .overload(overload)
+        .count_in(open)
+        .on_close(Rc::new(record_closed))
+        .run(listener)
+        .await;
+}
+
+fn record_closed(closed: Closed) {
+    metrics::counter!(
+        "sedgewall_connections_closed_total",
+        "reason" => closed.reason.name(),
+        "is_unread" => if closed.is_unread { "true" } else { "false" },
+    )
+    .increment(1);
+    if closed.is_unread {
+        tracing::info!(event = "closed_unread", reason = closed.reason.name());
+    }
 }
 
 /// Serves metrics on a separate address. If that address cannot be bound, the
@@ -374,18 +392,19 @@
 /// then connections are closed as their requests end.
 async fn shut_down(
     instance: &FleetInstance,
-    stopping: futures_channel::oneshot::Sender<()>,
+    running: Shutdown<Running>,
     connections: &OpenConnections,
 ) {
     let began = Instant::now();
     tracing::info!(event = "stop", open = instance.open_requests.get());
     instance.stage.set(Stage::Leaving);
     instance.leaving_since.set(Some(began));
+    let announced: Shutdown<Announced> = running.announce();
     if let Some(queues) = &instance.wait_queues {
         queues.wake_everyone();
     }
     compio::time::sleep(BALANCER_GRACE).await;
-    drop(stopping);
+    announced.stop_accepting().close_connections();
     let end = began + instance.stop_time();
     // A response is complete for this instance before its caller has taken it
     // from the connection.
--- /dev/null
+++ b/crates/transport/src/connection.rs
@@ -0,0 +1,438 @@
+//! One connection of a client to the server.
+//!
+//! A connection without a request in progress is not known to be idle: a
+//! request may have arrived that nobody has read, for as long as the event loop
+//! is late. The invariant: the server ends a connection only after a response
+//! that announced the end, or right after it has found that no byte of a request
+//! is buffered here or waits in the kernel.
+
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    future::{Future, poll_fn},
+    io,
+    mem::MaybeUninit,
+    net::Shutdown as Direction,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compio::{BufResult, io::AsyncRead, net::TcpStream};
+use cyper_core::HyperStream;
+use http::{HeaderValue, header};
+use hyper::{
+    body::{Body, Frame, SizeHint},
+    rt::{Read, ReadBufCursor, Write},
+    server::conn::http1,
+    service::service_fn,
+};
+use log::debug;
+use socket2::SockRef;
+
+use crate::{body::LocalBody, server::Handler, shutdown::ShutdownWatch};
+
+/// The interval at which a connection that is to be closed is checked for a
+/// request.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The number of consecutive checks without a request after which a connection
+/// is closed. A caller that has just got a response may send its next request
+/// at once. Checks are counted and not time, because a late event loop checks
+/// late.
+const MAX_QUIET_CHECKS: u32 = 10;
+
+/// How long a connection is read after its sending side was shut down. Closing
+/// it with unread bytes resets it, which may discard the last response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The size of the buffer through which bytes pass to the parser.
+const READ_BUF_LEN: usize = 16 << 10;
+
+/// Why a connection has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseReason {
+    /// The client closed it, or it failed.
+    Client,
+    /// A response stated that the connection is closed.
+    Announced,
+    /// The server shuts down, and no request had arrived.
+    Shutdown,
+    /// No request had arrived for the idle timeout.
+    Idle,
+    /// The headers of a request did not arrive in time.
+    SlowHeaders,
+}
+
+/// How a connection has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Closed {
+    /// Why it has ended.
+    pub reason: CloseReason,
+    /// Whether bytes arrived that no response answers.
+    pub is_unread: bool,
+}
+
+impl CloseReason {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::Client => "client",
+            CloseReason::Announced => "announced",
+            CloseReason::Shutdown => "shutdown",
+            CloseReason::Idle => "idle",
+            CloseReason::SlowHeaders => "slow_headers",
+        }
+    }
+}
+
+/// What a connection is served with.
+pub(crate) struct ConnectionOptions {
+    pub(crate) handler: Handler,
+    pub(crate) shutdown: ShutdownWatch,
+    /// How long a connection may be without a request, and how long the headers
+    /// of one may take.
+    pub(crate) idle_timeout: Rc<dyn Fn() -> Duration>,
+    /// The maximum size of the parser's buffer in bytes, if it is limited.
+    pub(crate) max_buffer: Option<usize>,
+}
+
+/// Serves the requests of a connection until it ends.
+pub(crate) async fn serve(
+    stream: TcpStream,
+    options: &ConnectionOptions,
+) -> Closed {
+    let socket = stream.clone();
+    let traffic = Rc::new(Traffic::default());
+    let reason = serve_requests(stream, &socket, &traffic, options).await;
+    let is_unread = has_arrived(&socket) == Arrived::Bytes;
+    if !traffic.is_end_read.get() {
+        linger(socket).await;
+    }
+    Closed { reason, is_unread }
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    socket: &TcpStream,
+    traffic: &Rc<Traffic>,
+    options: &ConnectionOptions,
+) -> CloseReason {
+    let service = service_fn(|request| {
+        let in_progress = traffic.begin();
+        let response = (options.handler)(request);
+        async move {
+            let mut response = response.await;
+            if options.shutdown.is_announced()
+                && has_arrived(socket) != Arrived::Bytes
+            {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            let response = response.map(|inner| {
+                let _in_progress = in_progress;
+                CountedBody { inner, _in_progress }
+            });
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let inner = HyperStream::new_plain(stream);
+    let io = CountedStream { inner, traffic: traffic.clone() };
+    let mut builder = http1::Builder::new();
+    if let Some(max_buffer) = options.max_buffer {
+        builder.max_buf_size(max_buffer);
+    }
+    let mut connection = Box::pin(builder.serve_connection(io, service));
+    let mut closing = Closing::new(options);
+    let mut reason = None;
+    let served = poll_fn(|cx| {
+        loop {
+            // Reads what has arrived before anything is decided.
+            if let Poll::Ready(served) = connection.as_mut().poll(cx) {
+                return Poll::Ready(served);
+            }
+            if reason.is_some() {
+                return Poll::Pending;
+            }
+            match closing.poll(traffic, socket, cx) {
+                Poll::Ready(CloseReason::SlowHeaders) => {
+                    reason = Some(CloseReason::SlowHeaders);
+                    return Poll::Ready(Ok(()));
+                }
+                Poll::Ready(due) => {
+                    reason = Some(due);
+                    connection.as_mut().graceful_shutdown();
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    })
+    .await;
+    if let Err(err) = served {
+        debug!("http: connection failed: {err}.");
+        return reason.unwrap_or(CloseReason::Client);
+    }
+    reason.unwrap_or(match traffic.is_end_read.get() {
+        true => CloseReason::Client,
+        false => CloseReason::Announced,
+    })
+}
+
+/// Decides when a connection is closed that no response has announced the end
+/// of.
+struct Closing<'a> {
+    options: &'a ConnectionOptions,
+    shutdown: ShutdownWatch,
+    timer: Pin<Box<dyn Future<Output = ()>>>,
+    is_shutting_down: bool,
+    quiet_checks: u32,
+    /// The number of reads as of the last check.
+    reads: u64,
+}
+
+impl<'a> Closing<'a> {
+    fn new(options: &'a ConnectionOptions) -> Closing<'a> {
+        Closing {
+            options,
+            shutdown: options.shutdown.clone(),
+            timer: Box::pin(compio::time::sleep((options.idle_timeout)())),
+            is_shutting_down: false,
+            quiet_checks: 0,
+            reads: 0,
+        }
+    }
+
+    /// Returns why the connection is to be closed now. The caller has just
+    /// polled it, so that all that was read before is in its buffer.
+    fn poll(
+        &mut self,
+        traffic: &Traffic,
+        socket: &TcpStream,
+        cx: &mut Context<'_>,
+    ) -> Poll<CloseReason> {
+        if !self.is_shutting_down && self.shutdown.poll_close(cx).is_ready() {
+            self.is_shutting_down = true;
+            self.quiet_checks = 0;
+            self.timer = Box::pin(compio::time::sleep(CHECK_INTERVAL));
+        }
+        while self.timer.as_mut().poll(cx).is_ready() {
+            let interval = match self.is_shutting_down {
+                true => CHECK_INTERVAL,
+                false => (self.options.idle_timeout)(),
+            };
+            self.timer = Box::pin(compio::time::sleep(interval));
+            let reads = traffic.reads.get();
+            let is_quiet = std::mem::replace(&mut self.reads, reads) == reads
+                && has_arrived(socket) != Arrived::Bytes;
+            if !is_quiet || traffic.is_busy() {
+                self.quiet_checks = 0;
+                continue;
+            }
+            self.quiet_checks += 1;
+            let is_partial = traffic.is_partial.get();
+            match (self.is_shutting_down, is_partial) {
+                // The rest of a request may still come.
+                (true, true) => {}
+                (true, false) if self.quiet_checks >= MAX_QUIET_CHECKS => {
+                    return Poll::Ready(CloseReason::Shutdown);
+                }
+                (true, false) => {}
+                (false, true) => {
+                    return Poll::Ready(CloseReason::SlowHeaders);
+                }
+                (false, false) => return Poll::Ready(CloseReason::Idle),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+/// What the kernel has received on a connection and nobody has read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Arrived {
+    Nothing,
+    Bytes,
+    /// The client has shut down its sending side, or the connection failed.
+    End,
+}
+
+fn has_arrived(socket: &TcpStream) -> Arrived {
+    let mut buf = [MaybeUninit::uninit(); 1];
+    match SockRef::from(socket).peek(&mut buf) {
+        Ok(0) => Arrived::End,
+        Ok(_) => Arrived::Bytes,
+        Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+            Arrived::Nothing
+        }
+        Err(_) => Arrived::End,
+    }
+}
+
+/// Shuts down the sending side of a connection, and reads it to its end.
+pub(crate) async fn linger(mut stream: TcpStream) {
+    if let Err(err) = SockRef::from(&stream).shutdown(Direction::Write) {
+        debug!("http: cannot shut down a connection: {err}.");
+        return;
+    }
+    let reading = async {
+        let mut buf = Vec::with_capacity(READ_BUF_LEN);
+        loop {
+            let BufResult(read, rest) = stream.read(buf).await;
+            match read {
+                Ok(0) | Err(_) => return,
+                Ok(_) => buf = rest,
+            }
+            buf.clear();
+        }
+    };
+    // A client that never closes its side gets no more time.
+    let _ = compio::time::timeout(LINGER_TIMEOUT, reading).await;
+}
+
+/// What was read and written on a connection.
+#[derive(Default)]
+struct Traffic {
+    reads: Cell<u64>,
+    /// Whether bytes were read that belong to no request in progress.
+    is_partial: Cell<bool>,
+    is_in_progress: Cell<bool>,
+    is_unflushed: Cell<bool>,
+    is_end_read: Cell<bool>,
+}
+
+impl Traffic {
+    /// Records that a request was parsed.
+    fn begin(self: &Rc<Traffic>) -> InProgress {
+        self.is_partial.set(false);
+        self.is_in_progress.set(true);
+        InProgress(self.clone())
+    }
+
+    fn end(&self) {
+        self.is_in_progress.set(false);
+    }
+
+    /// Returns whether a request is in progress, or its response is not sent.
+    fn is_busy(&self) -> bool {
+        self.is_in_progress.get() || self.is_unflushed.get()
+    }
+
+    fn record_read(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            self.is_end_read.set(true);
+            return;
+        }
+        self.reads.set(self.reads.get() + 1);
+        if !self.is_in_progress.get() {
+            self.is_partial.set(true);
+        }
+    }
+}
+
+/// A request from its parsed head until its response was handed over.
+struct InProgress(Rc<Traffic>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// The body of a response, whose request is in progress until it is dropped.
+struct CountedBody {
+    inner: LocalBody,
+    _in_progress: InProgress,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.get_mut().inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// A stream that records what is read and written.
+struct CountedStream {
+    inner: HyperStream<TcpStream>,
+    traffic: Rc<Traffic>,
+}
+
+thread_local! {
+    /// The buffer through which bytes pass. hyper's own cannot be seen without
+    /// unsafe code.
+    static READ_BUF: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BUF_LEN]);
+}
+
+impl Read for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        READ_BUF.with_borrow_mut(|bytes| {
+            let len = bytes.len().min(buf.remaining());
+            let inner = Pin::new(&mut self.inner);
+            let bytes = &mut bytes[..len];
+            let read = futures_util::AsyncRead::poll_read(inner, cx, bytes);
+            let read_len = ready!(read)?;
+            self.traffic.record_read(&bytes[..read_len]);
+            buf.put_slice(&bytes[..read_len]);
+            Poll::Ready(Ok(()))
+        })
+    }
+}
+
+impl Write for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.traffic.is_unflushed.set(true);
+        Write::poll_write(Pin::new(&mut self.inner), cx, buf)
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(Write::poll_flush(Pin::new(&mut self.inner), cx))?;
+        self.traffic.is_unflushed.set(false);
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Write::poll_shutdown(Pin::new(&mut self.inner), cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.traffic.is_unflushed.set(true);
+        Write::poll_write_vectored(Pin::new(&mut self.inner), cx, bufs)
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,15 +8,18 @@
 
 pub mod body;
 pub mod client;
+pub mod connection;
 pub mod engine_client;
 pub mod peer;
 pub mod platform_client;
 pub mod pool;
 pub mod server;
+pub mod shutdown;
 
 pub use crate::{
     body::LocalBody,
     client::{CallError, HttpClient},
+    connection::{CloseReason, Closed},
     engine_client::EngineClient,
     peer::{PeerListener, PeerSender},
     platform_client::{PlatformClient, PlatformError},
@@ -25,7 +28,10 @@
         SendError,
     },
     server::{
-        Handler, OpenConnections, Overload, ServerLimits, SlowClientLimits,
-        Stop, serve, serve_until, stop_signal,
+        Handler, OpenConnections, Overload, Server, ServerLimits,
+        SlowClientLimits, serve,
+    },
+    shutdown::{
+        Announced, NotAccepting, Running, Shutdown, ShutdownWatch, shutdown,
     },
 };
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -3,14 +3,14 @@
 //! The server limits the number of connections and the time to receive a
 //! request's headers; all other limits are the handler's. When a client
 //! disconnects, hyper drops the handler's future or the body's stream, and
-//! their destructors cancel the work done for the request.
+//! their destructors cancel the work done for the request. How a connection
+//! ends is decided in [`connection`].
 
 use std::{
     cell::Cell,
-    convert::Infallible,
     future::{Future, poll_fn},
     mem::MaybeUninit,
-    pin::{Pin, pin},
+    pin::Pin,
     rc::Rc,
     task::Poll,
     time::Duration,
@@ -18,18 +18,18 @@
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
-use futures_channel::oneshot;
-use futures_util::{FutureExt, future::Shared, select};
+use futures_util::{FutureExt, select};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::body::Incoming;
 use log::{debug, warn};
 use socket2::SockRef;
 
 use crate::{
     body::LocalBody,
+    connection::{self, Closed, ConnectionOptions},
     pool::{TCP_USER_TIMEOUT, set_socket_options},
+    shutdown::{ShutdownWatch, shutdown},
 };
 
 /// The future of a handler's response to one request.
@@ -94,30 +94,32 @@
 /// when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// A future that completes when the server is to stop.
-pub type Stop = Shared<oneshot::Receiver<()>>;
-
-/// Returns a sender that tells servers to stop, and the future that they wait
-/// for. Dropping the sender stops the servers too.
-pub fn stop_signal() -> (oneshot::Sender<()>, Stop) {
-    let (tx, rx) = oneshot::channel();
-    (tx, rx.shared())
-}
-
 /// The number of open connections of a server.
 #[derive(Clone, Debug, Default)]
-pub struct OpenConnections(Rc<Cell<usize>>);
+pub struct OpenConnections {
+    count: Rc<Cell<usize>>,
+}
 
 impl OpenConnections {
-    /// Returns the number of open connections. After the server has stopped,
-    /// each of them still has a request or a part of a response to send.
+    /// Returns the number of open connections.
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.count.get()
     }
+}
+
+/// Counts up until it is dropped.
+struct CountGuard(Rc<Cell<usize>>);
 
-    fn open(&self) -> ConnectionGuard {
-        self.0.set(self.0.get() + 1);
-        ConnectionGuard(self.0.clone())
+impl CountGuard {
+    fn begin(count: &Rc<Cell<usize>>) -> CountGuard {
+        count.set(count.get() + 1);
+        CountGuard(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -127,65 +129,123 @@
     limits: ServerLimits,
     handler: Handler,
 ) {
-    let (_running, stop) = stop_signal();
-    let open = OpenConnections::default();
-    let overload: Overload = Rc::new(|| None);
-    serve_until(listener, limits, handler, overload, stop, open).await;
+    let (_running, watch) = shutdown();
+    Server::new(handler, limits).shutdown(watch).run(listener).await;
 }
 
-/// Serves connections until `stop` completes. While `overload` returns a
-/// response, new connections whose request has arrived get that response and are
-/// closed, which takes a small part of the time of a request.
-///
-/// Returns at once when `stop` completes, or up to 50 ms later if an accept
-/// has just failed. No more connections are accepted. Open connections finish
-/// their current request in their own tasks and are then closed, so the
-/// runtime must run on until then, as `open` shows. A request that was read
-/// still receives its response, unless the client disconnects.
-pub async fn serve_until(
-    listener: TcpListener,
+/// A server, built with what it needs beyond a handler and limits.
+pub struct Server {
     limits: ServerLimits,
-    handler: Handler,
+    options: ConnectionOptions,
     overload: Overload,
-    stop: Stop,
     open: OpenConnections,
-) {
-    let mut stopped = stop.clone();
-    let mut accepted_len = 0;
-    loop {
-        accepted_len += 1;
-        if accepted_len % MAX_ACCEPTS_PER_TURN == 0 {
-            // A connection that has come is accepted without waiting.
-            yield_now().await;
-        }
-        let mut accept = Box::pin(listener.accept()).fuse();
-        let accepted = select! {
-            accepted = accept => accepted,
-            // Dropping the listener refuses new connections instead of
-            // accepting requests that cannot be finished.
-            _ = stopped => return,
+    on_close: Rc<dyn Fn(Closed)>,
+}
+
+impl Server {
+    /// Returns a server that is never overloaded and shuts down at once if no
+    /// [`Server::shutdown`] is set.
+    pub fn new(handler: Handler, limits: ServerLimits) -> Server {
+        let (_, shutdown) = shutdown();
+        let header_timeout = limits.header_timeout;
+        let options = ConnectionOptions {
+            handler,
+            shutdown,
+            idle_timeout: Rc::new(move || header_timeout),
+            max_buffer: limits.slow_clients.map(|limits| limits.max_buffer),
         };
-        drop(accept);
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                warn!("http: accept failed: {err}.");
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+        Server {
+            limits,
+            options,
+            overload: Rc::new(|| None),
+            open: OpenConnections::default(),
+            on_close: Rc::new(|_| {}),
+        }
+    }
+
+    /// Sets the shutdown that the server follows.
+    pub fn shutdown(mut self, shutdown: ShutdownWatch) -> Server {
+        self.options.shutdown = shutdown;
+        self
+    }
+
+    /// Sets the response to new connections while there is no time to serve
+    /// their requests.
+    pub fn overload(mut self, overload: Overload) -> Server {
+        self.overload = overload;
+        self
+    }
+
+    /// Sets where open connections are counted.
+    pub fn count_in(mut self, open: OpenConnections) -> Server {
+        self.open = open;
+        self
+    }
+
+    /// Sets what is called whenever a connection has ended.
+    pub fn on_close(mut self, on_close: Rc<dyn Fn(Closed)>) -> Server {
+        self.on_close = on_close;
+        self
+    }
+
+    /// Serves connections until the shutdown says that no more are accepted.
+    /// While the overload returns a response, new connections whose request
+    /// has arrived get that response and are closed, which takes a small part
+    /// of the time of a request.
+    ///
+    /// Returns when the shutdown stops accepting, or up to 50 ms later if an
+    /// accept has just failed.
+    /// Open connections are served in their own tasks, so the runtime must run
+    /// on until they have ended, as [`OpenConnections`] shows.
+    pub async fn run(self, listener: TcpListener) {
+        let server = Rc::new(self);
+        let mut stopped = server.options.shutdown.stop_accepting().fuse();
+        let mut accepted_len = 0;
+        loop {
+            accepted_len += 1;
+            if accepted_len % MAX_ACCEPTS_PER_TURN == 0 {
+                // A connection that has come is accepted without waiting.
+                yield_now().await;
             }
-        };
-        if open.count() >= limits.connections {
+            let mut accept = Box::pin(listener.accept()).fuse();
+            let accepted = select! {
+                accepted = accept => accepted,
+                _ = stopped => break,
+            };
+            drop(accept);
+            match accepted {
+                Ok((stream, _)) => server.clone().begin(stream),
+                Err(err) => {
+                    warn!("http: accept failed: {err}.");
+                    compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+        // Dropping the listener refuses new connections instead of accepting
+        // requests that cannot be finished.
+    }
+
+    /// Serves a connection in a task of its own, or refuses it.
+    fn begin(self: Rc<Server>, stream: TcpStream) {
+        if self.open.count() >= self.limits.connections {
             debug!("http: connection limit reached, closed a new connection.");
-            continue;
+            return;
         }
-        if overload().is_some_and(|response| refuse(&stream, &response)) {
-            continue;
+        let overload = (self.overload)();
+        if overload.is_some_and(|response| refuse(&stream, &response)) {
+            return;
         }
-        let guard = open.open();
-        let handler = handler.clone();
-        let stop = stop.clone();
+        let guard = CountGuard::begin(&self.open.count);
         compio::runtime::spawn(async move {
-            serve_connection(stream, limits, handler, stop).await;
+            // TCP_NODELAY, because streamed tokens are small and must not be
+            // delayed to be sent together; TCP_USER_TIMEOUT, because a
+            // caller's machine that lost power does not close its connection.
+            set_socket_options(&stream, Some(TCP_USER_TIMEOUT));
+            if let Some(slow_clients) = self.limits.slow_clients {
+                set_slow_client_options(&stream, slow_clients);
+            }
+            let closed = connection::serve(stream, &self.options).await;
+            (self.on_close)(closed);
             drop(guard);
         })
         .detach();
@@ -220,47 +280,6 @@
     .await;
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    limits: ServerLimits,
-    handler: Handler,
-    mut stop: Stop,
-) {
-    // TCP_NODELAY, because streamed tokens are small and must not be delayed
-    // to be sent together; TCP_USER_TIMEOUT, because a caller's machine that
-    // lost power does not close its connection.
-    set_socket_options(&stream, Some(TCP_USER_TIMEOUT));
-    if let Some(slow_clients) = limits.slow_clients {
-        set_slow_client_options(&stream, slow_clients);
-    }
-    let service = service_fn(move |request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(CompioTimer).header_read_timeout(limits.header_timeout);
-    if let Some(slow_clients) = limits.slow_clients {
-        builder.max_buf_size(slow_clients.max_buffer);
-    }
-    let mut connection = pin!(
-        builder.serve_connection(HyperStream::new_plain(stream), service)
-    );
-    let ended = select! {
-        served = (&mut connection).fuse() => Some(served),
-        _ = stop => None,
-    };
-    let served = match ended {
-        Some(served) => served,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(err) = served {
-        debug!("http: connection failed: {err}.");
-    }
-}
-
 /// Sets the socket options for a client that may read slowly.
 ///
 /// The kernel applies TCP_USER_TIMEOUT also while the client's receive window
@@ -275,15 +294,6 @@
     }
 }
 
-/// Decrements the number of open connections when dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Reads a request's body of at most `max_len` bytes to its end.
 ///
 /// # Errors
