Serve the connections that wait when no more are accepted

Cause: the listener was dropped with its queue, and with a connection whose accept had completed in the same turn. The stop then ended the process once no connection was counted, although the server had not run since.

The server now prefers a completed accept to the signal, accepts what is queued before it drops the listener, and the stop waits until servers have ended.

--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -410,7 +410,7 @@
     // from the connection.
     let has_duties = || {
         instance.open_requests.get() > 0
-            || connections.count() > 0
+            || !connections.have_ended()
             || instance.held.get().is_some()
     };
     while has_duties() && Instant::now() < end {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::Cell,
     future::{Future, poll_fn},
+    io::ErrorKind,
     mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
@@ -18,7 +19,7 @@
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
-use futures_util::{FutureExt, select};
+use futures_util::{FutureExt, select_biased};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -94,10 +95,11 @@
 /// when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The number of open connections of a server.
+/// The open connections of servers, and whether these accept more.
 #[derive(Clone, Debug, Default)]
 pub struct OpenConnections {
     count: Rc<Cell<usize>>,
+    accepting: Rc<Cell<usize>>,
 }
 
 impl OpenConnections {
@@ -105,6 +107,12 @@
     pub fn count(&self) -> usize {
         self.count.get()
     }
+
+    /// Returns whether no server accepts connections, and none is open. Until
+    /// then, a request or a part of a response may have to be read or sent.
+    pub fn have_ended(&self) -> bool {
+        self.accepting.get() == 0 && self.count.get() == 0
+    }
 }
 
 /// Counts up until it is dropped.
@@ -194,10 +202,11 @@
     /// of the time of a request.
     ///
     /// Returns when the shutdown stops accepting, or up to 50 ms later if an
-    /// accept has just failed.
+    /// accept has just failed. Connections that had come by then are accepted.
     /// Open connections are served in their own tasks, so the runtime must run
     /// on until they have ended, as [`OpenConnections`] shows.
     pub async fn run(self, listener: TcpListener) {
+        let _accepting = CountGuard::begin(&self.open.accepting);
         let server = Rc::new(self);
         let mut stopped = server.options.shutdown.stop_accepting().fuse();
         let mut accepted_len = 0;
@@ -208,7 +217,8 @@
                 yield_now().await;
             }
             let mut accept = Box::pin(listener.accept()).fuse();
-            let accepted = select! {
+            // An accept that has completed is not dropped with its connection.
+            let accepted = select_biased! {
                 accepted = accept => accepted,
                 _ = stopped => break,
             };
@@ -221,10 +231,28 @@
                 }
             }
         }
+        server.accept_queued(&listener);
         // Dropping the listener refuses new connections instead of accepting
         // requests that cannot be finished.
     }
 
+    /// Accepts the connections that the kernel has completed.
+    fn accept_queued(self: &Rc<Server>, listener: &TcpListener) {
+        loop {
+            let accepted = SockRef::from(listener)
+                .accept()
+                .and_then(|(socket, _)| TcpStream::from_std(socket.into()));
+            match accepted {
+                Ok(stream) => self.clone().begin(stream),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return,
+                Err(err) => {
+                    warn!("http: accept failed at the shutdown: {err}.");
+                    return;
+                }
+            }
+        }
+    }
+
     /// Serves a connection in a task of its own, or refuses it.
     fn begin(self: Rc<Server>, stream: TcpStream) {
         if self.open.count() >= self.limits.connections {
