Announce the end of a connection only behind its last request

Of requests that a caller had sent one behind the other, only the first was answered if the signal to stop came while it ran: its response stated `Connection: close`, and the others, sent before, were dropped with hyper's buffer.

The handler stated the end of the connection without knowing of the others. Now the server states it, and only if the request that is answered is the last one that was read and nothing waits in the kernel.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -22,9 +22,9 @@
 use bytes::Bytes;
 use compio::{BufResult, io::AsyncRead, net::TcpStream};
 use cyper_core::HyperStream;
-use http::{HeaderValue, header};
+use http::{HeaderValue, Request, header};
 use hyper::{
-    body::{Body, Frame, SizeHint},
+    body::{Body, Frame, Incoming, SizeHint},
     rt::{Read, ReadBufCursor, Write},
     server::conn::http1,
     service::service_fn,
@@ -51,6 +51,9 @@
 /// The size of the buffer through which bytes pass to the parser.
 const READ_BUF_LEN: usize = 16 << 10;
 
+/// The end of a request's head (RFC 9112, section 2.1).
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// Why a connection has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CloseReason {
@@ -121,11 +124,12 @@
     options: &ConnectionOptions,
 ) -> CloseReason {
     let service = service_fn(|request| {
-        let in_progress = traffic.begin();
+        let in_progress = traffic.begin(&request);
         let response = (options.handler)(request);
         async move {
             let mut response = response.await;
             if options.shutdown.is_announced()
+                && !in_progress.0.may_have_more()
                 && has_arrived(socket) != Arrived::Bytes
             {
                 let close = HeaderValue::from_static("close");
@@ -292,26 +296,56 @@
 }
 
 /// What was read and written on a connection.
+///
+/// Offsets count the bytes that were read since the connection began.
 #[derive(Default)]
 struct Traffic {
     reads: Cell<u64>,
+    read_len: Cell<u64>,
+    /// The number of bytes of [`HEAD_END`] that the last bytes match.
+    matched_len: Cell<usize>,
+    /// The offset at which the head of the first request that was not answered
+    /// ends.
+    head_end: Cell<Option<u64>>,
+    /// Whether it is no longer known where requests begin, because one was
+    /// followed by another before it was answered, or has no stated length.
+    is_unclear: Cell<bool>,
     /// Whether bytes were read that belong to no request in progress.
     is_partial: Cell<bool>,
     is_in_progress: Cell<bool>,
     is_unflushed: Cell<bool>,
     is_end_read: Cell<bool>,
+    /// The offset at which the request in progress ends, if it is known.
+    request_end: Cell<Option<u64>>,
 }
 
 impl Traffic {
     /// Records that a request was parsed.
-    fn begin(self: &Rc<Traffic>) -> InProgress {
+    fn begin(self: &Rc<Traffic>, request: &Request<Incoming>) -> InProgress {
+        let body_len = request.body().size_hint().exact();
+        let head_end = self.head_end.take().filter(|_| !self.is_unclear.get());
+        let request_end = head_end.zip(body_len).map(|(end, len)| end + len);
+        self.request_end.set(request_end);
         self.is_partial.set(false);
         self.is_in_progress.set(true);
         InProgress(self.clone())
     }
 
+    /// Returns whether another request may have been read behind the one in
+    /// progress.
+    fn may_have_more(&self) -> bool {
+        let end = self.request_end.get();
+        end.is_none_or(|end| self.read_len.get() > end)
+    }
+
     fn end(&self) {
+        if self.may_have_more() {
+            self.is_unclear.set(true);
+        }
         self.is_in_progress.set(false);
+        self.request_end.set(None);
+        self.matched_len.set(0);
+        self.head_end.set(None);
     }
 
     /// Returns whether a request is in progress, or its response is not sent.
@@ -327,7 +361,29 @@
         self.reads.set(self.reads.get() + 1);
         if !self.is_in_progress.get() {
             self.is_partial.set(true);
+            self.find_head_end(bytes);
+        }
+        self.read_len.set(self.read_len.get() + bytes.len() as u64);
+    }
+
+    fn find_head_end(&self, bytes: &[u8]) {
+        if self.head_end.get().is_some() || self.is_unclear.get() {
+            return;
+        }
+        let mut matched = self.matched_len.get();
+        for (idx, byte) in bytes.iter().enumerate() {
+            matched = match *byte == HEAD_END[matched] {
+                true => matched + 1,
+                false => usize::from(*byte == HEAD_END[0]),
+            };
+            if matched == HEAD_END.len() {
+                let offset = self.read_len.get() + idx as u64 + 1;
+                self.head_end.set(Some(offset));
+                matched = 0;
+                break;
+            }
         }
+        self.matched_len.set(matched);
     }
 }
 
