Look at an idle connection before it is used again

A caller got 502 for a request that may not be repeated, because the request went out on a connection to an endpoint (or to another instance) which that one had closed before.

Cause: the pool judged an idle connection by what its task had read. While the event loop was late, the end of the connection waited in the kernel, the request was written, and its outcome was unknown. The same class as the connections of callers that were taken to be idle.

The pool now looks at the socket before it uses a connection, and takes another one if bytes or an end have arrived.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -255,14 +255,14 @@
 
 /// What the kernel has received on a connection and nobody has read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Arrived {
+pub(crate) enum Arrived {
     Nothing,
     Bytes,
-    /// The client has shut down its sending side, or the connection failed.
+    /// The other side has shut down its sending side, or the connection failed.
     End,
 }
 
-fn has_arrived(socket: &TcpStream) -> Arrived {
+pub(crate) fn has_arrived(socket: &TcpStream) -> Arrived {
     let mut buf = [MaybeUninit::uninit(); 1];
     match SockRef::from(socket).peek(&mut buf) {
         Ok(0) => Arrived::End,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -29,6 +29,8 @@
 use sedgewall_clock::Instant;
 use socket2::SockRef;
 
+use crate::connection::{Arrived, has_arrived};
+
 /// How long an idle connection is kept if the endpoint sent no `Keep-Alive`
 /// timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(20);
@@ -75,6 +77,7 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    socket: TcpStream,
     /// Drives the connection; dropping the task closes the socket.
     _task: JoinHandle<()>,
     reusable_until: Instant,
@@ -164,8 +167,9 @@
 
     /// Sends a request and waits for the head of the response.
     ///
-    /// Uses an idle connection if there is one. A request that such a
-    /// connection hands back unsent goes to the next connection. A long body
+    /// Uses an idle connection if there is one that the endpoint has not
+    /// closed, as far as the kernel knows. A request that such a connection
+    /// hands back unsent goes to the next connection. A long body
     /// gets a connection of its own, on which unread bytes have no timeout.
     ///
     /// # Errors
@@ -245,8 +249,11 @@
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        idle_connections
-            .retain(|c| !c.sender.is_closed() && now < c.reusable_until);
+        idle_connections.retain(|c| {
+            !c.sender.is_closed()
+                && now < c.reusable_until
+                && has_arrived(&c.socket) == Arrived::Nothing
+        });
         let idx =
             idle_connections.iter().rposition(|c| c.sender.is_ready())?;
         Some(idle_connections.remove(idx))
@@ -281,6 +288,7 @@
         if let Some(max_buffer) = self.max_buffer {
             builder.max_buf_size(max_buffer);
         }
+        let socket = stream.clone();
         let (sender, connection) =
             builder.handshake(HyperStream::new_plain(stream)).await?;
         let task = compio::runtime::spawn(async move {
@@ -291,7 +299,13 @@
         self.opened.set(self.opened.get() + 1);
         let reusable_until = Instant::now() + DEFAULT_KEEP_ALIVE;
         let is_reusable = true;
-        Ok(Connection { sender, _task: task, reusable_until, is_reusable })
+        Ok(Connection {
+            sender,
+            socket,
+            _task: task,
+            reusable_until,
+            is_reusable,
+        })
     }
 
     async fn send_on(
