Stop serving other instances like callers

A caller whose request was forwarded lost the response when the instance that served it stopped: the process ended while the connection to the other instance had 16 MB to send ("error reading a body from connection" in the new test).

Cause: the server for other instances was not told of a stop, and nothing waited for its connections. It now follows the same steps as that for callers, and the stop waits for both. a_forwarded_request_that_arrives_before_the_process_ends passed before too; it guards the connections that other instances keep.

--- a/crates/sedgewalld/src/fleet/catch_up.rs
+++ b/crates/sedgewalld/src/fleet/catch_up.rs
@@ -17,7 +17,8 @@
 use sedgewall_fleet::catch_up::{StateDelta, StateSummary, Step};
 use sedgewall_state::id::InstanceId;
 use sedgewall_transport::{
-    Handler, LocalBody, SendError, ServerLimits, serve, server::read_body,
+    Handler, LocalBody, OpenConnections, SendError, Server, ServerLimits,
+    ShutdownWatch, server::read_body,
 };
 
 use super::{
@@ -185,10 +186,13 @@
     instance.state_summary().has_more_than(before)
 }
 
-/// Serves missing state to other instances. Never returns.
+/// Serves missing state to other instances, and the requests that they
+/// forward, until the instance stops.
 pub(crate) async fn serve_peers(
     instance: Rc<FleetInstance>,
     listener: TcpListener,
+    shutdown: ShutdownWatch,
+    open: OpenConnections,
 ) {
     let limits = ServerLimits {
         connections: instance.settings.limits.connections,
@@ -205,7 +209,11 @@
             None => Box::pin(answer(instance, request, being_served.clone())),
         }
     });
-    serve(listener, limits, handler).await;
+    Server::new(handler, limits)
+        .shutdown(shutdown)
+        .count_in(open)
+        .run(listener)
+        .await;
 }
 
 async fn answer(
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -112,8 +112,15 @@
         notes::receive(instance.clone(), sender.clone(), receiver),
     );
     event_loop.spawn("catch_up", catch_up::run(instance.clone()));
-    compio::runtime::spawn(catch_up::serve_peers(instance.clone(), others))
-        .detach();
+    let connections = OpenConnections::default();
+    let peer_connections = OpenConnections::default();
+    compio::runtime::spawn(catch_up::serve_peers(
+        instance.clone(),
+        others,
+        watch.clone(),
+        peer_connections.clone(),
+    ))
+    .detach();
     event_loop
         .spawn("keys", keys::keep_fresh(instance.clone(), sender.clone()));
     event_loop.spawn("streams", streams::report_begun(instance.clone()));
@@ -128,7 +135,6 @@
     }
     event_loop.spawn("plan", leader::run(instance.clone(), orders));
     event_loop.spawn("reach", reach::run(instance.clone()));
-    let connections = OpenConnections::default();
     compio::runtime::spawn(serve_callers(
         instance.clone(),
         callers,
@@ -147,6 +153,7 @@
     ))
     .detach();
     wait_for_stop(signals).await;
+    let connections = [connections, peer_connections];
     shut_down(&instance, running, &connections).await;
     log.flush();
     Ok(())
@@ -393,7 +400,7 @@
 async fn shut_down(
     instance: &FleetInstance,
     running: Shutdown<Running>,
-    connections: &OpenConnections,
+    connections: &[OpenConnections],
 ) {
     let began = Instant::now();
     tracing::info!(event = "stop", open = instance.open_requests.get());
@@ -410,7 +417,7 @@
     // from the connection.
     let has_duties = || {
         instance.open_requests.get() > 0
-            || !connections.have_ended()
+            || !connections.iter().all(OpenConnections::have_ended)
             || instance.held.get().is_some()
     };
     while has_duties() && Instant::now() < end {
@@ -421,7 +428,7 @@
     tracing::info!(
         event = "stopped",
         cut_off = instance.open_requests.get(),
-        unsent = connections.count(),
+        unsent = connections.iter().map(|c| c.count()).sum::<usize>(),
         took_ms = began.elapsed().as_millis() as u64,
     );
 }
