Keep idle connections as long as the configuration allows

A caller may rest on a connection for four fifths of the idle time of the configuration. The server closed each connection after 60 s, so that requests crossed the end if the configuration allows more than 75 s.

The idle timeout of callers' connections is now the longer of 60 s and the idle time of the configuration in force, also for connections that are open when it changes.

--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -41,8 +41,8 @@
 /// The maximum number of open operator connections.
 const OPERATOR_CONNECTIONS: usize = 64;
 
-/// How long a caller's connection may be idle or take to send its request
-/// headers. Longer than any configuration allows callers.
+/// How long a connection may be idle or take to send its request headers. A
+/// caller's connection may be idle for longer if the configuration allows it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// How long requests are still accepted after a shutdown was announced: until
@@ -201,10 +201,17 @@
     let handler: Handler = Rc::new(move |request| {
         Box::pin(caller::answer(serving.clone(), request, None))
     });
+    let configured = instance.clone();
+    let idle_timeout = move || {
+        let routing = configured.routing();
+        let idle_time = routing.map(|routing| routing.limits.idle_time);
+        idle_time.unwrap_or_default().max(IDLE_TIMEOUT)
+    };
     let overload: Overload =
         Rc::new(move || instance.intake.refuse_connection());
     Server::new(handler, limits)
         .shutdown(shutdown)
+        .idle_timeout(Rc::new(idle_timeout))
         .overload(overload)
         .count_in(open)
         .on_close(Rc::new(record_closed))
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -190,20 +190,27 @@
     options: &'a ConnectionOptions,
     shutdown: ShutdownWatch,
     timer: Pin<Box<dyn Future<Output = ()>>>,
+    /// When the timer completes, counted from when it was set.
+    interval: Duration,
     is_shutting_down: bool,
     quiet_checks: u32,
+    /// How long nothing has arrived, as far as checks have shown.
+    quiet_time: Duration,
     /// The number of reads as of the last check.
     reads: u64,
 }
 
 impl<'a> Closing<'a> {
     fn new(options: &'a ConnectionOptions) -> Closing<'a> {
+        let interval = (options.idle_timeout)();
         Closing {
             options,
             shutdown: options.shutdown.clone(),
-            timer: Box::pin(compio::time::sleep((options.idle_timeout)())),
+            timer: Box::pin(compio::time::sleep(interval)),
+            interval,
             is_shutting_down: false,
             quiet_checks: 0,
+            quiet_time: Duration::ZERO,
             reads: 0,
         }
     }
@@ -218,39 +225,60 @@
     ) -> Poll<CloseReason> {
         if !self.is_shutting_down && self.shutdown.poll_close(cx).is_ready() {
             self.is_shutting_down = true;
-            self.quiet_checks = 0;
-            self.timer = Box::pin(compio::time::sleep(CHECK_INTERVAL));
+            self.start_over(CHECK_INTERVAL);
         }
         while self.timer.as_mut().poll(cx).is_ready() {
-            let interval = match self.is_shutting_down {
-                true => CHECK_INTERVAL,
-                false => (self.options.idle_timeout)(),
-            };
-            self.timer = Box::pin(compio::time::sleep(interval));
-            let reads = traffic.reads.get();
-            let is_quiet = std::mem::replace(&mut self.reads, reads) == reads
-                && has_arrived(socket) != Arrived::Bytes;
-            if !is_quiet || traffic.is_busy() {
-                self.quiet_checks = 0;
-                continue;
-            }
-            self.quiet_checks += 1;
-            let is_partial = traffic.is_partial.get();
-            match (self.is_shutting_down, is_partial) {
-                // The rest of a request may still come.
-                (true, true) => {}
-                (true, false) if self.quiet_checks >= MAX_QUIET_CHECKS => {
-                    return Poll::Ready(CloseReason::Shutdown);
-                }
-                (true, false) => {}
-                (false, true) => {
-                    return Poll::Ready(CloseReason::SlowHeaders);
-                }
-                (false, false) => return Poll::Ready(CloseReason::Idle),
+            if let Some(reason) = self.check(traffic, socket) {
+                return Poll::Ready(reason);
             }
         }
         Poll::Pending
     }
+
+    fn check(
+        &mut self,
+        traffic: &Traffic,
+        socket: &TcpStream,
+    ) -> Option<CloseReason> {
+        let idle_timeout = (self.options.idle_timeout)();
+        let reads = traffic.reads.get();
+        let is_quiet = std::mem::replace(&mut self.reads, reads) == reads
+            && has_arrived(socket) != Arrived::Bytes
+            && !traffic.is_busy();
+        if !is_quiet {
+            self.start_over(match self.is_shutting_down {
+                true => CHECK_INTERVAL,
+                false => idle_timeout,
+            });
+            return None;
+        }
+        self.quiet_checks += 1;
+        self.quiet_time += self.interval;
+        let is_partial = traffic.is_partial.get();
+        if self.is_shutting_down {
+            self.set_timer(CHECK_INTERVAL);
+            // The rest of a request may still come.
+            let is_over = !is_partial && self.quiet_checks >= MAX_QUIET_CHECKS;
+            return is_over.then_some(CloseReason::Shutdown);
+        }
+        // The timeout may have changed since the timer was set.
+        self.set_timer(idle_timeout.saturating_sub(self.quiet_time));
+        (self.quiet_time >= idle_timeout).then_some(match is_partial {
+            true => CloseReason::SlowHeaders,
+            false => CloseReason::Idle,
+        })
+    }
+
+    fn start_over(&mut self, interval: Duration) {
+        self.quiet_checks = 0;
+        self.quiet_time = Duration::ZERO;
+        self.set_timer(interval);
+    }
+
+    fn set_timer(&mut self, interval: Duration) {
+        self.interval = interval;
+        self.timer = Box::pin(compio::time::sleep(interval));
+    }
 }
 
 /// What the kernel has received on a connection and nobody has read.
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -184,6 +184,16 @@
         self
     }
 
+    /// Sets how long a connection may be without a request, instead of the
+    /// header timeout. A change applies to open connections too.
+    pub fn idle_timeout(
+        mut self,
+        idle_timeout: Rc<dyn Fn() -> Duration>,
+    ) -> Server {
+        self.options.idle_timeout = idle_timeout;
+        self
+    }
+
     /// Sets where open connections are counted.
     pub fn count_in(mut self, open: OpenConnections) -> Server {
         self.open = open;
