Refuse requests that may outlast a planned stop

A request that a caller sent late in a planned stop, on a connection that it kept, began although the process could end before it did, and was then cut off. Until now few such requests came, as the connections were closed.

Once the load balancer has had time to notice the stop, a request whose deadline is after the end of the stop is refused at once, as not run, with a short Retry-After and the end of its connection; another instance takes a forwarded one. A request that fits is served.

--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -289,6 +289,7 @@
         request_log::UnansweredGuard::begin(instance, call.clone());
     let last_event = call.metadata.last_event.clone();
     let found = match call.resumed {
+        _ if instance.stops_before(call.deadline) => Err(Reason::Stopping),
         Resumed::Unknown => Err(Reason::StreamVersionUnknown),
         Resumed::None | Resumed::From(_) => {
             retries::send_with_retries(
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -22,7 +22,7 @@
 use super::{
     buffers::SLOW_CALLERS,
     caller, catch_up,
-    instance::{FleetInstance, Stage},
+    instance::{BALANCER_GRACE, FleetInstance, Stage},
     keys, leader, lease, list_watch,
     log_buffer::LogBuffer,
     note_sender, notes,
@@ -45,10 +45,6 @@
 /// caller's connection may be idle for longer if the configuration allows it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// How long requests are still accepted after a shutdown was announced: until
-/// the load balancer has probed readiness twice, one second apart.
-const BALANCER_GRACE: Duration = Duration::from_millis(2_400);
-
 /// The interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -73,6 +73,10 @@
 /// The number of remembered adapter requests above which old ones are dropped.
 const MAX_REMEMBERED_REQUESTS: usize = 512;
 
+/// How long connections are still accepted after a shutdown was announced:
+/// until the load balancer has probed readiness twice, one second apart.
+pub(super) const BALANCER_GRACE: Duration = Duration::from_millis(2_400);
+
 /// The part of the configured grace period (`grace_s`) that is reserved for
 /// ending the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
@@ -502,6 +506,16 @@
         grace.saturating_sub(STOP_MARGIN)
     }
 
+    /// Returns whether a request that has not begun is to be refused, because
+    /// this instance may stop before it has ended. Until the load balancer has
+    /// noticed the stop, a caller may not reach any other instance.
+    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
+        self.leaving_since.get().is_some_and(|since| {
+            since.elapsed() >= BALANCER_GRACE
+                && deadline > since + self.stop_time()
+        })
+    }
+
     pub(crate) fn id(&self) -> &InstanceId {
         &self.settings.instance
     }
--- a/crates/sedgewalld/src/fleet/refusal.rs
+++ b/crates/sedgewalld/src/fleet/refusal.rs
@@ -42,6 +42,8 @@
     BufferFull,
     /// The instance has no processor time to begin the request soon.
     Overloaded,
+    /// The instance stops before the request may have ended.
+    Stopping,
     /// The adapter is on no engine and will not be loaded in time.
     AdapterAbsent,
     /// All endpoints that could serve the request are full.
@@ -88,6 +90,7 @@
             Reason::BodyBroken => "body_broken",
             Reason::BufferFull => "buffer_full",
             Reason::Overloaded => "overloaded",
+            Reason::Stopping => "stopping",
             Reason::AdapterAbsent => "adapter_absent",
             Reason::Full => "full",
             Reason::NobodyThere => "nobody_there",
@@ -118,6 +121,7 @@
             Reason::BodyBroken,
             Reason::BufferFull,
             Reason::Overloaded,
+            Reason::Stopping,
             Reason::AdapterAbsent,
             Reason::Full,
             Reason::NobodyThere,
@@ -144,6 +148,7 @@
                 | Reason::KeysUnsure
                 | Reason::BufferFull
                 | Reason::Overloaded
+                | Reason::Stopping
                 | Reason::NobodyThere
                 | Reason::EndpointsUnreachable
                 | Reason::NoEndpointOfVersion
@@ -222,6 +227,7 @@
             Reason::TooLate
             | Reason::BufferFull
             | Reason::Overloaded
+            | Reason::Stopping
             | Reason::KeysUnsure
             | Reason::StreamVersionUnknown
             | Reason::ConfigurationBehind => {
