Answer requests that have no response when a stop ends

Cause: the process ended while the request waited for its endpoint. Streams that have begun are still cut off.

--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -3,10 +3,12 @@
 
 use std::{
     cell::{OnceCell, RefCell},
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
+use futures_util::{FutureExt, select_biased};
 use http::{HeaderValue, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use sedgewall_clock::Instant;
@@ -265,6 +267,14 @@
     path.map_or(uri, http::Uri::from)
 }
 
+/// Returns why a request has no response when this instance ends.
+fn unanswered(call: &CallerRequest, progress: &Progress) -> Reason {
+    match progress.sends > 0 || call.sent_to.borrow().is_some() {
+        true => Reason::OutcomeUnknown,
+        false => Reason::Stopping,
+    }
+}
+
 async fn serve(
     instance: &Rc<FleetInstance>,
     call: Rc<CallerRequest>,
@@ -292,13 +302,17 @@
         _ if instance.stops_before(call.deadline) => Err(Reason::Stopping),
         Resumed::Unknown => Err(Reason::StreamVersionUnknown),
         Resumed::None | Resumed::From(_) => {
-            retries::send_with_retries(
+            let sending = retries::send_with_retries(
                 instance,
                 &call,
                 &mut progress,
                 last_event.as_deref(),
-            )
-            .await
+            );
+            let found = select_biased! {
+                found = pin!(sending.fuse()) => Some(found),
+                () = pin!(instance.stop_ended().fuse()) => None,
+            };
+            found.unwrap_or_else(|| Err(unanswered(&call, &progress)))
         }
     };
     let response = match found {
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -48,6 +48,10 @@
 /// The interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long a shutdown waits for the answers to requests that have not ended by
+/// its end.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
+
 /// Runs an instance until it is told to stop.
 pub(crate) fn run(
     settings: Settings,
@@ -426,6 +430,13 @@
     while has_duties() && Instant::now() < end {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    instance.end_stop();
+    let end = Instant::now() + LAST_ANSWERS_TIME;
+    while !connections.iter().all(OpenConnections::have_ended)
+        && Instant::now() < end
+    {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
     // Gives the last responses time to be sent.
     compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     tracing::info!(
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -10,6 +10,7 @@
 };
 
 use futures_channel::oneshot;
+use futures_util::{FutureExt, future::Shared};
 use sedgewall_clock::Instant;
 use sedgewall_coordination::lease::{AnnouncedLease, WriteAnswer};
 use sedgewall_fleet::{
@@ -198,6 +199,9 @@
     pub(crate) stage: Cell<Stage>,
     /// When the instance was told to stop.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// Ends the time in which a stop waits for requests.
+    end_of_stop: RefCell<Option<oneshot::Sender<()>>>,
+    stop_ended: Shared<oneshot::Receiver<()>>,
     pub(crate) routing: RefCell<Option<Rc<RoutingConfiguration>>>,
     /// When the configuration was last read, from the store or another
     /// instance.
@@ -407,6 +411,7 @@
             Some(_) => EndpointPool::with_max_buffer(CONNECTION_BUFFER),
             None => EndpointPool::new(),
         };
+        let (end_of_stop, stop_ended) = oneshot::channel();
         Rc::new(FleetInstance {
             settings,
             fleet,
@@ -415,6 +420,8 @@
             intake: IntakeQueue::default(),
             stage: Cell::new(Stage::Starting),
             leaving_since: Cell::new(None),
+            end_of_stop: RefCell::new(Some(end_of_stop)),
+            stop_ended: stop_ended.shared(),
             routing: RefCell::default(),
             configuration_read: Cell::default(),
             catch_up: RefCell::default(),
@@ -516,6 +523,17 @@
         })
     }
 
+    /// Has requests that still wait for a response answered now, because the
+    /// process ends.
+    pub(crate) fn end_stop(&self) {
+        self.end_of_stop.take();
+    }
+
+    /// Completes when a request that has no response yet must be answered.
+    pub(crate) fn stop_ended(&self) -> impl Future<Output = ()> + use<> {
+        self.stop_ended.clone().map(|_| ())
+    }
+
     pub(crate) fn id(&self) -> &InstanceId {
         &self.settings.instance
     }
