Read a refused request to its end before its connection is closed

Under overload a caller with a long request saw a reset instead of the refusal ("Connection reset by peer" in the new test, for 1 MiB).

Cause: the server read 16 KiB of a new connection, sent the response and closed it. The kernel answers unread bytes with a reset, which discards the response. The sending side is now shut down, and the rest is read for up to a second, for 128 connections at a time. The new test failed before and passes.

--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -18,7 +18,10 @@
 };
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
 use futures_util::{FutureExt, select_biased};
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -28,7 +31,7 @@
 
 use crate::{
     body::LocalBody,
-    connection::{self, Closed, ConnectionOptions},
+    connection::{self, Closed, ConnectionOptions, linger},
     pool::{TCP_USER_TIMEOUT, set_socket_options},
     shutdown::{ShutdownWatch, shutdown},
 };
@@ -87,10 +90,17 @@
 /// loop. More of them may have come than can be served.
 const MAX_ACCEPTS_PER_TURN: u64 = 64;
 
-/// The number of bytes of a request that are read before it is refused. Closing
-/// a connection with unread bytes may discard the response to them.
+/// The number of bytes of a request that are read before it is refused. The
+/// rest is read after the response.
 const REFUSED_READ_LEN: usize = 16 << 10;
 
+/// The maximum number of connections that are being refused at once, each of
+/// which takes a file descriptor.
+const MAX_REFUSALS: usize = 128;
+
+/// How long a refused connection may take to take the response.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The delay before the next accept after one failed, which mostly happens
 /// when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -147,6 +157,7 @@
     options: ConnectionOptions,
     overload: Overload,
     open: OpenConnections,
+    refusals: Rc<Cell<usize>>,
     on_close: Rc<dyn Fn(Closed)>,
 }
 
@@ -167,6 +178,7 @@
             options,
             overload: Rc::new(|| None),
             open: OpenConnections::default(),
+            refusals: Rc::default(),
             on_close: Rc::new(|_| {}),
         }
     }
@@ -269,8 +281,10 @@
             debug!("http: connection limit reached, closed a new connection.");
             return;
         }
-        let overload = (self.overload)();
-        if overload.is_some_and(|response| refuse(&stream, &response)) {
+        if let Some(response) = (self.overload)()
+            && discard_request(&stream)
+        {
+            self.spawn_refusal(stream, response);
             return;
         }
         let guard = CountGuard::begin(&self.open.count);
@@ -288,21 +302,39 @@
         })
         .detach();
     }
+
+    /// Responds to the request on a new connection without parsing it. Beyond [`MAX_REFUSALS`] at once, connections are closed.
+    fn spawn_refusal(
+        self: Rc<Server>,
+        mut stream: TcpStream,
+        response: Bytes,
+    ) {
+        if self.refusals.get() >= MAX_REFUSALS {
+            debug!("http: too many refusals, closed a new connection.");
+            return;
+        }
+        let guard = CountGuard::begin(&self.refusals);
+        compio::runtime::spawn(async move {
+            let refusing = async { stream.write_all(response).await.0 };
+            let sent = compio::time::timeout(REFUSAL_TIMEOUT, refusing).await;
+            match sent {
+                Ok(Ok(())) => linger(stream).await,
+                Ok(Err(err)) => {
+                    debug!("http: cannot refuse a connection: {err}.");
+                }
+                Err(_) => debug!("http: a refused connection takes nothing."),
+            }
+            drop(guard);
+        })
+        .detach();
+    }
 }
 
-/// Responds to the request on a new connection without parsing it. Returns
-/// whether there was one.
-fn refuse(stream: &TcpStream, response: &[u8]) -> bool {
-    let socket = SockRef::from(stream);
+/// Reads what has come of the request on a new connection. Returns whether
+/// there was anything.
+fn discard_request(stream: &TcpStream) -> bool {
     let mut buf = [MaybeUninit::uninit(); REFUSED_READ_LEN];
-    if socket.recv(&mut buf).is_err() {
-        // The request has not come yet.
-        return false;
-    }
-    if let Err(err) = socket.send(response) {
-        debug!("http: cannot refuse a connection: {err}.");
-    }
-    true
+    SockRef::from(stream).recv(&mut buf).is_ok()
 }
 
 /// Lets all other tasks that are ready run before the caller goes on.
--- a/crates/transport/tests/server.rs
+++ b/crates/transport/tests/server.rs
@@ -1,6 +1,13 @@
 //! Tests of when the server ends the connections of clients.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    rc::Rc,
+    thread::JoinHandle,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use compio::net::TcpListener;
@@ -66,3 +73,53 @@
         assert_eq!(pool.connections_opened(), 2);
     });
 }
+
+/// The length of a body that does not fit into what the server reads before it
+/// refuses a request.
+const LONG_BODY: usize = 1 << 20;
+
+/// Sends a request with a long body, and then reads the response.
+fn send_long(address: SocketAddr) -> JoinHandle<String> {
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).expect("a server");
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: one\r\ncontent-length: {LONG_BODY}\r\n\r\n"
+        );
+        let request = [head.into_bytes(), vec![b'x'; LONG_BODY]].concat();
+        stream.write_all(&request).expect("the whole request is taken");
+        let mut response = String::new();
+        stream.read_to_string(&mut response).expect("a response");
+        response
+    })
+}
+
+async fn joined(client: JoinHandle<String>) -> String {
+    while !client.is_finished() {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    client.join().expect("a client")
+}
+
+/// Guards against refusals under overload that a reset discards, because the
+/// rest of the request was not read.
+#[test]
+fn an_overloaded_server_refuses_a_long_request_with_a_response() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let refusal = Bytes::from_static(
+            b"HTTP/1.1 503 Overloaded\r\ncontent-length: 0\r\n\r\n",
+        );
+        let (_running, watch) = shutdown();
+        let server = Server::new(handler(), LIMITS)
+            .shutdown(watch)
+            .overload(Rc::new(move || Some(refusal.clone())));
+        let client = send_long(address);
+        // The request has come when the connection is accepted.
+        std::thread::sleep(SHORT_IDLE);
+        compio::runtime::spawn(server.run(listener)).detach();
+        let response = joined(client).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    });
+}
