Refuse connections beyond the limit with a response

A caller whose connection was beyond the limit saw it closed without a word, as if its request might have run ("closed before the request was sent" in the new test).

Its request now gets 503 as not run, with a short Retry-After, once it has come or not at all within a second, for 128 connections at a time. The new test failed before and passes.

--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -19,7 +19,8 @@
 
 use bytes::Bytes;
 use compio::{
-    io::AsyncWriteExt,
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 use futures_util::{FutureExt, select_biased};
@@ -45,8 +46,8 @@
 /// The limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// The number of connections open at once; a connection beyond it is
-    /// closed when it is accepted.
+    /// The number of connections open at once; the request of a connection
+    /// beyond it is refused as not run.
     pub connections: usize,
     /// The time within which the headers of a request must be received.
     pub header_timeout: Duration,
@@ -98,9 +99,14 @@
 /// which takes a file descriptor.
 const MAX_REFUSALS: usize = 128;
 
-/// How long a refused connection may take to take the response.
+/// How long a refused connection may take to send its request, and to take the
+/// response.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The response to connections beyond the limit, whose requests have not run.
+const LIMIT_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    connection: close\r\nretry-after: 0.100\r\ncontent-length: 0\r\n\r\n";
+
 /// The delay before the next accept after one failed, which mostly happens
 /// when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -278,13 +284,15 @@
     /// Serves a connection in a task of its own, or refuses it.
     fn begin(self: Rc<Server>, stream: TcpStream) {
         if self.open.count() >= self.limits.connections {
-            debug!("http: connection limit reached, closed a new connection.");
+            debug!("http: connection limit reached.");
+            let response = Bytes::from_static(LIMIT_RESPONSE);
+            self.spawn_refusal(stream, response, false);
             return;
         }
         if let Some(response) = (self.overload)()
             && discard_request(&stream)
         {
-            self.spawn_refusal(stream, response);
+            self.spawn_refusal(stream, response, true);
             return;
         }
         let guard = CountGuard::begin(&self.open.count);
@@ -303,11 +311,13 @@
         .detach();
     }
 
-    /// Responds to the request on a new connection without parsing it. Beyond [`MAX_REFUSALS`] at once, connections are closed.
+    /// Responds to the request on a new connection without parsing it, once it
+    /// has come. Beyond [`MAX_REFUSALS`] at once, connections are closed.
     fn spawn_refusal(
         self: Rc<Server>,
         mut stream: TcpStream,
         response: Bytes,
+        has_come: bool,
     ) {
         if self.refusals.get() >= MAX_REFUSALS {
             debug!("http: too many refusals, closed a new connection.");
@@ -315,14 +325,21 @@
         }
         let guard = CountGuard::begin(&self.refusals);
         compio::runtime::spawn(async move {
-            let refusing = async { stream.write_all(response).await.0 };
+            let refusing = async {
+                if !has_come {
+                    let buf = Vec::with_capacity(REFUSED_READ_LEN);
+                    let BufResult(read, _) = stream.read(buf).await;
+                    read?;
+                }
+                stream.write_all(response).await.0
+            };
             let sent = compio::time::timeout(REFUSAL_TIMEOUT, refusing).await;
             match sent {
                 Ok(Ok(())) => linger(stream).await,
                 Ok(Err(err)) => {
                     debug!("http: cannot refuse a connection: {err}.");
                 }
-                Err(_) => debug!("http: a refused connection takes nothing."),
+                Err(_) => debug!("http: no request on a refused connection."),
             }
             drop(guard);
         })
--- a/crates/transport/tests/server.rs
+++ b/crates/transport/tests/server.rs
@@ -123,3 +123,25 @@
         assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
     });
 }
+
+/// Guards against connections beyond the limit that are closed without a
+/// response.
+#[test]
+fn a_request_beyond_the_connection_limit_gets_a_response() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (_running, watch) = shutdown();
+        let limits = ServerLimits { connections: 1, ..LIMITS };
+        let server = Server::new(handler(), limits).shutdown(watch);
+        compio::runtime::spawn(server.run(listener)).detach();
+        let first = EndpointPool::new();
+        assert_eq!(get(&first, address).await, StatusCode::OK);
+        let second = EndpointPool::new();
+        let status = get(&second, address).await;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        let response = joined(send_long(address)).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    });
+}
