Give callers that pause the time that others have

A caller that did not read for 4 s got 12 kB of a response of 330 kB, and then a reset, where an instance has no budget of buffered bytes.

Cause: TCP_USER_TIMEOUT of 1.5 s on each connection of a caller. The kernel counts it also while the receive window is closed, so that a pause was taken for a lost machine. With a budget, 10 s applied already. It now applies to all callers, and to other instances that read a forwarded response.

a_caller_that_pauses_gets_its_whole_response_without_a_budget failed before and passes.

--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -33,7 +33,7 @@
 use crate::{
     body::LocalBody,
     connection::{self, Closed, ConnectionOptions, linger},
-    pool::{TCP_USER_TIMEOUT, set_socket_options},
+    pool::set_socket_options,
     shutdown::{ShutdownWatch, shutdown},
 };
 
@@ -53,7 +53,7 @@
     pub header_timeout: Duration,
     /// The limits for clients that read slowly. Without them, a connection
     /// may buffer megabytes, and is closed once its client has not read for
-    /// [`TCP_USER_TIMEOUT`].
+    /// [`UNREAD_TIMEOUT`].
     pub slow_clients: Option<SlowClientLimits>,
 }
 
@@ -87,6 +87,12 @@
 
 impl std::error::Error for BodyError {}
 
+/// How long a client may leave sent bytes unread or unacknowledged before its
+/// connection is closed, unless [`SlowClientLimits`] say otherwise. The kernel
+/// counts the time also while the client's receive window is closed, so that a
+/// shorter one would cut off a client that pauses.
+pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The maximum number of connections that are accepted in one turn of the event
 /// loop. More of them may have come than can be served.
 const MAX_ACCEPTS_PER_TURN: u64 = 64;
@@ -300,7 +306,7 @@
             // TCP_NODELAY, because streamed tokens are small and must not be
             // delayed to be sent together; TCP_USER_TIMEOUT, because a
             // caller's machine that lost power does not close its connection.
-            set_socket_options(&stream, Some(TCP_USER_TIMEOUT));
+            set_socket_options(&stream, Some(UNREAD_TIMEOUT));
             if let Some(slow_clients) = self.limits.slow_clients {
                 set_slow_client_options(&stream, slow_clients);
             }
