Tell callers with chunked bodies of a planned stop

A caller whose requests have chunked bodies got no `Connection: close` from an instance that stops, however many requests it sent. It went on using its connection to the end of the stop, held the stop to the end of the grace period, and was cut off there.

A response announces the end of its connection only if no other request may have been read behind the one that it answers, and that was known only for bodies with a stated length. The same held for the rest of a connection once two requests had been sent one behind the other on it.

hyper reads from a connection in the middle of a message only when its buffer is empty, so that a last read which found nothing shows that nothing lies behind the request. The new test, 20 chunked requests on one connection of a server that has announced its shutdown, got 20 responses without an announcement before, and gets it with the first one now.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -338,6 +338,9 @@
     /// Whether it is no longer known where requests begin, because one was
     /// followed by another before it was answered, or has no stated length.
     is_unclear: Cell<bool>,
+    /// Whether the last read found nothing. hyper reads only when it has used
+    /// up its buffer but for a part of a message.
+    is_read_pending: Cell<bool>,
     /// Whether bytes were read that belong to no request in progress.
     is_partial: Cell<bool>,
     is_in_progress: Cell<bool>,
@@ -362,6 +365,9 @@
     /// Returns whether another request may have been read behind the one in
     /// progress.
     fn may_have_more(&self) -> bool {
+        if self.is_read_pending.get() {
+            return false;
+        }
         let end = self.request_end.get();
         end.is_none_or(|end| self.read_len.get() > end)
     }
@@ -473,6 +479,7 @@
             let inner = Pin::new(&mut self.inner);
             let bytes = &mut bytes[..len];
             let read = futures_util::AsyncRead::poll_read(inner, cx, bytes);
+            self.traffic.is_read_pending.set(read.is_pending());
             let read_len = ready!(read)?;
             self.traffic.record_read(&bytes[..read_len]);
             buf.put_slice(&bytes[..read_len]);
--- a/crates/transport/tests/server.rs
+++ b/crates/transport/tests/server.rs
@@ -13,7 +13,8 @@
 use compio::net::TcpListener;
 use http::{Request, Response, StatusCode};
 use sedgewall_transport::{
-    EndpointPool, Handler, LocalBody, Server, ServerLimits, shutdown,
+    EndpointPool, Handler, LocalBody, Server, ServerLimits, server::read_body,
+    shutdown,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -93,7 +94,7 @@
     })
 }
 
-async fn joined(client: JoinHandle<String>) -> String {
+async fn joined<T>(client: JoinHandle<T>) -> T {
     while !client.is_finished() {
         compio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -145,3 +146,56 @@
         assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
     });
 }
+
+/// How often and how long apart a client uses its connection during a stop.
+const REQUESTS: usize = 20;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sends requests with chunked bodies on one connection until a response states
+/// that it is closed. Returns the number of responses.
+fn send_chunked(address: SocketAddr) -> JoinHandle<usize> {
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).expect("a server");
+        let request = "POST / HTTP/1.1\r\nhost: one\r\n\
+                       transfer-encoding: chunked\r\n\r\n\
+                       6\r\nprompt\r\n0\r\n\r\n";
+        for n in 1..=REQUESTS {
+            stream.write_all(request.as_bytes()).expect("a connection");
+            let mut response = Vec::new();
+            while !response.ends_with(b"\r\n\r\nok") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("a response");
+                response.push(byte[0]);
+            }
+            let response = String::from_utf8(response).expect("text");
+            if response.contains("connection: close") {
+                return n;
+            }
+            std::thread::sleep(REQUEST_INTERVAL);
+        }
+        panic!("no response states that the connection is closed");
+    })
+}
+
+/// Guards against clients that never learn of a shutdown, because their bodies
+/// state no length: they hold it to its end, which cuts them off.
+#[test]
+fn a_client_that_sends_chunked_bodies_is_told_of_a_shutdown() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (running, watch) = shutdown();
+        let handler: Handler = Rc::new(|request| {
+            Box::pin(async {
+                let body = read_body(request.into_body(), 64, CONNECT_TIMEOUT);
+                body.await.expect("a whole body");
+                Response::new(LocalBody::full("ok"))
+            })
+        });
+        let server = Server::new(handler, LIMITS).shutdown(watch);
+        compio::runtime::spawn(server.run(listener)).detach();
+        let _announced = running.announce();
+        assert_eq!(joined(send_chunked(address)).await, 1);
+    });
+}
