End connections whose headers never end

A client that sent the headers of a request byte by byte kept its connection, and a place among those that the server allows, for as long as it liked: hyper's limit on the time of the headers had been replaced by one on the time without a byte.

The time is counted again from the first byte that belongs to no request in progress. It is judged right after the connection was read, and not while bytes wait in the kernel, so that headers that arrived while the event loop was late still count as arrived.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -30,6 +30,7 @@
     service::service_fn,
 };
 use log::debug;
+use sedgewall_clock::Instant;
 use socket2::SockRef;
 
 use crate::{body::LocalBody, server::Handler, shutdown::ShutdownWatch};
@@ -241,9 +242,18 @@
         socket: &TcpStream,
     ) -> Option<CloseReason> {
         let idle_timeout = (self.options.idle_timeout)();
+        let has_arrived = has_arrived(socket) == Arrived::Bytes;
+        let partial_since = traffic.partial_since.get();
+        // Headers that come byte by byte are never quiet.
+        if !self.is_shutting_down
+            && !has_arrived
+            && partial_since.is_some_and(|at| at.elapsed() >= idle_timeout)
+        {
+            return Some(CloseReason::SlowHeaders);
+        }
         let reads = traffic.reads.get();
         let is_quiet = std::mem::replace(&mut self.reads, reads) == reads
-            && has_arrived(socket) != Arrived::Bytes
+            && !has_arrived
             && !traffic.is_busy();
         if !is_quiet {
             self.start_over(match self.is_shutting_down {
@@ -254,7 +264,7 @@
         }
         self.quiet_checks += 1;
         self.quiet_time += self.interval;
-        let is_partial = traffic.is_partial.get();
+        let is_partial = partial_since.is_some();
         if self.is_shutting_down {
             self.set_timer(CHECK_INTERVAL);
             // The rest of a request may still come.
@@ -341,8 +351,8 @@
     /// Whether the last read found nothing. hyper reads only when it has used
     /// up its buffer but for a part of a message.
     is_read_pending: Cell<bool>,
-    /// Whether bytes were read that belong to no request in progress.
-    is_partial: Cell<bool>,
+    /// When the first bytes were read that belong to no request in progress.
+    partial_since: Cell<Option<Instant>>,
     is_in_progress: Cell<bool>,
     is_unflushed: Cell<bool>,
     is_end_read: Cell<bool>,
@@ -357,7 +367,7 @@
         let head_end = self.head_end.take().filter(|_| !self.is_unclear.get());
         let request_end = head_end.zip(body_len).map(|(end, len)| end + len);
         self.request_end.set(request_end);
-        self.is_partial.set(false);
+        self.partial_since.set(None);
         self.is_in_progress.set(true);
         InProgress(self.clone())
     }
@@ -394,7 +404,8 @@
         }
         self.reads.set(self.reads.get() + 1);
         if !self.is_in_progress.get() {
-            self.is_partial.set(true);
+            let since = self.partial_since.get();
+            self.partial_since.set(since.or_else(|| Some(Instant::now())));
             self.find_head_end(bytes);
         }
         self.read_len.set(self.read_len.get() + bytes.len() as u64);
--- a/crates/transport/tests/server.rs
+++ b/crates/transport/tests/server.rs
@@ -199,3 +199,33 @@
         assert_eq!(joined(send_chunked(address)).await, 1);
     });
 }
+
+/// Guards against connections that are held by headers which come byte by byte
+/// and never end.
+#[test]
+fn headers_that_come_too_slowly_end_their_connection() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (_running, watch) = shutdown();
+        let server = Server::new(handler(), LIMITS)
+            .shutdown(watch)
+            .idle_timeout(Rc::new(|| SHORT_IDLE));
+        compio::runtime::spawn(server.run(listener)).detach();
+        let client = std::thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).expect("a server");
+            stream.set_nonblocking(true).expect("a socket option");
+            stream.write_all(b"GET / HTTP/1.1\r\nslow: ").expect("taken");
+            for _ in 0..REQUESTS {
+                std::thread::sleep(REQUEST_INTERVAL);
+                let _ = stream.write_all(b"x");
+                if matches!(stream.read(&mut [0]), Ok(0)) {
+                    return;
+                }
+            }
+            panic!("the connection is still open");
+        });
+        joined(client).await;
+    });
+}
