Look only at the idle connection that is used

Each request to an endpoint looked, with a system call each, at all idle connections to it. Only the one that is taken needs the look: if it has ended or holds bytes, the next one is tried. Connections that hyper knows to be closed are removed as before.

That a connection which was closed unnoticed is not used again is tested already.

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -249,14 +249,17 @@
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        idle_connections.retain(|c| {
-            !c.sender.is_closed()
-                && now < c.reusable_until
-                && has_arrived(&c.socket) == Arrived::Nothing
-        });
-        let idx =
-            idle_connections.iter().rposition(|c| c.sender.is_ready())?;
-        Some(idle_connections.remove(idx))
+        idle_connections
+            .retain(|c| !c.sender.is_closed() && now < c.reusable_until);
+        loop {
+            let idx =
+                idle_connections.iter().rposition(|c| c.sender.is_ready())?;
+            let connection = idle_connections.remove(idx);
+            // Costs a system call, so that others are not looked at.
+            if has_arrived(&connection.socket) == Arrived::Nothing {
+                return Some(connection);
+            }
+        }
     }
 
     async fn connect(
