Let a restored copy end no incarnation of an endpoint

Cause: after a restore the store showed the endpoint's incarnation before the known one (93@4). Any entry of another incarnation ended the known one, so that the entries which this wrote next were ignored, the draining one (113@4) too.

An entry now ends the known incarnation only if it was certainly written later: a copy may hold an entry with a number that is not higher. Otherwise the known incarnation is replaced and may come back, as one that was known from its own reports only. For a second its reports count as late, like those.

A third test, that an incarnation which was known across a restore still ends with the next one, passed before too.

--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -4,9 +4,10 @@
 //! An endpoint states the time of its start, which distinguishes its
 //! incarnations. Clocks may be set back, so a later start time need not mean a
 //! later incarnation. The invariants: an incarnation that was followed by
-//! another one has ended, whatever still arrives from it; and what the store
-//! held before an incarnation's first entry says nothing about that
-//! incarnation.
+//! another one has ended, whatever still arrives from it; what the store held
+//! before an incarnation's first entry says nothing about that incarnation;
+//! and an entry that a restored copy of the store may have held ends no
+//! incarnation, since it may show an earlier one.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -79,10 +80,9 @@
     /// The listed incarnation that a report of a new one has replaced, and the
     /// time until which its entries are taken for late ones.
     superseded: Option<(Incarnation, Instant)>,
-    /// Incarnations that were known from their own reports only and were
-    /// replaced, and the time until which their reports are taken for late
-    /// ones. Their entries may still arrive.
-    unlisted: VecDeque<(Incarnation, Instant)>,
+    /// Replaced incarnations that may not have ended, and the time until which
+    /// their reports are taken for late ones. Their entries may still arrive.
+    replaced: VecDeque<(Incarnation, Instant)>,
     /// Incarnations that were followed by another one.
     ended: VecDeque<Incarnation>,
     last_heard: Instant,
@@ -110,8 +110,8 @@
             return IncarnationStatus::Ended;
         }
         match known.is_listed {
-            true => known.end(known.born),
-            false => known.replace_unlisted(now),
+            true => known.follow(known.born, revision, now),
+            false => known.replace(known.born, now),
         }
         known.born = born;
         known.confirm_listed(revision, now);
@@ -141,7 +141,7 @@
             return IncarnationStatus::Current;
         }
         let is_late = known
-            .unlisted
+            .replaced
             .iter()
             .any(|(left, until)| *left == born && now < *until);
         if is_late || known.is_over(born, now) {
@@ -151,7 +151,7 @@
             true => {
                 known.superseded = Some((known.born, now + MAX_ENTRY_DELAY))
             }
-            false => known.replace_unlisted(now),
+            false => known.replace(known.born, now),
         }
         known.born = born;
         known.is_listed = false;
@@ -192,22 +192,30 @@
             is_listed: true,
             revision,
             superseded: None,
-            unlisted: VecDeque::new(),
+            replaced: VecDeque::new(),
             ended: VecDeque::new(),
             last_heard: now,
         }
     }
 
-    /// Records that an entry shows the current incarnation, which ends the
-    /// previous one.
+    /// Records that an entry shows the current incarnation.
     fn confirm_listed(&mut self, revision: Revision, now: Instant) {
-        self.is_listed = true;
-        self.revision = self.revision.max(revision);
-        self.last_heard = now;
         if let Some((superseded, _)) = self.superseded.take()
             && superseded != self.born
         {
-            self.end(superseded);
+            self.follow(superseded, revision, now);
+        }
+        self.is_listed = true;
+        self.revision = self.revision.max(revision);
+        self.last_heard = now;
+    }
+
+    /// Records that an entry shows another incarnation than the listed one.
+    /// This ends the listed one only if the entry was certainly written later.
+    fn follow(&mut self, born: Incarnation, revision: Revision, now: Instant) {
+        match revision.is_certainly_after(self.revision) {
+            true => self.end(born),
+            false => self.replace(born, now),
         }
     }
 
@@ -218,10 +226,10 @@
         }
     }
 
-    fn replace_unlisted(&mut self, now: Instant) {
-        self.unlisted.push_back((self.born, now + MAX_REPORT_DELAY));
-        if self.unlisted.len() > MAX_ENDED {
-            self.unlisted.pop_front();
+    fn replace(&mut self, born: Incarnation, now: Instant) {
+        self.replaced.push_back((born, now + MAX_REPORT_DELAY));
+        if self.replaced.len() > MAX_ENDED {
+            self.replaced.pop_front();
         }
     }
 
--- a/crates/fleet/tests/restore_rules.rs
+++ b/crates/fleet/tests/restore_rules.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
-use common::endpoint;
+use std::time::Duration;
+
+use common::{endpoint, report};
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
     departure::Departure,
-    endpoint::Endpoint,
+    endpoint::{Endpoint, EngineReport},
+    incarnation::Incarnation,
     lease_era::{epoch_floor, era_of},
     revision::{Revision, StoreEra},
     view::FleetView,
@@ -80,6 +83,36 @@
     assert!(!is_usable(&view));
 }
 
+/// Guards against requests to an endpoint that drains: a late report of an
+/// incarnation and a restored copy that shows it must not end a later one.
+#[test]
+fn a_reported_incarnation_that_a_copy_shows_does_not_end_a_later_one() {
+    let started_at = |ms, endpoint| Endpoint { born: Some(ms), ..endpoint };
+    let now = Instant::now();
+    let mut view = view_of(vec![started_at(2_000, entry(1, 106, false))]);
+    let report = EngineReport { born: Some(1_000), ..report(&[], 0) };
+    view.apply_report(&id(), &report, now);
+    view.apply_entry(started_at(1_000, entry(2, 93, false)), now);
+    view.apply_entry(started_at(2_000, entry(2, 113, true)), now);
+    assert!(!is_usable(&view));
+}
+
+/// Guards against a restart that goes unnoticed: an incarnation that was known
+/// across a restore still ends with the next one.
+#[test]
+fn an_incarnation_that_ends_after_a_restore_does_not_come_back() {
+    let started_at = |ms, endpoint| Endpoint { born: Some(ms), ..endpoint };
+    let now = Instant::now();
+    let mut view = view_of(vec![
+        started_at(1_000, entry(1, 106, false)),
+        started_at(1_000, entry(2, 93, false)),
+        started_at(2_000, entry(2, 101, false)),
+    ]);
+    let late = EngineReport { born: Some(1_000), ..report(&[], 0) };
+    assert!(!view.apply_report(&id(), &late, now + Duration::from_secs(5)));
+    assert_eq!(view.incarnation(&id()), Some(2_000));
+}
+
 #[test]
 fn a_late_entry_of_an_earlier_era_changes_nothing() {
     let view = view_of(vec![entry(2, 450, true), entry(1, 480, false)]);
@@ -145,6 +178,24 @@
     ]
 }
 
+/// What happens to an endpoint that states its incarnation, and to the store.
+#[derive(Clone, Copy, Debug)]
+enum Life {
+    /// Any other object is written.
+    Other,
+    Restart,
+    /// The store is restored from a copy with this many writes less.
+    Restore(usize),
+}
+
+fn life() -> impl Strategy<Value = Life> {
+    prop_oneof![
+        4 => Just(Life::Other),
+        2 => Just(Life::Restart),
+        1 => (1_usize..6).prop_map(Life::Restore),
+    ]
+}
+
 /// A store with one entry whose history can be cut.
 #[derive(Clone, Debug)]
 struct ModelStore {
@@ -224,6 +275,54 @@
         }
     }
 
+    /// An endpoint's newest entry applies, whichever earlier incarnations the
+    /// copies showed from which the store was restored.
+    #[test]
+    fn the_newest_incarnation_applies_after_restores(
+        steps in prop::collection::vec((life(), learned()), 1..60),
+        is_draining in any::<bool>(),
+    ) {
+        let now = Instant::now();
+        let mut era = 1;
+        let mut born: Incarnation = 1_000;
+        let mut history = vec![born];
+        let shown_at = |era, history: &[Incarnation], is_draining| {
+            let last = *history.last().expect("an entry");
+            let first = history.iter().rposition(|born| *born != last);
+            let number = first.map_or(1, |first| first as u64 + 2);
+            Endpoint { born: Some(last), ..entry(era, number, is_draining) }
+        };
+        let mut shown = vec![shown_at(era, &history, false)];
+        let mut view = FleetView::new("z1");
+        for (life, learned) in steps {
+            match life {
+                Life::Other => history.push(*history.last().expect("an entry")),
+                Life::Restart => {
+                    born += 1_000;
+                    history.push(born);
+                }
+                Life::Restore(lost) => {
+                    era += 1;
+                    let kept = history.len().saturating_sub(lost).max(1);
+                    history.truncate(kept);
+                }
+            }
+            shown.push(shown_at(era, &history, false));
+            let back = match learned {
+                Learned::Entry => 0,
+                Learned::LateEntry(back) => back,
+                Learned::Nothing | Learned::Departure(_) => continue,
+            };
+            let late = shown[shown.len().saturating_sub(1 + back)].clone();
+            view.apply_entry(late, now);
+        }
+        let number = history.len() as u64 + 1;
+        let newest = entry(era, number, is_draining);
+        view.apply_entry(Endpoint { born: Some(born), ..newest }, now);
+        prop_assert_eq!(view.incarnation(&id()), Some(born));
+        prop_assert_eq!(is_usable(&view), !is_draining);
+    }
+
     /// An instance that reads the newest entry and never knew of a departure
     /// goes by that entry, whatever it knew of earlier eras.
     #[test]
