Answer what has arrived at a planned stop of the own interface

A caller that read slowly had its responses cut off.

Cause: the server of callers was never told of the stop.

The stop now follows the steps of the transport's shutdown: responses state the end of their connection, the connections that have come are accepted, and a connection is closed once nothing has arrived on it for a second. The process ends when no connection is open, or after the drain timeout. A stop without requests but with open idle connections takes one second longer.

--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -11,8 +11,9 @@
 use sedgewall_coordination::timeline::EventKind;
 use sedgewall_protocol::settings::Settings;
 use sedgewall_transport::{
-    CallError, Handler, HttpClient, PeerListener, ServerLimits,
-    peer::PeerError, serve,
+    CallError, Handler, HttpClient, OpenConnections, PeerListener, Running,
+    Server, ServerLimits, Shutdown, ShutdownWatch, peer::PeerError, serve,
+    shutdown,
 };
 
 use crate::{
@@ -53,7 +54,7 @@
 /// stops, for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a stopping daemon at least keeps running, because requests still
+/// How long a stopping daemon accepts connections, because requests still
 /// arrive until the load balancer has noticed the stop.
 const LOAD_BALANCER_GRACE: Duration = Duration::from_secs(2);
 
@@ -91,7 +92,15 @@
     compio::runtime::spawn(config_sync::watch(instance.clone())).detach();
     compio::runtime::spawn(instance_list::watch(instance.clone())).detach();
     compio::runtime::spawn(heartbeat::run(instance.clone())).detach();
-    compio::runtime::spawn(serve_callers(instance.clone(), callers)).detach();
+    let (running, watch) = shutdown();
+    let connections = OpenConnections::default();
+    compio::runtime::spawn(serve_callers(
+        instance.clone(),
+        callers,
+        watch,
+        connections.clone(),
+    ))
+    .detach();
     compio::runtime::spawn(serve_operators(
         instance.clone(),
         operators,
@@ -99,7 +108,7 @@
     ))
     .detach();
     wait_for_stop(&instance, signals).await;
-    stop(&instance).await;
+    stop(&instance, running, &connections).await;
     Ok(())
 }
 
@@ -110,7 +119,12 @@
     })
 }
 
-async fn serve_callers(instance: Rc<Instance>, listener: TcpListener) {
+async fn serve_callers(
+    instance: Rc<Instance>,
+    listener: TcpListener,
+    shutdown: ShutdownWatch,
+    open: OpenConnections,
+) {
     let limits = ServerLimits {
         connections: instance.settings.limits.connections,
         header_timeout: Duration::from_millis(
@@ -121,7 +135,11 @@
     let handler: Handler = Rc::new(move |request| {
         Box::pin(entry::answer(instance.clone(), request))
     });
-    serve(listener, limits, handler).await;
+    Server::new(handler, limits)
+        .shutdown(shutdown)
+        .count_in(open)
+        .run(listener)
+        .await;
 }
 
 async fn serve_operators(
@@ -163,8 +181,13 @@
 ///
 /// Marks the instance as leaving, so that the load balancer stops sending
 /// requests and the leases are released for successors. Then waits until all
-/// open requests have ended, up to the drain timeout.
-async fn stop(instance: &Rc<Instance>) {
+/// requests that have arrived are answered and the responses sent, up to the
+/// drain timeout.
+async fn stop(
+    instance: &Rc<Instance>,
+    running: Shutdown<Running>,
+    connections: &OpenConnections,
+) {
     info!("daemon: stopping.");
     instance.record_event(EventKind::Member, None, "", "", "stopping");
     instance.stage.set(Stage::Leaving);
@@ -172,16 +195,23 @@
     let started = Instant::now();
     let drain_timeout =
         Duration::from_millis(instance.settings.limits.drain_ms);
+    let announced = running.announce();
+    compio::time::sleep(LOAD_BALANCER_GRACE.min(drain_timeout)).await;
+    announced.stop_accepting().close_connections();
     loop {
         let open_requests = instance.requests.borrow().open_len();
         let led_shards = instance.shards.borrow().len();
         let is_drained = open_requests == 0 && led_shards == 0;
-        if is_drained && started.elapsed() >= LOAD_BALANCER_GRACE {
+        // A response is complete for the instance before its caller has taken
+        // it from the connection.
+        if is_drained && connections.have_ended() {
             break;
         }
         if started.elapsed() >= drain_timeout {
             warn!(
-                "daemon: drain timed out with {open_requests} requests open."
+                "daemon: drain timed out with {open_requests} requests and {} \
+                 connections open.",
+                connections.count()
             );
             break;
         }
