Have the head of a refused request arrive before the test's server runs

an_overloaded_server_refuses_a_long_request_with_a_response failed in one of two first runs beside a load of 28: the thread of its client had sent nothing within the 200 ms that the test waits, so that the server rightly waited for the request instead of refusing it unread, and served it. The head is now sent before the thread starts. The wait and the assertions stay.

--- a/crates/transport/tests/server.rs
+++ b/crates/transport/tests/server.rs
@@ -79,15 +79,17 @@
 /// refuses a request.
 const LONG_BODY: usize = 1 << 20;
 
-/// Sends a request with a long body, and then reads the response.
+/// Sends a request with a long body, and then reads the response. The head has
+/// been sent when this returns.
 fn send_long(address: SocketAddr) -> JoinHandle<String> {
+    let mut stream = TcpStream::connect(address).expect("a server");
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: one\r\ncontent-length: {LONG_BODY}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the head is taken");
     std::thread::spawn(move || {
-        let mut stream = TcpStream::connect(address).expect("a server");
-        let head = format!(
-            "POST / HTTP/1.1\r\nhost: one\r\ncontent-length: {LONG_BODY}\r\n\r\n"
-        );
-        let request = [head.into_bytes(), vec![b'x'; LONG_BODY]].concat();
-        stream.write_all(&request).expect("the whole request is taken");
+        let body = vec![b'x'; LONG_BODY];
+        stream.write_all(&body).expect("the whole request is taken");
         let mut response = String::new();
         stream.read_to_string(&mut response).expect("a response");
         response
