Refuse no forwarded request as not run at the end of a stop

A request that was forwarded and still open when the forwarding instance's stop ended got 503, which states that it has not run and never will, although the other instance had had it run. A caller may then send an unsafe request again.

Whether a request may have run was judged by the sends to endpoints, which do not count an open attempt at another instance. The progress of a request now states such an attempt as long as it is open; if its outcome is unclear, it counts as a run already.

--- a/crates/sedgewalld/src/fleet/caller.rs
+++ b/crates/sedgewalld/src/fleet/caller.rs
@@ -269,7 +269,7 @@
 
 /// Returns why a request has no response when this instance ends.
 fn unanswered(call: &CallerRequest, progress: &Progress) -> Reason {
-    match progress.sends > 0 || call.sent_to.borrow().is_some() {
+    match progress.may_have_run() || call.sent_to.borrow().is_some() {
         true => Reason::OutcomeUnknown,
         false => Reason::Stopping,
     }
--- a/crates/sedgewalld/src/fleet/open_attempts.rs
+++ b/crates/sedgewalld/src/fleet/open_attempts.rs
@@ -144,6 +144,7 @@
             }
             Destination::Instance => {
                 set_sent_to(call, None, began);
+                progress.is_open_at_instance = true;
                 let mut progress = progress.clone();
                 // The other instance must count the open attempts as runs.
                 progress.runs += self.attempts.len() as u32;
@@ -208,6 +209,8 @@
         if let Some(target) = &attempt.target {
             progress.open_at.retain(|id| *id != target.id);
         }
+        progress.is_open_at_instance =
+            self.attempts.iter().any(|a| a.target.is_none());
         let ended = EndedAttempt { attempt, earlier: idx, outcome };
         Event::Ended(Box::new(ended))
     }
--- a/crates/sedgewalld/src/fleet/progress.rs
+++ b/crates/sedgewalld/src/fleet/progress.rs
@@ -17,6 +17,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// The endpoints that may be at work on the request.
     pub(crate) open_at: Vec<EndpointId>,
+    /// Whether another instance may be at work on the request.
+    pub(crate) is_open_at_instance: bool,
     /// The software version at which the stream began, once it has. It may go
     /// on at no other.
     pub(crate) software_version: Option<SoftwareVersion>,
@@ -56,6 +58,7 @@
         Progress {
             tried: Vec::new(),
             open_at: Vec::new(),
+            is_open_at_instance: false,
             software_version,
             sends,
             runs,
@@ -69,6 +72,11 @@
         }
     }
 
+    /// Returns whether the request has been sent anywhere and may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.sends > 0 || self.runs > 0 || self.is_open_at_instance
+    }
+
     /// Returns the endpoints that the request must not be sent to.
     pub(crate) fn excluded(&self) -> Cow<'_, [EndpointId]> {
         match self.open_at.is_empty() {
