Count no run against a request that was sent after its endpoint had ended

Callers saw harmless requests refused as ones that crash endpoints.

A run that was sent once the end of its endpoint was known never ran there, and is no longer recorded. An answer to a request that was sent later shows that the endpoint lives, so that its crashes count again. Runs that are sent between the end and its detection, some 0.1 s, still count.

The new test fails without the check: after five crashes, the harmless request weighs as much as the one that crashed them, and that one is not condemned.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -299,12 +299,18 @@
         loss: Loss,
         now: Instant,
     ) -> Option<Crash> {
+        let ended = self.ended.get(endpoint).copied();
+        // A request that was sent to an endpoint known to have ended never ran
+        // there.
+        if ended.is_some_and(|ended| began >= ended) {
+            return None;
+        }
         let features = features.into();
         let run = BrokenRun { features, began, broke: now, loss };
         self.broken.entry(endpoint.clone()).or_default().push(run);
-        match self.ended.contains_key(endpoint) {
-            true => self.endpoint_ended(endpoint, now),
-            false => None,
+        match ended {
+            Some(_) => self.endpoint_ended(endpoint, now),
+            None => None,
         }
     }
 
@@ -315,7 +321,9 @@
         endpoint: &EndpointIncarnation,
         now: Instant,
     ) -> Option<Crash> {
-        self.ended.insert(endpoint.clone(), now);
+        // The end keeps the time at which it became known, however often it is
+        // reported.
+        self.ended.entry(endpoint.clone()).or_insert(now);
         let broken = self.broken.remove(endpoint)?;
         let mut crash = Crash { endpoint: endpoint.clone(), runs: Vec::new() };
         for run in broken.into_iter().filter(|run| run.is_fresh(now)) {
@@ -374,6 +382,9 @@
         sent: Instant,
         now: Instant,
     ) -> bool {
+        if self.ended.get(endpoint).is_some_and(|ended| *ended <= sent) {
+            self.ended.remove(endpoint);
+        }
         let is_refuted = self.refute_crash(endpoint, sent, now);
         if is_refuted {
             self.answers.insert(endpoint.clone(), sent);
@@ -580,6 +591,11 @@
         !self.evidence.is_empty() || !self.condemned.is_empty()
     }
 
+    /// Returns whether an answer of an endpoint may show that it has not ended.
+    pub fn needs_answers(&self) -> bool {
+        !self.ended.is_empty() || !self.evidence.is_empty()
+    }
+
     /// Returns whether a request shares a feature with others of which none is
     /// known to have succeeded.
     pub fn has_unproven_part(&self, features: &Features) -> bool {
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -98,6 +98,41 @@
     assert!(is_condemned(&poison, of, at + RUNS));
 }
 
+/// Guards against a request that all callers send alike: its runs were sent on
+/// kept connections to endpoints that had crashed, so that each crash counted
+/// against it.
+#[test]
+fn a_run_that_is_sent_after_the_end_of_its_endpoint_does_not_count() {
+    let mut poison = PoisonDetector::default();
+    let (fatal, sound) = (digest(1), digest(2));
+    let mut at = Instant::now();
+    for endpoint in 0..5 {
+        crash(&mut poison, endpoint, fatal, at, at + RUNS);
+        at += TRIES;
+        let lost = Loss::Unanswered;
+        poison.record_lost_run(&life(endpoint), sound, at, lost, at);
+        poison.endpoint_ended(&life(endpoint), at);
+    }
+    assert!(is_condemned(&poison, fatal, at));
+    assert!(!poison.was_interrupted(sound));
+    assert!(!is_condemned(&poison, sound, at));
+}
+
+#[test]
+fn a_crash_counts_after_an_answer_has_refuted_an_earlier_end() {
+    let (mut poison, of) = (PoisonDetector::default(), digest(1));
+    let mut at = Instant::now();
+    for endpoint in 0..3 {
+        assert_eq!(poison.endpoint_ended(&life(endpoint), at), None);
+        at += RUNS;
+        poison.record_answer(&life(endpoint), at, at + RUNS);
+        at += TRIES;
+        crash(&mut poison, endpoint, of, at, at + RUNS);
+        at += TRIES;
+    }
+    assert!(is_condemned(&poison, of, at));
+}
+
 #[test]
 fn a_connection_that_breaks_at_a_live_endpoint_does_not_count() {
     let (mut poison, of) = (PoisonDetector::default(), digest(1));
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -389,7 +389,7 @@
     id: &EndpointId,
     sent: Instant,
 ) {
-    if !instance.poison.borrow().has_suspects() {
+    if !instance.poison.borrow().needs_answers() {
         return;
     }
     let incarnation = incarnation_of(instance, id);
