Count each request once against the parts of its prompt

Callers saw a sound part refused at one instance, until its record or another report refuted it.

If one request is in several crashes, the request is the likelier cause, and its further tries tell nothing about a part. So a crash counts against a part only if it interrupted a request with it that no earlier crash had. Requests that differ and share a part which crashes endpoints count as before.

The new test, with the tries of the trace in short, fails without the rule at the last try.

--- a/crates/fleet/src/poison/explanation.rs
+++ b/crates/fleet/src/poison/explanation.rs
@@ -325,9 +325,18 @@
         if open.is_empty() {
             return None;
         }
-        let times = separate_times(open.iter().copied());
-        let unanswered =
-            separate_times(open.iter().copied().filter(|o| o.is_unanswered));
+        let counted = match of.is_request {
+            true => open.clone(),
+            false => by_new_requests(&open),
+        };
+        let times = separate_times(counted.iter().copied());
+        let unanswered = open.iter().copied().filter(|o| o.is_unanswered);
+        let unanswered: Vec<&Occurrence> = unanswered.collect();
+        let unanswered = match of.is_request {
+            true => unanswered,
+            false => by_new_requests(&unanswered),
+        };
+        let unanswered = separate_times(unanswered.iter().copied());
         // Any crash interrupts runs with a popular part, so that one crash does
         // not condemn a part again.
         let is_on_probation = standing.is_on_probation && of.is_request;
@@ -411,6 +420,21 @@
     values.collect::<HashSet<T>>().len()
 }
 
+/// Returns the occurrences of the crashes that interrupted a request with which
+/// no earlier crash had occurred. If the same request is in several crashes,
+/// the request itself may be their cause rather than a part of it.
+fn by_new_requests<'a>(open: &[&'a Occurrence]) -> Vec<&'a Occurrence> {
+    let mut sorted = open.to_vec();
+    sorted.sort_unstable_by_key(|o| (o.broke, o.crash));
+    let mut first_crash: HashMap<RequestDigest, usize> = HashMap::new();
+    for occurrence in &sorted {
+        first_crash.entry(occurrence.request).or_insert(occurrence.crash);
+    }
+    let counted: HashSet<usize> = first_crash.into_values().collect();
+    sorted.retain(|occurrence| counted.contains(&occurrence.crash));
+    sorted
+}
+
 /// Returns the number of crashes that are separate in time: each of them under
 /// a run that was sent after the crash before. Of each crash, the run counts
 /// that broke off last: others may have been lost before for another cause.
--- a/crates/fleet/tests/poison_parts_rules.rs
+++ b/crates/fleet/tests/poison_parts_rules.rs
@@ -197,6 +197,36 @@
     assert!(is_condemned(&poison, part("deadly"), at));
 }
 
+/// Guards against a second part that happened to be in several tries of one
+/// poison request and in one of another: each try counted against it.
+#[test]
+fn tries_of_two_poison_requests_do_not_condemn_a_part_in_common() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    let sound = features(100, None, &["first", "second"]);
+    poison.record_success(&sound, at, at + RUNS);
+    at += PAUSE;
+    for (n, (request, second)) in
+        [(0, "second"), (1, "other"), (0, "second"), (1, "second")]
+            .into_iter()
+            .enumerate()
+    {
+        let fatal = features(request, None, &["first", second]);
+        crash(&mut poison, n as u32, &[fatal], at);
+        at += PAUSE;
+        assert!(!is_condemned(&poison, part("second"), at), "{n}");
+    }
+    for n in 4..6 {
+        let fatal = features(n % 2, None, &["first", "another"]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    for n in 0..2 {
+        let of = features(n, None, &[]).request;
+        assert!(is_condemned(&poison, of, at), "{n}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
