Hold the request responsible that never succeeded if two explain all crashes

A request that all callers send alike may run beside a poison request in each crash. After five crashes under both, the digests decided which of them was condemned, although requests like the harmless one had succeeded before.

Of features that explain equally many crashes, those come first that are not known to have succeeded. Once the poison request is condemned, its crashes count for nothing else. The new test plays both orders of the digests; one of them fails without the rule.

--- a/crates/fleet/src/poison/explanation.rs
+++ b/crates/fleet/src/poison/explanation.rs
@@ -116,6 +116,7 @@
     /// Whether endpoints crashed at several times.
     is_repeated: bool,
     meets_threshold: bool,
+    has_succeeded: bool,
     is_on_probation: bool,
 }
 
@@ -235,7 +236,8 @@
             .filter(Candidate::is_relevant)
             .collect();
         candidates.sort_unstable_by_key(|candidate| {
-            (Reverse(candidate.weight), candidate.feature)
+            let Candidate { weight, has_succeeded, feature, .. } = *candidate;
+            (Reverse(weight), has_succeeded, feature)
         });
         let again = candidates.iter().find(|c| c.is_condemned_again());
         if let Some(candidate) = again {
@@ -356,6 +358,7 @@
             crashes: distinct(open.iter().map(|o| o.crash)),
             is_repeated: times > 1,
             meets_threshold,
+            has_succeeded: standing.has_succeeded,
             is_on_probation,
         })
     }
--- a/crates/fleet/tests/poison_rules.rs
+++ b/crates/fleet/tests/poison_rules.rs
@@ -133,6 +133,30 @@
     assert!(is_condemned(&poison, of, at));
 }
 
+/// Guards against a tie between a poison request and one that all callers send
+/// alike, beside which it ran each time: the digests decided.
+#[test]
+fn of_requests_in_the_same_crashes_the_one_that_never_succeeded_is_condemned()
+{
+    for (fatal, sound) in [(digest(1), digest(2)), (digest(2), digest(1))] {
+        let mut poison = PoisonDetector::default();
+        let mut at = Instant::now();
+        poison.record_success(&sound.into(), at, at + RUNS);
+        at += TRIES;
+        for endpoint in 0..6 {
+            for of in [fatal, sound] {
+                let lost = Loss::Broken;
+                let broke = at + RUNS;
+                poison.record_lost_run(&life(endpoint), of, at, lost, broke);
+            }
+            poison.endpoint_ended(&life(endpoint), at + RUNS);
+            at += TRIES;
+        }
+        assert!(is_condemned(&poison, fatal, at));
+        assert!(!is_condemned(&poison, sound, at));
+    }
+}
+
 #[test]
 fn a_connection_that_breaks_at_a_live_endpoint_does_not_count() {
     let (mut poison, of) = (PoisonDetector::default(), digest(1));
