Count no crash from before an instance started

An instance now leaves crashes from before its start to the others, which have the evidence for them and tell what they condemn. Those that all instances forget by restarts at the same time could not be repeated before either.

--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -179,6 +179,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonDetector {
     policy: Policy,
+    /// Since when this instance has taken part, if that is known.
+    started: Option<Instant>,
     /// Whether [`PoisonDetector::search`] is called apart from the reports.
     is_deferred: bool,
     /// Whether something has changed since the last search.
@@ -279,6 +281,13 @@
         PoisonDetector { is_deferred: true, ..PoisonDetector::default() }
     }
 
+    /// Sets when this instance started. It does not count crashes from before,
+    /// of which it cannot know all, nor the successes that refute them. The
+    /// other instances know more, and tell which features are condemned.
+    pub fn with_start(self, started: Instant) -> PoisonDetector {
+        PoisonDetector { started: Some(started), ..self }
+    }
+
     /// Returns whether something has changed since the last search.
     pub fn is_stale(&self) -> bool {
         self.is_stale
@@ -487,7 +496,11 @@
         };
         let reported_runs = std::mem::take(&mut self.reported_runs);
         let mut is_new = false;
-        for run in &crash.runs {
+        let started = self.started;
+        let is_counted = |run: &&CrashedRun| {
+            started.is_none_or(|started| ago(run.broke_ms_ago) >= started)
+        };
+        for run in crash.runs.iter().filter(is_counted) {
             let CrashedRun { digest, began_ms_ago, broke_ms_ago } = *run;
             let reported = reported_runs.iter().find(|r| r.digest == digest);
             let shared = reported.map_or(Vec::new(), |r| r.shared.clone());
--- a/crates/fleet/tests/poison_parts_rules.rs
+++ b/crates/fleet/tests/poison_parts_rules.rs
@@ -227,6 +227,42 @@
     }
 }
 
+/// Guards against a verdict of an instance that had just started, from the
+/// reports of another one alone: a crash of its own runs before its restart
+/// would have shown the poison request.
+#[test]
+fn an_instance_does_not_count_crashes_from_before_its_start() {
+    let mut other = PoisonDetector::default();
+    let mut at = Instant::now();
+    let runs: [(u32, &[u32]); 3] = [(0, &[0]), (1, &[1]), (2, &[0, 2])];
+    for (endpoint, requests) in runs {
+        let under: Vec<Features> = requests
+            .iter()
+            .map(|n| features(*n, None, &["first", "second"]))
+            .collect();
+        crash(&mut other, endpoint, &under, at);
+        at += PAUSE;
+    }
+    let mut started = PoisonDetector::default().with_start(at);
+    let mut early = PoisonDetector::default();
+    for poison in [&mut started, &mut early] {
+        for crash in other.recent_crashes(at) {
+            let details = other.crash_details(&crash, at);
+            poison.record_details(details, at);
+            poison.record_crash(&crash, at);
+        }
+    }
+    assert!(early.has_suspects());
+    assert!(!started.has_suspects());
+    // A crash that it could see counts.
+    for n in 3..5 {
+        let fatal = features(n, None, &["first", "deadly"]);
+        crash(&mut started, n, &[fatal], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&started, part("deadly"), at));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -467,7 +467,9 @@
             store: Store::new(EndpointPool::new(), store_address),
             pool,
             buffers,
-            poison: RefCell::new(PoisonDetector::deferred()),
+            poison: RefCell::new(
+                PoisonDetector::deferred().with_start(Instant::now()),
+            ),
             poison_search_notify: Notify::default(),
             poison_parts: RefCell::default(),
             poison_records: RefCell::default(),
