--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -179,6 +179,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonDetector {
     policy: Policy,
+    /// Since when this instance has taken part, if that is known.
+    started: Option<Instant>,
     /// Whether [`PoisonDetector::search`] is called apart from the reports.
     is_deferred: bool,
     /// Whether something has changed since the last search.
@@ -279,6 +281,13 @@
         PoisonDetector { is_deferred: true, ..PoisonDetector::default() }
     }
 
+    /// Sets when this instance started. It does not count crashes from before,
+    /// of which it cannot know all, nor the successes that refute them. The
+    /// other instances know more, and tell which features are condemned.
+    pub fn with_start(self, started: Instant) -> PoisonDetector {
+        PoisonDetector { started: Some(started), ..self }
+    }
+
     /// Returns whether something has changed since the last search.
     pub fn is_stale(&self) -> bool {
         self.is_stale
@@ -299,12 +308,18 @@
         loss: Loss,
         now: Instant,
     ) -> Option<Crash> {
+        let ended = self.ended.get(endpoint).copied();
+        // A request that was sent to an endpoint known to have ended never ran
+        // there.
+        if ended.is_some_and(|ended| began >= ended) {
+            return None;
+        }
         let features = features.into();
         let run = BrokenRun { features, began, broke: now, loss };
         self.broken.entry(endpoint.clone()).or_default().push(run);
-        match self.ended.contains_key(endpoint) {
-            true => self.endpoint_ended(endpoint, now),
-            false => None,
+        match ended {
+            Some(_) => self.endpoint_ended(endpoint, now),
+            None => None,
         }
     }
 
@@ -315,7 +330,9 @@
         endpoint: &EndpointIncarnation,
         now: Instant,
     ) -> Option<Crash> {
-        self.ended.insert(endpoint.clone(), now);
+        // The end keeps the time at which it became known, however often it is
+        // reported.
+        self.ended.entry(endpoint.clone()).or_insert(now);
         let broken = self.broken.remove(endpoint)?;
         let mut crash = Crash { endpoint: endpoint.clone(), runs: Vec::new() };
         for run in broken.into_iter().filter(|run| run.is_fresh(now)) {
@@ -374,6 +391,9 @@
         sent: Instant,
         now: Instant,
     ) -> bool {
+        if self.ended.get(endpoint).is_some_and(|ended| *ended <= sent) {
+            self.ended.remove(endpoint);
+        }
         let is_refuted = self.refute_crash(endpoint, sent, now);
         if is_refuted {
             self.answers.insert(endpoint.clone(), sent);
@@ -476,7 +496,11 @@
         };
         let reported_runs = std::mem::take(&mut self.reported_runs);
         let mut is_new = false;
-        for run in &crash.runs {
+        let started = self.started;
+        let is_counted = |run: &&CrashedRun| {
+            started.is_none_or(|started| ago(run.broke_ms_ago) >= started)
+        };
+        for run in crash.runs.iter().filter(is_counted) {
             let CrashedRun { digest, began_ms_ago, broke_ms_ago } = *run;
             let reported = reported_runs.iter().find(|r| r.digest == digest);
             let shared = reported.map_or(Vec::new(), |r| r.shared.clone());
@@ -580,6 +604,11 @@
         !self.evidence.is_empty() || !self.condemned.is_empty()
     }
 
+    /// Returns whether an answer of an endpoint may show that it has not ended.
+    pub fn needs_answers(&self) -> bool {
+        !self.ended.is_empty() || !self.evidence.is_empty()
+    }
+
     /// Returns whether a request shares a feature with others of which none is
     /// known to have succeeded.
     pub fn has_unproven_part(&self, features: &Features) -> bool {
--- a/crates/fleet/tests/poison_parts_rules.rs
+++ b/crates/fleet/tests/poison_parts_rules.rs
@@ -197,6 +197,72 @@
     assert!(is_condemned(&poison, part("deadly"), at));
 }
 
+/// Guards against a second part that happened to be in several tries of one
+/// poison request and in one of another: each try counted against it.
+#[test]
+fn tries_of_two_poison_requests_do_not_condemn_a_part_in_common() {
+    let mut poison = PoisonDetector::default();
+    let mut at = Instant::now();
+    let sound = features(100, None, &["first", "second"]);
+    poison.record_success(&sound, at, at + RUNS);
+    at += PAUSE;
+    for (n, (request, second)) in
+        [(0, "second"), (1, "other"), (0, "second"), (1, "second")]
+            .into_iter()
+            .enumerate()
+    {
+        let fatal = features(request, None, &["first", second]);
+        crash(&mut poison, n as u32, &[fatal], at);
+        at += PAUSE;
+        assert!(!is_condemned(&poison, part("second"), at), "{n}");
+    }
+    for n in 4..6 {
+        let fatal = features(n % 2, None, &["first", "another"]);
+        crash(&mut poison, n, &[fatal], at);
+        at += PAUSE;
+    }
+    for n in 0..2 {
+        let of = features(n, None, &[]).request;
+        assert!(is_condemned(&poison, of, at), "{n}");
+    }
+}
+
+/// Guards against a verdict of an instance that had just started, from the
+/// reports of another one alone: a crash of its own runs before its restart
+/// would have shown the poison request.
+#[test]
+fn an_instance_does_not_count_crashes_from_before_its_start() {
+    let mut other = PoisonDetector::default();
+    let mut at = Instant::now();
+    let runs: [(u32, &[u32]); 3] = [(0, &[0]), (1, &[1]), (2, &[0, 2])];
+    for (endpoint, requests) in runs {
+        let under: Vec<Features> = requests
+            .iter()
+            .map(|n| features(*n, None, &["first", "second"]))
+            .collect();
+        crash(&mut other, endpoint, &under, at);
+        at += PAUSE;
+    }
+    let mut started = PoisonDetector::default().with_start(at);
+    let mut early = PoisonDetector::default();
+    for poison in [&mut started, &mut early] {
+        for crash in other.recent_crashes(at) {
+            let details = other.crash_details(&crash, at);
+            poison.record_details(details, at);
+            poison.record_crash(&crash, at);
+        }
+    }
+    assert!(early.has_suspects());
+    assert!(!started.has_suspects());
+    // A crash that it could see counts.
+    for n in 3..5 {
+        let fatal = features(n, None, &["first", "deadly"]);
+        crash(&mut started, n, &[fatal], at);
+        at += PAUSE;
+    }
+    assert!(is_condemned(&started, part("deadly"), at));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
