Keep a silent engine's answer that no other engine would give

On the own interface, a completion that may not be repeated got 502 as of unknown outcome, and its stream was cut, once its engine had sent nothing for 30 s (`limits.stream_idle_ms`), however long its caller allowed. The same held for one that may be repeated and had no retry left.

Cause: a silent engine was taken for a failed one.

Such an attempt is now given up for silence only after the deadline of its request, and not before the idle timeout either, which is the only bound of a stream that has begun. A request that may be sent to another engine still moves after the idle timeout. No answer ends earlier than before.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -58,6 +58,9 @@
 pub struct Cluster {
     /// The client for everything.
     pub http: HttpClient,
+    /// Limits in the settings of instances that are started from now on, by
+    /// name.
+    pub limits: BTreeMap<&'static str, u64>,
     folder: PathBuf,
     /// Where the product's programs are.
     build: PathBuf,
@@ -100,6 +103,7 @@
         let http = HttpClient::new().expect("an HTTP client");
         let mut cluster = Cluster {
             http,
+            limits: BTreeMap::from([("drain_ms", 30_000)]),
             folder,
             build: release_folder(),
             children: RefCell::default(),
@@ -213,11 +217,15 @@
     ) {
         let callers = free_address();
         let operators = free_address();
+        let limits = self.limits.iter();
+        let limits: String = limits
+            .map(|(name, value)| format!("  {name}: {value}\n"))
+            .collect();
         let settings = format!(
             "instance: {name}\nzone: {zone}\ncaller_listen: {callers}\n\
              operator_listen: {operators}\npeer_listen: {listen}\n\
              peer_advertise: {advertise}\n\
-             platform_url: http://{}\nlimits:\n  drain_ms: 30000\n",
+             platform_url: http://{}\nlimits:\n{limits}",
             self.address("platform")
         );
         let file = self.folder.join(format!("{name}.yaml"));
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -139,8 +139,9 @@
     /// The maximum deadline, to which longer ones are reduced, in
     /// milliseconds.
     pub max_deadline_ms: u64,
-    /// The time-out of a response stream that delivers no bytes, in
-    /// milliseconds.
+    /// The time-out of an engine that sends no bytes of a response, in
+    /// milliseconds. It applies before the deadline only if the request may be
+    /// sent again.
     pub stream_idle_ms: u64,
     /// The maximum number of retries of a request that engines reject.
     pub retries: u32,
--- a/crates/sedgewalld/src/call.rs
+++ b/crates/sedgewalld/src/call.rs
@@ -229,7 +229,9 @@
             Err(refusal) => return Err(retry_state.refusal_problem(&refusal)),
         };
         let sent = Instant::now();
-        let answer = match send_to_engine(&call, &granted, 0).await {
+        let timeout = retry_state.silence_timeout(&call);
+        let sending = send_to_engine(&call, &granted, 0, timeout);
+        let answer = match sending.await {
             Ok(answer) => answer,
             Err(err) => {
                 retry_state.record_failure(&call, &mut shard_request, err)?;
@@ -273,12 +275,13 @@
     );
 }
 
-/// Sends the request to the granted engine and waits for the head of the
-/// answer.
+/// Sends the request to the granted engine and waits at most `within` for the
+/// head of the answer.
 pub(crate) async fn send_to_engine(
     call: &ModelCall,
     granted: &Granted,
     resume_from: u64,
+    within: Duration,
 ) -> Result<StreamingResponse, AttemptError> {
     let subject = call.model.to_string();
     call.instance.record_event(
@@ -303,10 +306,8 @@
     if resume_from > 0 {
         out = out.header(RESUME_HEADER, &resume_from.to_string());
     }
-    let idle =
-        Duration::from_millis(call.instance.settings.limits.stream_idle_ms);
     let answer =
-        call.instance.http.open(out, idle).await.map_err(classify_error)?;
+        call.instance.http.open(out, within).await.map_err(classify_error)?;
     check_status(answer).await
 }
 
@@ -406,6 +407,24 @@
         RetryState { failures: 0, limit, may_have_run: false }
     }
 
+    /// Returns how long the engine of an attempt may be silent before the
+    /// attempt is given up.
+    ///
+    /// A silent engine may be at work. Without a retry, giving up its attempt
+    /// ends the request, so that it is kept until the deadline at least.
+    pub(crate) fn silence_timeout(&self, call: &ModelCall) -> Duration {
+        let instance = &call.instance;
+        let idle_ms = instance.settings.limits.stream_idle_ms;
+        let idle = Duration::from_millis(idle_ms);
+        let may_retry = call.is_repeatable
+            && self.failures < self.limit
+            && instance.requests.borrow().has_retry();
+        if may_retry {
+            return idle;
+        }
+        idle.max(call.deadline.saturating_duration_since(Instant::now()))
+    }
+
     /// Reports a failed attempt to the leader and, if a retry is allowed, sees
     /// to it that the request gets another grant. Returns the problem to
     /// answer with if no retry is allowed.
--- a/crates/sedgewalld/src/relay.rs
+++ b/crates/sedgewalld/src/relay.rs
@@ -4,7 +4,7 @@
 //! another engine exactly after the last event. Invariant: the caller receives
 //! each event once and in order, or is told that the answer is incomplete.
 
-use std::{pin::Pin, time::Duration};
+use std::pin::Pin;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -96,10 +96,10 @@
 
     /// Reads from the engine until there is at least one complete event.
     async fn read_events(&mut self) -> StreamRead {
-        let idle_ms = self.call.instance.settings.limits.stream_idle_ms;
-        let idle = Duration::from_millis(idle_ms);
         loop {
-            let chunk = compio::time::timeout(idle, self.chunks.next()).await;
+            let timeout = self.retry_state.silence_timeout(&self.call);
+            let chunk =
+                compio::time::timeout(timeout, self.chunks.next()).await;
             let chunk = match chunk {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(Some(Err(err))) => return outcome_unknown(err.to_string()),
@@ -167,7 +167,10 @@
                         delivered,
                     )
                 })?;
-            match call::send_to_engine(&self.call, &granted, delivered).await {
+            let timeout = self.retry_state.silence_timeout(&self.call);
+            let sending =
+                call::send_to_engine(&self.call, &granted, delivered, timeout);
+            match sending.await {
                 Ok(answer) => {
                     self.chunks = Box::pin(answer.chunks());
                     return Ok(());
--- a/crates/sedgewalld/src/requests.rs
+++ b/crates/sedgewalld/src/requests.rs
@@ -104,9 +104,14 @@
         self.open
     }
 
+    /// Returns whether the budget has a retry left.
+    pub(crate) fn has_retry(&self) -> bool {
+        self.retry_tokens >= 1.0
+    }
+
     /// Takes one retry from the budget. Returns whether there was one.
     pub(crate) fn take_retry(&mut self) -> bool {
-        if self.retry_tokens < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.retry_tokens -= 1.0;
