Infer no version of a stream from a store that may lack writes

Cause: the store was restored from a copy without the record of v2. A stream that began at v2 and that no instance knew was taken up before the record was written again: the records, read after the restore, showed v1 as the only version of the service.

The read itself may be the first answer after the restore, so it checks for one.

--- a/crates/sedgewalld/src/fleet/streams.rs
+++ b/crates/sedgewalld/src/fleet/streams.rs
@@ -306,7 +306,14 @@
         if !version_records::read(instance).await {
             return None;
         }
+        // A record that lacks a version does not show the others to be the
+        // only ones.
+        let may_lack_versions = instance
+            .store_reachability
+            .borrow()
+            .may_lack_writes(Instant::now());
         if is_only_service
+            && !may_lack_versions
             && let Some(version) = instance.version_records.only(service)
         {
             let service = service.clone();
--- a/crates/sedgewalld/src/fleet/version_records.rs
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -129,6 +129,8 @@
             return false;
         }
     };
+    // The answer may be the first one of a restored store.
+    instance.check_store_era();
     for object in listing.objects {
         match VersionRecord::deserialize(&object.spec) {
             Ok(record) => {
