Refuse forwarded requests at a planned stop in terms of earlier builds

While builds are mixed, an instance of an earlier build that forwards a request to one that stops answered its caller 502, as of unknown outcome, although the request had not run and another instance could have taken it.

Cause: a refused forwarded request states its reason, and a reason that the other side does not know counts as an unknown outcome. `stopping` is such a reason.

The reason is now stated as `overloaded`, which earlier builds know and which means the same to the other side: not run, ask another instance. The new test saw `stopping` on the program before and passes now. It reads the response; no earlier build took part in it.

--- a/crates/sedgewalld/src/fleet/forwarding.rs
+++ b/crates/sedgewalld/src/fleet/forwarding.rs
@@ -343,7 +343,13 @@
     reason: Reason,
     retry_after: Option<Duration>,
 ) {
-    let reason = reason.name().to_owned();
+    let stated = match reason {
+        // An earlier build takes a reason that it does not know for an
+        // unknown outcome, and would not ask another instance.
+        Reason::Stopping => Reason::Overloaded,
+        reason => reason,
+    };
+    let reason = stated.name().to_owned();
     let retry_after_ms = retry_after.map(|after| after.as_millis() as u64);
     let refused = Refused { reason, retry_after_ms };
     insert_json(response.headers_mut(), REFUSED, &refused);
