Record software versions again that a restored store lost

After a restore the record of a service lacked a version as long as nobody read the records, and an instance that read them forgot the version. Once all instances had been lost, a stream of it would have been taken for one of the version that was left. If the restore had lost the whole record, each attempt to add a version replaced it at a lost revision and failed, so that endpoints of another version never got requests.

Cause: a record that was read was taken for newer than what was known, and the revision of one that was missing in a list was kept.

Versions that a record lacks in a later era stay known as lost, for as long as a version without endpoints is kept, and the revision of a missing record is forgotten. When an instance notices a restore, it reads the records, unless it knows none, and adds the lost versions, at the same delay as new ones, so that one instance writes for all.

--- a/crates/fleet/tests/version_record_rules.rs
+++ b/crates/fleet/tests/version_record_rules.rs
@@ -5,7 +5,9 @@
 use proptest::prelude::*;
 use sedgewall_clock::Instant;
 use sedgewall_fleet::{
-    endpoint::SoftwareVersion, version_record::RecordedVersions,
+    endpoint::SoftwareVersion,
+    revision::{Revision, StoreEra},
+    version_record::RecordedVersions,
 };
 
 const SERVICE: &str = "llm";
@@ -18,6 +20,10 @@
     versions.iter().map(|text| version(text)).collect()
 }
 
+fn at(era: StoreEra, number: u64) -> Revision {
+    Revision::new(era, number)
+}
+
 fn seconds(s: u64) -> Duration {
     Duration::from_secs(s)
 }
@@ -27,7 +33,7 @@
     let now = Instant::now();
     let mut recorded = RecordedVersions::default();
     assert!(!recorded.allows(SERVICE, &version("v1"), now));
-    recorded.apply(&SERVICE.to_owned(), &set(&["v1"]), now);
+    recorded.apply(&SERVICE.to_owned(), &set(&["v1"]), at(1, 1), now);
     assert!(recorded.allows(SERVICE, &version("v1"), now));
     assert!(!recorded.allows(SERVICE, &version("v2"), now));
 }
@@ -36,7 +42,7 @@
 fn a_record_is_read_anew_for_a_version_without_endpoints() {
     let now = Instant::now();
     let mut recorded = RecordedVersions::default();
-    recorded.apply(&SERVICE.to_owned(), &set(&["v1", "v2"]), now);
+    recorded.apply(&SERVICE.to_owned(), &set(&["v1", "v2"]), at(1, 2), now);
     let later = now + seconds(19);
     recorded.record_present(SERVICE, &version("v1"), later);
     let later = now + seconds(30);
@@ -49,13 +55,72 @@
     let now = Instant::now();
     let service = SERVICE.to_owned();
     let mut recorded = RecordedVersions::default();
-    assert!(!recorded.apply(&service, &set(&["v1"]), now));
+    assert!(!recorded.apply(&service, &set(&["v1"]), at(1, 1), now));
     assert_eq!(recorded.only(SERVICE), Some(&version("v1")));
-    assert!(recorded.apply(&service, &set(&["v1", "v2"]), now));
-    assert!(!recorded.apply(&service, &set(&["v1", "v2", "v3"]), now));
+    assert!(recorded.apply(&service, &set(&["v1", "v2"]), at(1, 2), now));
+    assert!(!recorded.apply(
+        &service,
+        &set(&["v1", "v2", "v3"]),
+        at(1, 3),
+        now
+    ));
     assert_eq!(recorded.only(SERVICE), None);
 }
 
+/// Guards against streams of two versions: a copy without the second one made
+/// the first seem to be the only one.
+#[test]
+fn versions_that_a_restored_record_lacks_stay_known_until_recorded_again() {
+    let now = Instant::now();
+    let service = SERVICE.to_owned();
+    let mut recorded = RecordedVersions::default();
+    recorded.apply(&service, &set(&["v1", "v2"]), at(1, 5), now);
+    // A second read shows the same.
+    for _ in 0..2 {
+        recorded.apply(&service, &set(&["v1"]), at(2, 3), now);
+        assert_eq!(recorded.only(SERVICE), None);
+        assert!(!recorded.allows(SERVICE, &version("v2"), now));
+        let lost = vec![(service.clone(), set(&["v1", "v2"]))];
+        assert_eq!(recorded.lost(), lost);
+    }
+    recorded.apply(&service, &set(&["v1", "v2"]), at(2, 4), now);
+    assert!(recorded.lost().is_empty());
+    assert!(recorded.allows(SERVICE, &version("v2"), now));
+    recorded.apply(&service, &set(&["v1"]), at(2, 5), now);
+    assert_eq!(recorded.only(SERVICE), Some(&version("v1")));
+}
+
+/// Guards against a record that is never written again, because it is replaced
+/// at a revision that a restore lost.
+#[test]
+fn a_lost_record_has_no_revision() {
+    let now = Instant::now();
+    let service = SERVICE.to_owned();
+    let mut recorded = RecordedVersions::default();
+    recorded.apply(&service, &set(&["v1"]), at(1, 5), now);
+    recorded.apply_missing(|_| false, at(1, 4));
+    assert_eq!(recorded.revision(SERVICE), Some(at(1, 5)));
+    recorded.apply_missing(|_| false, at(2, 3));
+    assert_eq!(recorded.revision(SERVICE), None);
+    assert_eq!(recorded.lost(), vec![(service.clone(), set(&["v1"]))]);
+    recorded.apply(&service, &set(&["v1"]), at(2, 4), now);
+    assert_eq!(recorded.revision(SERVICE), Some(at(2, 4)));
+    assert!(recorded.lost().is_empty());
+}
+
+/// Guards against a lost version that is recorded again and again after the
+/// last endpoint of it is gone.
+#[test]
+fn a_lost_version_without_endpoints_is_forgotten() {
+    let now = Instant::now();
+    let service = SERVICE.to_owned();
+    let mut recorded = RecordedVersions::default();
+    recorded.apply(&service, &set(&["v1", "v2"]), at(1, 5), now);
+    recorded.apply(&service, &set(&["v1"]), at(2, 3), now + seconds(301));
+    assert!(recorded.lost().is_empty());
+    assert_eq!(recorded.only(SERVICE), Some(&version("v1")));
+}
+
 proptest! {
     /// A version is removed only long after its last endpoint, and never the
     /// last one.
@@ -67,7 +132,7 @@
         let texts = ["v1", "v2", "v3"];
         let start = Instant::now();
         let mut recorded = RecordedVersions::default();
-        recorded.apply(&SERVICE.to_owned(), &set(&texts), start);
+        recorded.apply(&SERVICE.to_owned(), &set(&texts), at(1, 1), start);
         let mut last_s = [0; 3];
         let mut present = present;
         present.sort_unstable();
--- a/crates/sedgewalld/src/fleet/instance.rs
+++ b/crates/sedgewalld/src/fleet/instance.rs
@@ -605,6 +605,7 @@
         for notify in self.relist_notifies() {
             notify.notify_waiting();
         }
+        self.version_records.store_restored();
     }
 
     /// Records that a call to the store failed. A change of reachability is
--- a/crates/sedgewalld/src/fleet/version_records.rs
+++ b/crates/sedgewalld/src/fleet/version_records.rs
@@ -2,7 +2,7 @@
 //! store, and reads it for streams that nobody knows.
 
 use std::{
-    cell::{OnceCell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
@@ -47,7 +47,6 @@
 #[derive(Default)]
 pub(crate) struct VersionRecords {
     recorded: RefCell<RecordedVersions>,
-    revisions: RefCell<HashMap<ServiceName, Revision>>,
     read: Rc<Coalesced>,
     /// Lists that may be seconds old.
     old_read: Rc<Coalesced>,
@@ -56,8 +55,12 @@
     /// Entries whose software versions are not recorded yet. Their endpoints
     /// get no requests before.
     pub(crate) unrecorded: RefCell<HashMap<EndpointId, Endpoint>>,
-    /// Notified when another configuration is in force.
-    pub(crate) configuration_notify: Notify,
+    /// Whether the store was restored since the records were last compared
+    /// with what is known.
+    may_lack_versions: Cell<bool>,
+    /// Notified when another configuration is in force, or when the store was
+    /// restored.
+    recheck_notify: Notify,
 }
 
 impl FleetInstance {
@@ -76,6 +79,17 @@
 }
 
 impl VersionRecords {
+    /// Records versions that another configuration requires.
+    pub(crate) fn configuration_changed(&self) {
+        self.recheck_notify.notify();
+    }
+
+    /// Records the versions again that a restored store lacks.
+    pub(crate) fn store_restored(&self) {
+        self.may_lack_versions.set(true);
+        self.recheck_notify.notify();
+    }
+
     /// Returns whether requests may be sent to endpoints of a version.
     pub(crate) fn allows(
         &self,
@@ -85,6 +99,12 @@
         self.recorded.borrow().allows(service, version, Instant::now())
     }
 
+    /// Returns the delay before this instance adds versions to records.
+    fn write_delay(&self) -> Duration {
+        let draw = || MAX_WRITE_DELAY.mul_f64(rand::random());
+        *self.write_delay.get_or_init(draw)
+    }
+
     /// Returns whether streams of a service may have begun at several versions.
     pub(crate) fn has_several(&self, service: &str) -> bool {
         self.recorded.borrow().has_several(service)
@@ -131,6 +151,16 @@
     };
     // The answer may be the first one of a restored store.
     instance.check_store_era();
+    if freshness == Freshness::Newest {
+        let is_listed = |service: &ServiceName| {
+            listing.objects.iter().any(|object| object.name == *service)
+        };
+        let records = &instance.version_records;
+        records
+            .recorded
+            .borrow_mut()
+            .apply_missing(is_listed, listing.revision);
+    }
     for object in listing.objects {
         match VersionRecord::deserialize(&object.spec) {
             Ok(record) => {
@@ -156,16 +186,10 @@
     record: &VersionRecord,
 ) {
     let records = &instance.version_records;
-    let mut revisions = records.revisions.borrow_mut();
-    if revisions.get(service).is_some_and(|known| revision < *known) {
-        // A list that is seconds old.
-        return;
-    }
-    revisions.insert(service.clone(), revision);
-    drop(revisions);
     let has_several = records.recorded.borrow_mut().apply(
         service,
         &record.versions,
+        revision,
         Instant::now(),
     );
     if has_several {
@@ -204,10 +228,7 @@
         }
         back_off.answered();
         if !std::mem::replace(&mut has_waited, true) {
-            let delay = records
-                .write_delay
-                .get_or_init(|| MAX_WRITE_DELAY.mul_f64(rand::random()));
-            compio::time::sleep(*delay).await;
+            compio::time::sleep(records.write_delay()).await;
             continue;
         }
         if let Err(err) = add(instance, service, version).await {
@@ -239,8 +260,7 @@
 ) -> Result<(), StoreError> {
     let record = VersionRecord { versions };
     let Ok(spec) = serde_json::to_value(&record) else { return Ok(()) };
-    let known =
-        instance.version_records.revisions.borrow().get(service).copied();
+    let known = instance.version_records.recorded.borrow().revision(service);
     let store = &instance.store;
     let written = match known {
         Some(revision) => {
@@ -264,7 +284,10 @@
 pub(crate) async fn keep(instance: Rc<FleetInstance>) {
     loop {
         let records = &instance.version_records;
-        if records.configuration_notify.wait(CLEANUP_INTERVAL).await {
+        if records.recheck_notify.wait(CLEANUP_INTERVAL).await {
+            if records.may_lack_versions.take() {
+                record_lost(&instance).await;
+            }
             for (service, version) in unrecorded(&instance) {
                 record(&instance, &service, &version).await;
             }
@@ -288,6 +311,37 @@
     }
 }
 
+/// Adds the versions again that the records of a restored store lack, with
+/// retries until it has them.
+async fn record_lost(instance: &Rc<FleetInstance>) {
+    let records = &instance.version_records;
+    if records.recorded.borrow().is_empty() {
+        return;
+    }
+    let mut back_off = BackOff::within(instance.in_force_within());
+    compio::time::sleep(records.write_delay()).await;
+    while !read(instance).await || !add_lost(instance).await {
+        let pause = back_off.failed(CallKind::Watcher, true);
+        compio::time::sleep(pause).await;
+    }
+}
+
+/// Adds the versions that the records lack, as last read. Returns whether none
+/// is missing any more.
+async fn add_lost(instance: &FleetInstance) -> bool {
+    let recorded = &instance.version_records.recorded;
+    let lost = recorded.borrow().lost();
+    for (service, versions) in lost {
+        tracing::info!(event = "versions_recorded_again", service, ?versions);
+        if let Err(err) = write(instance, &service, versions).await {
+            let cause = err.to_string();
+            tracing::warn!(event = "version_not_recorded", service, cause);
+            return false;
+        }
+    }
+    recorded.borrow().lost().is_empty()
+}
+
 /// Returns the versions of known endpoints that must be recorded and are not.
 fn unrecorded(
     instance: &FleetInstance,
--- a/crates/sedgewalld/src/fleet/watch_configuration.rs
+++ b/crates/sedgewalld/src/fleet/watch_configuration.rs
@@ -146,7 +146,7 @@
     if instance.stage.get() == Stage::Starting {
         instance.stage.set(Stage::Ready);
     }
-    instance.version_records.configuration_notify.notify();
+    instance.version_records.configuration_changed();
     instance.wake_all();
     instance.wake_configuration_waiters();
 }
