Search for responsible parts before the request that decided an end is sent

When no engine is left, a crash is confirmed only by the next request that has a part in common with it, once another engine is listed. That request confirmed the crash, and was checked before the search that the crash calls for: a request with a part that crashes engines ended one engine more, 1 ms after the crash that condemns the part had been reported.

--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -276,6 +276,8 @@
         decide(instance, id, *address, presence, began).await;
     });
     join_all(decided).await;
+    // The request is sent next unless the search finds it responsible.
+    search_if_stale(instance);
 }
 
 /// Probes whether an endpoint is still there. One first probe runs at a time
@@ -584,17 +586,25 @@
 pub(crate) async fn search(instance: Rc<FleetInstance>) {
     loop {
         instance.poison_search_notify.wait(CONFIRM_IDLE_WAIT).await;
-        if !instance.poison.borrow().is_stale() {
-            continue;
+        if let Some(took) = search_if_stale(&instance) {
+            compio::time::sleep(took * SEARCH_PAUSE).await;
         }
-        let began = Instant::now();
-        instance.poison.borrow_mut().search(began);
-        let took = began.elapsed();
-        publish(&instance, None);
-        compio::time::sleep(took * SEARCH_PAUSE).await;
     }
 }
 
+/// Searches for responsible features if the evidence has changed. Returns how
+/// long that took.
+fn search_if_stale(instance: &FleetInstance) -> Option<Duration> {
+    if !instance.poison.borrow().is_stale() {
+        return None;
+    }
+    let began = Instant::now();
+    instance.poison.borrow_mut().search(began);
+    let took = began.elapsed();
+    publish(instance, None);
+    Some(took)
+}
+
 /// Confirms features that were found responsible for crashes, unless other
 /// instances refute that in time. Never returns.
 pub(crate) async fn confirm(instance: Rc<FleetInstance>) {
