Handle signals by writing to a pipe

Cause, from reading: the runtime's handler wakes tasks in whatever thread the kernel delivers the signal to. In a thread that is just being started this sets up the thread's handle twice, which the standard library answers with an abort.

The handlers now write to a pipe, which is all that signal-hook does in them, and the event loop reads it. SIGINT is handled like SIGTERM; a second one ends the process, as before.

--- a/crates/sedgewalld/src/daemon.rs
+++ b/crates/sedgewalld/src/daemon.rs
@@ -28,6 +28,8 @@
 pub(crate) enum DaemonError {
     /// cannot start the event loop: {0}
     Loop(std::io::Error),
+    /// cannot install signal handlers: {0}
+    Signals(std::io::Error),
     /// cannot listen at {address}: {source}
     Listen {
         /// The address that could not be bound.
@@ -69,7 +71,7 @@
 }
 
 async fn run_on_loop(settings: Settings) -> Result<(), DaemonError> {
-    let signals = Signals::install();
+    let signals = Signals::install().map_err(DaemonError::Signals)?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|err| DaemonError::Metrics(err.to_string()))?;
@@ -162,12 +164,10 @@
 
 /// Returns when a stop signal arrives or an operator requests a drain.
 async fn wait_for_stop(instance: &Rc<Instance>, mut signals: Signals) {
-    let mut interrupt = Box::pin(compio::signal::ctrl_c()).fuse();
     while instance.stage.get() != Stage::Leaving {
         let mut poll =
             Box::pin(compio::time::sleep(DRAIN_POLL_INTERVAL)).fuse();
         select! {
-            _ = interrupt => return,
             _ = signals.stop.next() => return,
             _ = signals.reload.next() => {
                 info!("daemon: SIGHUP ignored; settings are read at start.");
--- a/crates/sedgewalld/src/fleet/daemon.rs
+++ b/crates/sedgewalld/src/fleet/daemon.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
-use futures_util::{FutureExt, StreamExt, select};
+use futures_util::{StreamExt, select};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -70,7 +70,7 @@
     event_loop: Rc<EventLoop>,
 ) -> Result<(), DaemonError> {
     let log = LogBuffer::install(&settings.log_level);
-    let signals = Signals::install();
+    let signals = Signals::install().map_err(DaemonError::Signals)?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|err| DaemonError::Metrics(err.to_string()))?;
@@ -392,10 +392,8 @@
 /// Waits for a stop signal. A reload signal is only logged, because settings
 /// are read at the start.
 async fn wait_for_stop(mut signals: Signals) {
-    let mut interrupt = Box::pin(compio::signal::ctrl_c()).fuse();
     loop {
         select! {
-            _ = interrupt => return,
             _ = signals.stop.next() => return,
             _ = signals.reload.next() => tracing::info!(event = "reload"),
         }
--- a/crates/sedgewalld/src/signals.rs
+++ b/crates/sedgewalld/src/signals.rs
@@ -1,25 +1,38 @@
 //! Signal handlers that stay installed for the lifetime of the process.
 //!
-//! The runtime restores a signal's default action once no task waits for the
-//! signal, and the default action ends the process with all its requests.
-//! Invariant: a signal that is handled here never does that, not even while
-//! the process stops.
+//! A handler runs in whatever thread the kernel picks, in the middle of
+//! whatever that thread does, so that it only writes to a pipe, which the event
+//! loop reads. Invariant: a signal that is handled here never ends the process,
+//! not even while it stops or starts a thread; the exception is a second
+//! interrupt from a terminal.
 
-use futures_channel::mpsc;
+use std::{
+    io,
+    sync::{Arc, atomic::AtomicBool},
+};
 
-/// The number of SIGHUP (POSIX), by convention a request to reload settings;
-/// the daemon only logs it.
-const SIGHUP: i32 = 1;
+use compio::runtime::fd::PollFd;
+use futures_channel::mpsc;
+use rustix::{
+    io::Errno,
+    pipe::{PipeFlags, pipe_with},
+};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+    low_level::pipe,
+};
 
-/// The number of the signal that requests a graceful stop (POSIX).
-const SIGTERM: i32 = 15;
+/// The number of notifications that are read from a pipe at once.
+const READ_LEN: usize = 64;
 
 /// The signals that were received. Those that arrive faster than they are read
 /// count once.
 pub(crate) struct Signals {
-    /// Requests for a graceful stop.
+    /// Requests for a graceful stop: SIGTERM and SIGINT.
     pub(crate) stop: mpsc::Receiver<()>,
-    /// Requests to reload the settings, which the daemon only logs.
+    /// Requests to reload the settings, which the daemon only logs: SIGHUP, by
+    /// convention.
     pub(crate) reload: mpsc::Receiver<()>,
 }
 
@@ -28,36 +41,53 @@
     ///
     /// Once a receiver is dropped, its signals are no longer reported, and
     /// still do not end the process.
-    pub(crate) fn install() -> Signals {
-        Signals { stop: install(SIGTERM), reload: install(SIGHUP) }
+    ///
+    /// # Errors
+    ///
+    /// If a pipe cannot be created or a handler cannot be installed.
+    pub(crate) fn install() -> io::Result<Signals> {
+        // A second interrupt has the default action.
+        let is_interrupted = Arc::new(AtomicBool::new(false));
+        flag::register_conditional_default(SIGINT, is_interrupted.clone())?;
+        flag::register(SIGINT, is_interrupted)?;
+        let stop = install(&[SIGTERM, SIGINT])?;
+        let reload = install(&[SIGHUP])?;
+        Ok(Signals { stop, reload })
     }
 }
 
-fn install(signal: i32) -> mpsc::Receiver<()> {
+fn install(signals: &[i32]) -> io::Result<mpsc::Receiver<()>> {
     let (mut tx, rx) = mpsc::channel(0);
-    compio::runtime::spawn(listen(signal, move || {
-        // The channel is full as an earlier signal was not read yet, or the
-        // receiver was dropped.
-        let _ = tx.try_send(());
-    }))
+    let flags = PipeFlags::CLOEXEC | PipeFlags::NONBLOCK;
+    let (reader, writer) = pipe_with(flags)?;
+    for signal in signals {
+        pipe::register(*signal, writer.try_clone()?)?;
+    }
+    let reader = PollFd::new(reader)?;
+    compio::runtime::spawn(async move {
+        loop {
+            if let Err(err) = read(&reader).await {
+                let cause = err.to_string();
+                tracing::error!(event = "signal_not_heard", cause);
+                return;
+            }
+            // The channel is full as an earlier signal was not read yet, or
+            // the receiver was dropped.
+            let _ = tx.try_send(());
+        }
+    })
     .detach();
-    // Between two waits of one listener the other one keeps the signal's
-    // handler installed.
-    compio::runtime::spawn(listen(signal, || {})).detach();
-    rx
+    Ok(rx)
 }
 
-async fn listen(signal: i32, mut act: impl FnMut()) {
+/// Waits for notifications, and reads those that have come.
+async fn read(reader: &PollFd<std::os::fd::OwnedFd>) -> io::Result<()> {
     loop {
-        match compio::signal::unix::signal(signal).await {
-            Ok(()) => act(),
-            Err(err) => {
-                let cause = err.to_string();
-                tracing::error!(event = "signal_not_heard", signal, cause);
-                // A handler that failed to install must not count as a
-                // received signal.
-                std::future::pending::<()>().await;
-            }
+        match rustix::io::read(&**reader, &mut [0; READ_LEN]) {
+            Ok(_) => return Ok(()),
+            Err(Errno::AGAIN) => reader.read_ready().await?,
+            Err(Errno::INTR) => {}
+            Err(err) => return Err(err.into()),
         }
     }
 }
