Fail a response whose connection is reset during its request

Callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection; the caller got that part as a complete answer.

Cause: the kernel reports a reset to one call. If a write of the upload takes it, the next read returns 0, as after an orderly close, and a body that ends with its connection looked whole. Which call comes first depends on the time of the reset.

Change: the stream of a connection to an endpoint remembers the first error of a write. A read that finds an end first asks for the outcome of the write that is under way; if one has failed, the end is an error. Only a broken pipe is none: the kernel reports it for a write after the endpoint has closed its side, also if a reset follows, so that a whole answer to an upload that nobody reads is served as before. Weighed: to fail all bodies that end before their request was written, which would fail those too. The stream moves to a module of its own.

The end of a connection during an upload is tested with and without a reset behind it.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod client;
 pub mod connection;
+mod endpoint_stream;
 pub mod engine_client;
 pub mod peer;
 pub mod platform_client;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -10,11 +10,9 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io::{self, ErrorKind},
+    io::ErrorKind,
     net::SocketAddr,
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
     time::Duration,
 };
 
@@ -25,7 +23,6 @@
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
-    rt::{Read, ReadBufCursor, Write},
 };
 use log::debug;
 use sedgewall_clock::Instant;
@@ -34,7 +31,8 @@
 use crate::{
     body::Collected,
     connection::{Arrived, has_arrived},
-    turn::{self, Turn, TurnStream},
+    endpoint_stream::{EndpointStream, Overhead},
+    turn::{Turn, TurnStream},
 };
 
 /// How long an idle connection is kept if the endpoint sent no `Keep-Alive`
@@ -102,101 +100,6 @@
     }
 }
 
-/// What a connection has read since its user was given anything.
-#[derive(Debug, Default)]
-struct Overhead {
-    len: Cell<usize>,
-    is_exceeded: Cell<bool>,
-}
-
-impl Overhead {
-    fn record_read(&self, len: usize) -> io::Result<()> {
-        self.len.set(self.len.get() + len);
-        if self.len.get() <= MAX_OVERHEAD_LEN {
-            return Ok(());
-        }
-        self.is_exceeded.set(true);
-        Err(io::Error::other(self.cause()))
-    }
-
-    /// Records that the user of the connection was given a head or a part of a
-    /// body.
-    fn reset(&self) {
-        self.len.set(0);
-    }
-
-    fn cause(&self) -> String {
-        format!("{MAX_OVERHEAD_LEN} bytes without a head or a part of a body")
-    }
-
-    /// Returns the error of a connection that has failed.
-    fn error(&self, err: &hyper::Error) -> SendError {
-        match self.is_exceeded.get() {
-            true => SendError::Endless(self.cause()),
-            false => SendError::Broken(err.to_string()),
-        }
-    }
-}
-
-/// The stream of a connection to an endpoint.
-struct EndpointStream {
-    inner: TurnStream,
-    overhead: Rc<Overhead>,
-}
-
-impl Read for EndpointStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let EndpointStream { inner, overhead } = self.get_mut();
-        let read = inner.poll_read_observed(cx, &mut buf, |bytes| {
-            overhead.record_read(bytes.len())
-        })?;
-        match read {
-            turn::Read::Done(()) => Poll::Ready(Ok(())),
-            turn::Read::Empty | turn::Read::TurnOver => Poll::Pending,
-        }
-    }
-}
-
-impl Write for EndpointStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
-    }
-}
-
 type Idle = Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>;
 
 /// The outcome of a probe of an address.
@@ -215,11 +118,6 @@
 /// bytes, unless a lower limit is set.
 pub const MAX_COLLECTED_LEN: usize = 20 << 20;
 
-/// The number of bytes that an endpoint may send without a response head or a
-/// part of a body in them, such as interim responses or the framing of chunks.
-/// More than a connection buffers ahead of what its user takes.
-const MAX_OVERHEAD_LEN: usize = 2 << 20;
-
 /// A pool of HTTP/1.1 connections, which its clones share.
 #[derive(Clone, Default)]
 pub struct EndpointPool {
@@ -421,7 +319,7 @@
         let turn = Rc::new(Turn::default());
         let overhead = Rc::new(Overhead::default());
         let inner = TurnStream::new(stream, turn.clone());
-        let io = EndpointStream { inner, overhead: overhead.clone() };
+        let io = EndpointStream::new(inner, overhead.clone());
         let (sender, connection) = builder.handshake(io).await?;
         let task = compio::runtime::spawn(async move {
             if let Err(err) = turn.drive(connection).await {
@@ -473,7 +371,8 @@
             Err(mut err) => Err(match err.take_message() {
                 Some(request) => SendFailure::Unsent(Box::new(request)),
                 None => {
-                    let err = connection.overhead.error(&err.into_error());
+                    let err =
+                        send_error(&connection.overhead, &err.into_error());
                     SendFailure::Failed(err)
                 }
             }),
@@ -481,6 +380,14 @@
     }
 }
 
+/// Returns the error of a connection that has failed.
+fn send_error(overhead: &Overhead, err: &hyper::Error) -> SendError {
+    match overhead.is_exceeded() {
+        true => SendError::Endless(Overhead::cause()),
+        false => SendError::Broken(err.to_string()),
+    }
+}
+
 enum SendFailure {
     Unsent(Box<Request<Full<Bytes>>>),
     Failed(SendError),
@@ -663,7 +570,7 @@
                 },
                 Some(Err(err)) => {
                     self.connection = None;
-                    return Some(Err(self.overhead.error(&err)));
+                    return Some(Err(send_error(&self.overhead, &err)));
                 }
                 None => {
                     self.return_to_pool();
--- /dev/null
+++ b/crates/transport/tests/broken_answers.rs
@@ -0,0 +1,118 @@
+//! Broken answers, as every reader of answers gets them: through the pool and
+//! through the HTTP client that uses it.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use sedgewall_transport::{EndpointPool, PooledResponse, SendError};
+use socket2::SockRef;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The length of a request body that is still being written when its answer
+/// comes.
+const LONG_BODY_LEN: usize = 16 << 20;
+
+/// An answer whose body ends with its connection.
+const UNTIL_CLOSE: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nwhole";
+
+/// How long an endpoint keeps a connection open whose sending side it has shut
+/// down.
+const CLOSE_DELAY: Duration = Duration::from_millis(5);
+
+/// How often an endpoint closes a connection during an upload.
+const CLOSES: usize = 20;
+
+/// How often an endpoint resets a connection, and the times after its answer,
+/// in steps.
+const RESETS: u32 = 300;
+const RESET_STEP: Duration = Duration::from_micros(25);
+const RESET_STEPS: u32 = 30;
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(test)
+}
+
+/// Starts an endpoint that handles one connection once a request has begun to
+/// arrive on it.
+fn endpoint(
+    handle: impl FnOnce(TcpStream) + Send + 'static,
+) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let endpoint = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client");
+        let _ = stream.read(&mut [0; 1_024]).expect("a request");
+        handle(stream);
+    });
+    (address, endpoint)
+}
+
+async fn upload(
+    pool: &EndpointPool,
+    address: SocketAddr,
+) -> Result<PooledResponse, SendError> {
+    let request = Request::builder()
+        .method("POST")
+        .uri("/")
+        .header("host", address.to_string())
+        .body(Bytes::from(vec![b'x'; LONG_BODY_LEN]).into())
+        .expect("a request");
+    pool.send(address, request, CONNECT_TIMEOUT).await
+}
+
+/// Guards against a body that counts as whole because a write of the request
+/// took the report of the reset. Which call takes it depends on the time of the
+/// reset.
+#[test]
+fn a_body_that_is_reset_during_an_upload_is_not_whole() {
+    for n in 0..RESETS {
+        let delay = RESET_STEP * (n % RESET_STEPS);
+        let (address, endpoint) = endpoint(move |mut stream| {
+            stream.write_all(UNTIL_CLOSE).expect("a client");
+            thread::sleep(delay);
+            let linger = Some(Duration::ZERO);
+            SockRef::from(&stream).set_linger(linger).expect("an option");
+        });
+        let body = run(async {
+            let answer = upload(&EndpointPool::new(), address).await?;
+            answer.collect().await
+        });
+        assert!(body.is_err(), "after {delay:?}: {body:?}");
+        endpoint.join().expect("an endpoint");
+    }
+}
+
+/// An endpoint that has closed its side has sent a whole body, also if it then
+/// resets the connection because it does not read the rest of the request.
+#[test]
+fn a_body_that_ends_during_an_upload_is_whole() {
+    for is_reset in [false, true] {
+        for _ in 0..CLOSES {
+            let (address, endpoint) = endpoint(move |mut stream| {
+                stream.write_all(UNTIL_CLOSE).expect("a client");
+                stream.shutdown(Shutdown::Write).expect("a client");
+                thread::sleep(CLOSE_DELAY);
+                if !is_reset {
+                    let _ = stream.read_to_end(&mut Vec::new());
+                }
+            });
+            let body = run(async {
+                let pool = EndpointPool::new();
+                let answer = upload(&pool, address).await?;
+                // The reset has come before the body is read.
+                thread::sleep(2 * CLOSE_DELAY);
+                answer.collect().await
+            });
+            assert_eq!(body.expect("a body"), "whole");
+            endpoint.join().expect("an endpoint");
+        }
+    }
+}
