Fail responses whose head does not state exactly one framing

Callers saw: an endpoint sent a head that was spoilt where it tells the length of the body, and they got it as a complete answer with another body: the framing of the chunks as the body for `Transfer-Encoding: chunke`, `chunked;q=1`, `identity`, `gzip` or an empty one; a body whose coding was removed for `gzip, chunked`; a response that was cut, or closed without a byte, where a length stood beside a coding.

Cause: the parser takes a coding that it does not know for a body that ends with its connection, the one framing that any end completes, and prefers the coding where a length contradicts it. It does not look at either in a response without a body (HEAD, 204, 304).

Change: the pool decides the framing of each response in one place, before anybody gets its head: one length in digits, the one coding `chunked`, or neither. All else is SendError::Malformed, for all that read responses. The request may have run; the endpoint was alive and has failed, so that it is not probed for a crash (response_malformed in the log); its connection is closed. Two lengths are refused also if they are equal, as RFC 9112, section 6.3, allows. Weighed: to fail responses of HTTP/1.1 with neither a length nor a coding nor `Connection: close`, which would find misspelt names and blank lines too; the platform lets a response end with its connection without announcing it, so that sound ones would fail.

--- a/crates/sedgewall/tests/commands.rs
+++ b/crates/sedgewall/tests/commands.rs
@@ -48,6 +48,38 @@
     address
 }
 
+/// Answers every request with these bytes and the end of the connection;
+/// returns the address.
+fn broken_instance(answer: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let _ = stream.read(&mut [0; 4_096]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+/// Guards against an operator who is shown what is not an instance's answer.
+#[test]
+fn a_malformed_answer_is_reported_as_a_failure() {
+    for head in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: ten\r\n",
+        "HTTP/1.1 200 OK\r\nthis is no field\r\n",
+        "HTTP/1.1 000 OK\r\n",
+    ] {
+        let address = broken_instance(format!("{head}\r\n{TIMELINE}"));
+        let shown = sedgewall(&["--instance", &address, "timeline"]);
+        let said = text(&shown.stderr);
+        assert!(!text(&shown.stdout).contains("wanted"), "{head}");
+        assert!(said.contains(&address), "{head}: {said}");
+    }
+}
+
 /// Returns an address at which nobody listens.
 fn closed_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/sedgewalld/src/fleet/attempt.rs
+++ b/crates/sedgewalld/src/fleet/attempt.rs
@@ -343,9 +343,9 @@
             poison::run_broken(instance, call, target, began, loss, &cause);
             Err(AttemptError::Unclear(cause))
         }
-        Ok(Err(SendError::Endless(cause))) => {
-            poison::response_endless(instance, call, &sent_to, &cause);
-            Err(AttemptError::Unclear(cause))
+        Ok(Err(err @ (SendError::Endless(_) | SendError::Malformed(_)))) => {
+            poison::response_unusable(instance, call, &sent_to, &err);
+            Err(AttemptError::Unclear(err.to_string()))
         }
         Err(_) => {
             poison::run_lost(instance, call, &sent_to, Loss::Broken);
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -99,12 +99,10 @@
         Some(err) => {
             let cause = err.to_string();
             match responder {
-                Responder::Endpoint(target)
-                    if matches!(err, SendError::Endless(_)) =>
-                {
+                Responder::Endpoint(target) if err.is_of_live_endpoint() => {
                     let endpoint = target.id.clone();
                     let sent_to = SentTo { endpoint, at: call.sent_at() };
-                    poison::response_endless(instance, call, &sent_to, &cause);
+                    poison::response_unusable(instance, call, &sent_to, &err);
                     instance.record_endpoint_failure(&call.service, target);
                 }
                 Responder::Endpoint(target) => {
--- a/crates/sedgewalld/src/fleet/forwarding.rs
+++ b/crates/sedgewalld/src/fleet/forwarding.rs
@@ -270,7 +270,11 @@
             Ok(Err(SendError::NotSent(cause))) => {
                 broken(instance, call, &to, &cause);
             }
-            Ok(Err(SendError::Broken(cause) | SendError::Endless(cause))) => {
+            Ok(Err(
+                SendError::Broken(cause)
+                | SendError::Endless(cause)
+                | SendError::Malformed(cause),
+            )) => {
                 broken(instance, call, &to, &cause);
                 return Err(ForwardError::Unclear { is_timeout: false });
             }
--- a/crates/sedgewalld/src/fleet/poison.rs
+++ b/crates/sedgewalld/src/fleet/poison.rs
@@ -22,7 +22,7 @@
 };
 use sedgewall_protocol::operator::PoisonFeature;
 use sedgewall_state::id::EndpointId;
-use sedgewall_transport::ProbeOutcome;
+use sedgewall_transport::{ProbeOutcome, SendError};
 
 use super::{
     attempt::{CallerRequest, SentTo},
@@ -148,21 +148,27 @@
     probe_endpoint(instance, target.id.clone(), target.address);
 }
 
-/// Records that a response was given up because it exceeded a limit. Its
-/// endpoint was alive, so that it is not probed, and has failed.
-pub(crate) fn response_endless(
+/// Records that a response was given up because it exceeded a limit or is
+/// malformed. Its endpoint was alive, so that it is not probed, and has failed.
+pub(crate) fn response_unusable(
     instance: &FleetInstance,
     call: &CallerRequest,
     sent_to: &SentTo,
-    cause: &str,
+    err: &SendError,
 ) {
-    metrics::counter!("sedgewall_responses_endless_total").increment(1);
+    let (event, counter) = match err {
+        SendError::Endless(_) => {
+            ("response_endless", "sedgewall_responses_endless_total")
+        }
+        _ => ("response_malformed", "sedgewall_responses_malformed_total"),
+    };
+    metrics::counter!(counter).increment(1);
     tracing::warn!(
-        event = "response_endless",
+        event,
         request = call.metadata.request_id,
         endpoint = sent_to.endpoint,
         sent_ms_ago = sent_to.at.elapsed().as_millis() as u64,
-        cause,
+        cause = %err,
     );
     run_lost(instance, call, sent_to, Loss::CallerLeft);
 }
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -108,9 +108,14 @@
 }
 
 impl StreamFailure {
-    /// Returns whether the response was given up because it exceeded a limit.
-    fn is_endless(&self) -> bool {
-        matches!(self, StreamFailure::Broken(SendError::Endless(_)))
+    /// Returns the error if the endpoint was alive when its response failed.
+    fn of_live_endpoint(&self) -> Option<&SendError> {
+        match self {
+            StreamFailure::Broken(err) if err.is_of_live_endpoint() => {
+                Some(err)
+            }
+            _ => None,
+        }
     }
 }
 
@@ -701,13 +706,13 @@
                 return;
             }
         };
-        match &self.responder {
-            Responder::Endpoint(target) if failure.is_endless() => {
+        match (&self.responder, failure.of_live_endpoint()) {
+            (Responder::Endpoint(target), Some(err)) => {
                 let endpoint = target.id.clone();
                 let sent_to = SentTo { endpoint, at: call.sent_at() };
-                poison::response_endless(instance, call, &sent_to, &cause);
+                poison::response_unusable(instance, call, &sent_to, err);
             }
-            Responder::Endpoint(target) => {
+            (Responder::Endpoint(target), None) => {
                 let loss = match self.is_answered {
                     true => Loss::Broken,
                     false => Loss::Unanswered,
@@ -715,7 +720,7 @@
                 let sent = call.sent_at();
                 poison::run_broken(instance, call, target, sent, loss, &cause);
             }
-            Responder::Instance { id, .. } => {
+            (Responder::Instance { id, .. }, _) => {
                 forwarding::body_broken(call, id, &cause);
             }
         }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -283,6 +283,7 @@
             SendError::NotSent(cause) => CallError::NotSent(cause),
             SendError::Broken(cause) => CallError::Broken(cause),
             SendError::Endless(cause) => CallError::Endless(cause),
+            SendError::Malformed(cause) => CallError::Unreadable(cause),
         }
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod platform_client;
 pub mod pool;
+mod response_head;
 pub mod server;
 pub mod shutdown;
 mod turn;
@@ -26,9 +27,9 @@
     peer::{PeerListener, PeerSender},
     platform_client::{PlatformClient, PlatformError},
     pool::{
-        BodyFraming, EndpointPool, PooledBody, PooledResponse, ProbeOutcome,
-        SendError,
+        EndpointPool, PooledBody, PooledResponse, ProbeOutcome, SendError,
     },
+    response_head::BodyFraming,
     server::{
         Handler, OpenConnections, Overload, Server, ServerLimits,
         SlowClientLimits, serve,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -32,6 +32,7 @@
     body::Collected,
     connection::{Arrived, has_arrived},
     endpoint_stream::{EndpointStream, Overhead},
+    response_head::BodyFraming,
     turn::{Turn, TurnStream},
 };
 
@@ -61,8 +62,8 @@
 ///
 /// `NotSent` means that the endpoint certainly did not receive the request: no
 /// connection could be made, or a new connection was closed before the request
-/// was sent on it. After `Broken` or `Endless` the endpoint may have received
-/// the request; `Endless` shows that it was alive.
+/// was sent on it. After any other error the endpoint may have received the
+/// request; `Endless` and `Malformed` show that it was alive.
 #[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq)]
 pub enum SendError {
     /// cannot connect: {0}
@@ -71,6 +72,8 @@
     Broken(String),
     /// the response exceeds a limit: {0}
     Endless(String),
+    /// the response is malformed: {0}
+    Malformed(String),
 }
 
 impl std::error::Error for SendError {}
@@ -80,6 +83,11 @@
     pub fn is_not_sent(&self) -> bool {
         matches!(self, SendError::NotSent(_))
     }
+
+    /// Returns whether the endpoint was alive: it has sent what cannot be used.
+    pub fn is_of_live_endpoint(&self) -> bool {
+        matches!(self, SendError::Endless(_) | SendError::Malformed(_))
+    }
 }
 
 struct Connection {
@@ -137,18 +145,6 @@
     pub body: PooledBody,
 }
 
-/// How the end of a response's body is marked (RFC 9112, section 6.3).
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyFraming {
-    /// By a length that is known before the body, such as `Content-Length`.
-    Length,
-    /// By the last chunk.
-    Chunked,
-    /// By the end of the connection, so that a body which was cut off by an
-    /// orderly close looks complete.
-    UntilClose,
-}
-
 /// The body of a pooled response, read chunk by chunk.
 pub struct PooledBody {
     incoming: Incoming,
@@ -200,7 +196,8 @@
     /// # Errors
     ///
     /// If no connection can be made within `connect_within`, or the connection
-    /// fails before the head of the response has been received.
+    /// fails before the head of the response has been received, or the head is
+    /// malformed.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -350,9 +347,12 @@
             Ok(response) => {
                 connection.overhead.reset();
                 let (head, incoming) = response.into_parts();
+                let framing = BodyFraming::of(&head).map_err(|cause| {
+                    SendFailure::Failed(SendError::Malformed(cause))
+                })?;
                 let framing = match incoming.is_end_stream() {
                     true => BodyFraming::Length,
-                    false => BodyFraming::of(&head.headers),
+                    false => framing,
                 };
                 let overhead = connection.overhead.clone();
                 let connection = with_keep_alive(connection, &head.headers);
@@ -508,36 +508,6 @@
     }
 }
 
-impl BodyFraming {
-    /// Returns how the body of a response with these headers ends, if it has
-    /// one.
-    fn of(headers: &HeaderMap) -> BodyFraming {
-        let coding =
-            headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
-        if let Some(coding) = coding {
-            let coding = coding.to_str().unwrap_or_default();
-            let last = coding.rsplit(',').next().unwrap_or_default();
-            return match last.trim().eq_ignore_ascii_case("chunked") {
-                true => BodyFraming::Chunked,
-                false => BodyFraming::UntilClose,
-            };
-        }
-        match headers.contains_key(header::CONTENT_LENGTH) {
-            true => BodyFraming::Length,
-            false => BodyFraming::UntilClose,
-        }
-    }
-
-    /// Returns the name used in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            BodyFraming::Length => "length",
-            BodyFraming::Chunked => "chunked",
-            BodyFraming::UntilClose => "until_close",
-        }
-    }
-}
-
 impl PooledBody {
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> BodyFraming {
--- a/crates/transport/tests/broken_answers.rs
+++ b/crates/transport/tests/broken_answers.rs
@@ -9,8 +9,11 @@
 };
 
 use bytes::Bytes;
-use http::Request;
-use sedgewall_transport::{EndpointPool, PooledResponse, SendError};
+use http::{Method, Request};
+use sedgewall_transport::{
+    CallError, EndpointPool, HttpClient, PooledResponse, SendError,
+    client::Call,
+};
 use socket2::SockRef;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -116,3 +119,74 @@
         }
     }
 }
+
+/// Calls an endpoint that answers with these bytes and then closes its side.
+async fn call(
+    method: Method,
+    answer: &[u8],
+) -> Result<(u16, Bytes), CallError> {
+    let answer = answer.to_vec();
+    let (address, _) = endpoint(move |mut stream| {
+        let _ = stream.write_all(&answer);
+        let _ = stream.shutdown(Shutdown::Write);
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let http = HttpClient::new()?;
+    let call = Call::new(method, format!("http://{address}/"));
+    let answer = http.call(call, CONNECT_TIMEOUT).await?;
+    Ok((answer.status.as_u16(), answer.body))
+}
+
+/// Asserts that the client takes none of these answers for one, whatever the
+/// request was.
+fn assert_unreadable(status: &str, fields: &[&[u8]]) {
+    run(async {
+        for fields in fields {
+            for method in [Method::GET, Method::HEAD] {
+                let answer = [
+                    b"HTTP/1.1 ",
+                    status.as_bytes(),
+                    b"\r\n",
+                    fields,
+                    b"\r\n5\r\nwhole\r\n0\r\n\r\n",
+                ];
+                let answer = answer.concat();
+                let called = call(method.clone(), &answer).await;
+                let text = answer.escape_ascii();
+                let is_not_sent =
+                    called.as_ref().is_err_and(CallError::is_not_sent);
+                assert!(called.is_err(), "{method} {text}: {called:?}");
+                assert!(!is_not_sent, "{method} {text}: {called:?}");
+            }
+        }
+    });
+}
+
+/// Fields that do not state exactly one framing.
+const NO_FRAMINGS: [&[u8]; 16] = [
+    b"content-length: ten\r\n",
+    b"content-length: +5\r\n",
+    b"content-length:\r\n",
+    b"content-length: 5, 5\r\n",
+    b"content-length: 5\r\ncontent-length: 5\r\n",
+    b"content-length: \xff5\r\n",
+    b"transfer-encoding: chunke\r\n",
+    b"transfer-encoding: ch\xfcnked\r\n",
+    b"transfer-encoding: chunked;q=1\r\n",
+    b"transfer-encoding:\r\n",
+    b"transfer-encoding: identity\r\n",
+    b"transfer-encoding: gzip, chunked\r\n",
+    b"transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+    b"transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n",
+    b"transfer-encoding: chunked\r\ncontent-length: 3\r\n",
+    b"content-length: 3\r\ntransfer-encoding: chunked\r\n",
+];
+
+/// Guards against framings that are taken for the end of the connection, and
+/// against those of responses that have no body.
+#[test]
+fn a_head_without_one_framing_is_not_read() {
+    for status in ["200 OK", "404 Not Found", "204 No Content", "304 Old"] {
+        assert_unreadable(status, &NO_FRAMINGS);
+    }
+}
