Fail responses whose status ends no request

Callers saw: a 101, or a status of 600 or 999, passed on from an endpoint that sent it.

Cause: the parser takes each number of three digits from 100 on, and returns a 101 as a response, although no request asks for another protocol.

Change: where the framing is decided, a status outside 200 to 599 makes the response malformed (RFC 9110, section 15). Interim responses are skipped before, as they were.

--- a/crates/transport/src/response_head.rs
+++ b/crates/transport/src/response_head.rs
@@ -2,10 +2,17 @@
 //!
 //! The parser takes what it does not know in a head for a body that ends with
 //! its connection, the one framing that any end completes. The invariant: the
-//! head of a response states exactly one framing.
+//! head of a response states exactly one framing, and a status that can end a
+//! request.
+
+use std::ops::RangeInclusive;
 
 use http::{HeaderMap, header, response};
 
+/// The statuses of responses that end a request (RFC 9110, section 15). The
+/// parser skips interim ones, but for 101, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -25,6 +32,10 @@
     ///
     /// Returns the cause if the head is malformed.
     pub(crate) fn of(head: &response::Parts) -> Result<BodyFraming, String> {
+        let status = head.status;
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(format!("status {}", status.as_u16()));
+        }
         let headers = &head.headers;
         let has_length = headers.contains_key(header::CONTENT_LENGTH);
         let has_coding = headers.contains_key(header::TRANSFER_ENCODING);
--- a/crates/transport/tests/broken_answers.rs
+++ b/crates/transport/tests/broken_answers.rs
@@ -190,3 +190,15 @@
         assert_unreadable(status, &NO_FRAMINGS);
     }
 }
+
+/// Guards against callers that get a status which ends no request.
+#[test]
+fn a_status_that_ends_no_request_is_not_read() {
+    let upgrade: &[u8] = b"connection: upgrade\r\nupgrade: x\r\n";
+    for status in [
+        "000 OK", "099 OK", "101 Up", "600 OK", "999 OK", "20 OK", "2000 OK",
+        "2x0 OK", "-20 OK",
+    ] {
+        assert_unreadable(status, &[b"content-length: 5\r\n", upgrade]);
+    }
+}
