--- a/crates/transport/tests/broken_answers.rs
+++ b/crates/transport/tests/broken_answers.rs
@@ -191,6 +191,28 @@
     }
 }
 
+/// Lines that are no field, or whose name has a blank or a control byte.
+const NO_FIELDS: [&[u8]; 12] = [
+    b"content-length 5\r\n",
+    b"content-length\r\n",
+    b": 5\r\n",
+    b" content-length: 5\r\n",
+    b"content-length : 5\r\n",
+    b"content length: 5\r\n",
+    b"content\tlength: 5\r\n",
+    b"content\x01length: 5\r\n",
+    b"content\0length: 5\r\n",
+    b"content-length\x7f: 5\r\n",
+    b"content\rlength: 5\r\n",
+    b"content-l\xe9ngth: 5\r\n",
+];
+
+#[test]
+fn a_head_with_a_line_that_is_no_field_is_not_read() {
+    assert_unreadable("200 OK", &NO_FIELDS);
+    assert_unreadable("204 No Content", &NO_FIELDS);
+}
+
 /// Guards against callers that get a status which ends no request.
 #[test]
 fn a_status_that_ends_no_request_is_not_read() {
