Count an endpoint that sends no response as failed, not as lost

Callers saw nothing of it: they got 502 or another attempt. But an endpoint whose head or chunks the parser refused was recorded as one whose connection broke (run_broken): it was probed for a crash, and its request was kept as one that may have crashed it.

Cause: each error of a connection was SendError::Broken, also those by which the parser says that the endpoint has sent something else than a response.

Change: these are SendError::Malformed, as the heads that the pool refuses: the endpoint has failed and was alive.

--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -10,7 +10,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io::ErrorKind,
+    error::Error,
+    io::{self, ErrorKind},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -382,12 +383,25 @@
 
 /// Returns the error of a connection that has failed.
 fn send_error(overhead: &Overhead, err: &hyper::Error) -> SendError {
-    match overhead.is_exceeded() {
-        true => SendError::Endless(Overhead::cause()),
+    if overhead.is_exceeded() {
+        return SendError::Endless(Overhead::cause());
+    }
+    match err.is_parse() || has_malformed_chunk(err) {
+        true => SendError::Malformed(err.to_string()),
         false => SendError::Broken(err.to_string()),
     }
 }
 
+/// Returns whether a body could not be read because of its framing. The parser
+/// reports that as invalid input.
+fn has_malformed_chunk(err: &hyper::Error) -> bool {
+    let source = err.source();
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|err| {
+        matches!(err.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData)
+    })
+}
+
 enum SendFailure {
     Unsent(Box<Request<Full<Bytes>>>),
     Failed(SendError),
