Answer streams whose first bytes cannot be read

Callers saw: an endpoint sent the head of a stream and then chunks that could not be read; their connection was closed without a byte. On a resumable route they got the head, and nothing behind it.

Cause: the head of a stream was handed to the caller's connection before the first bytes of its body had come, so that nothing was left to answer with when they were broken.

Change: the head waits for the first bytes, for 20 ms at most, and beyond that while another engine is sought for a stream that has failed. Weighed: to wait without a limit, which would hold the head of a stream back for as long as its engine is silent.

--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivers an endpoint's response to the caller: a streamed one as it arrives,
 //! any other one whole.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use http::{Response, StatusCode};
 use sedgewall_fleet::poison::Loss;
@@ -19,6 +19,11 @@
     relay, request_log,
 };
 
+/// How long the head of a stream waits for the first bytes, so that a stream
+/// which has failed by then gets another response. Those of a broken body
+/// mostly come with its head.
+const FIRST_CHUNK_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Returns the caller's response for an endpoint's response.
 pub(crate) async fn forward(
     instance: &Rc<FleetInstance>,
@@ -38,14 +43,19 @@
             forwarding::state_version(&mut headers, version);
             progress.software_version = Some(version.clone());
         }
-        let stream = relay::stream(
+        let (stream, is_resuming) = relay::stream(
             instance.clone(),
-            call,
-            progress,
+            call.clone(),
+            progress.clone(),
             good,
             responder,
             open,
         );
+        let begun = stream.begin(FIRST_CHUNK_TIMEOUT, || is_resuming.get());
+        let begun = instance.before_stop_ends(begun).await;
+        let Some(Ok(stream)) = begun else {
+            return outcome_unknown(&call, &progress);
+        };
         let mut response = Response::new(stream);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -80,6 +90,14 @@
     progress: &Progress,
 ) -> Response<LocalBody> {
     poison::last_run_lost(instance, call, Loss::CallerLeft);
+    outcome_unknown(call, progress)
+}
+
+/// Returns the answer to a request that may have run.
+fn outcome_unknown(
+    call: &CallerRequest,
+    progress: &Progress,
+) -> Response<LocalBody> {
     let reason = Reason::OutcomeUnknown;
     let retry_in = progress.retry_delay(call);
     request_log::refused(call, progress, reason, retry_in);
--- a/crates/sedgewalld/src/fleet/relay.rs
+++ b/crates/sedgewalld/src/fleet/relay.rs
@@ -87,6 +87,8 @@
     /// pauses, it does not include the time that a slow caller takes.
     longest_wait: Duration,
     is_over: bool,
+    /// Whether an engine has failed and another one is sought.
+    is_resuming: Rc<Cell<bool>>,
     /// Whether the response is read ahead of its caller.
     is_reading_ahead: bool,
     /// Whether the endpoint has completed a response that its caller has not
@@ -139,7 +141,8 @@
     Failed,
 }
 
-/// Returns a body that forwards an engine's events.
+/// Returns a body that forwards an engine's events, and whether it looks for
+/// another engine at the moment because one has failed.
 pub(crate) fn stream(
     instance: Rc<FleetInstance>,
     call: Rc<CallerRequest>,
@@ -147,7 +150,7 @@
     good: GoodAnswer,
     responder: Responder,
     open: OpenRequestGuard,
-) -> LocalBody {
+) -> (LocalBody, Rc<Cell<bool>>) {
     let events = match is_event_stream(&good.answer.headers) {
         true if call.route.is_resumable => {
             StreamEvents::resumable(call.metadata.last_event.clone())
@@ -167,13 +170,16 @@
         (head_time, 0),
     );
     relay.events = events;
+    let is_resuming = relay.is_resuming.clone();
     if let Some(buffers) = buffers {
-        return buffered_delivery::stream_body(&buffers, relay);
+        let body = buffered_delivery::stream_body(&buffers, relay);
+        return (body, is_resuming);
     }
-    LocalBody::chunks(stream::unfold(relay, |mut relay| async move {
+    let body = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
         Some((item, relay))
-    }))
+    });
+    (LocalBody::chunks(body), is_resuming)
 }
 
 impl StreamRelay {
@@ -207,6 +213,7 @@
             longest_pause: Duration::ZERO,
             longest_wait: Duration::ZERO,
             is_over: false,
+            is_resuming: Rc::default(),
             is_reading_ahead: false,
             has_unlogged_end: false,
             is_terminated: None,
@@ -248,7 +255,10 @@
                 }
                 Err(failure) => {
                     self.record_lost_run(&failure);
-                    if !self.resume(&failure).await {
+                    self.is_resuming.set(true);
+                    let is_resumed = self.resume(&failure).await;
+                    self.is_resuming.set(false);
+                    if !is_resumed {
                         return Some(Err(self.fail(&failure)));
                     }
                 }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,12 +1,14 @@
 //! A response body that does not have to be `Send`.
 
 use std::{
+    future, io,
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt, stream};
 use hyper::body::{Body, Frame, SizeHint};
 
 /// The chunks of a streamed body.
@@ -42,6 +44,31 @@
     ) -> LocalBody {
         LocalBody::Chunks(Box::pin(stream))
     }
+
+    /// Waits `interval` for the first chunk of a streamed body, and again as
+    /// long as `may_wait` returns true. The returned body still has that chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error if the body fails before its first chunk.
+    pub async fn begin(
+        self,
+        interval: Duration,
+        mut may_wait: impl FnMut() -> bool,
+    ) -> io::Result<LocalBody> {
+        let LocalBody::Chunks(mut chunks) = self else { return Ok(self) };
+        loop {
+            match compio::time::timeout(interval, chunks.next()).await {
+                Ok(Some(first)) => {
+                    let first = stream::once(future::ready(Ok(first?)));
+                    return Ok(LocalBody::chunks(first.chain(chunks)));
+                }
+                Ok(None) => return Ok(LocalBody::empty()),
+                Err(_) if may_wait() => {}
+                Err(_) => return Ok(LocalBody::Chunks(chunks)),
+            }
+        }
+    }
 }
 
 impl Body for LocalBody {
