Send repeatable requests again whose whole response broke off

Callers saw: on a route that allows several attempts, a response that is delivered whole and whose body broke off or could not be read was answered with 502 at once, although nothing had been sent to the caller and another endpoint was there.

Cause: an attempt ended with the head of its response; what came after was read where no further attempt is known. A body that broke did not count as a failure of its endpoint either, unless it exceeded a limit.

Change: a response that breaks off while it is read whole is a failure of its endpoint, and its request is sent again within the route's attempts and the retry budget, else answered with 502. Not so for one that came through another instance, which may have made all attempts.

Evidence: a_whole_answer_that_breaks_off_is_sent_for_again (four ways to break off on /pick/) and the part of the test of first chunks in which another endpoint answers failed on the code before, with 502, and pass now.

--- a/crates/sedgewalld/src/fleet/buffered_delivery.rs
+++ b/crates/sedgewalld/src/fleet/buffered_delivery.rs
@@ -109,12 +109,13 @@
     body(Delivery::new(reserved, &call, source, VecDeque::new()))
 }
 
-/// Reads a response that is not streamed to its end and returns it. If it does
+/// Reads a response that is not streamed to its end and returns it. If it
+/// breaks off, another attempt is made where the route allows one. If it does
 /// not fit the budget, its end is forwarded as it arrives.
 pub(super) async fn forward_whole(
     instance: &Rc<FleetInstance>,
     call: Rc<CallerRequest>,
-    progress: Progress,
+    mut progress: Progress,
     mut good: GoodAnswer,
     responder: Responder,
     open: OpenRequestGuard,
@@ -165,16 +166,23 @@
             body(Delivery::new(reserved, &call, source, chunks))
         }
         Ok(Err(err)) => {
-            let lost = Some(err);
-            return delivery::lost(
-                instance, &call, &progress, &responder, lost,
-            );
-        }
-        Err(_) => {
-            return delivery::lost(
-                instance, &call, &progress, &responder, None,
+            delivery::record_broken(instance, &call, &responder, &err);
+            drop((good, reserved, chunks));
+            let again = delivery::send_again(
+                instance,
+                &call,
+                &mut progress,
+                &responder,
             );
+            let Some((good, responder)) = again.await else {
+                return delivery::outcome_unknown(&call, &progress);
+            };
+            // Bounded by the attempts that the route allows.
+            let forwarding =
+                forward_whole(instance, call, progress, good, responder, open);
+            return Box::pin(forwarding).await;
         }
+        Err(_) => return delivery::timed_out(instance, &call, &progress),
     };
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -16,7 +16,7 @@
     poison,
     progress::Progress,
     refusal::{self, Reason},
-    relay, request_log,
+    relay, request_log, retries,
 };
 
 /// How long the head of a stream waits for the first bytes, so that a stream
@@ -94,54 +94,78 @@
 }
 
 /// Returns the answer to a request that may have run.
-fn outcome_unknown(
+pub(super) fn outcome_unknown(
     call: &CallerRequest,
     progress: &Progress,
 ) -> Response<LocalBody> {
-    let reason = Reason::OutcomeUnknown;
+    refused(call, progress, Reason::OutcomeUnknown)
+}
+
+fn refused(
+    call: &CallerRequest,
+    progress: &Progress,
+    reason: Reason,
+) -> Response<LocalBody> {
     let retry_in = progress.retry_delay(call);
     request_log::refused(call, progress, reason, retry_in);
     refusal::answer(reason, retry_in, call.forwarded.is_some())
 }
 
-/// Returns the answer to a request whose response broke off, or did not arrive
-/// in time if there is no error.
-pub(super) fn lost(
-    instance: &Rc<FleetInstance>,
+/// Returns the answer to a request whose response has not come whole in time.
+pub(super) fn timed_out(
+    instance: &FleetInstance,
     call: &CallerRequest,
     progress: &Progress,
-    responder: &Responder,
-    err: Option<SendError>,
 ) -> Response<LocalBody> {
-    let reason = match err {
-        Some(err) => {
-            let cause = err.to_string();
-            match responder {
-                Responder::Endpoint(target) if err.is_of_live_endpoint() => {
-                    let endpoint = target.id.clone();
-                    let sent_to = SentTo { endpoint, at: call.sent_at() };
-                    poison::response_unusable(instance, call, &sent_to, &err);
-                    instance.record_endpoint_failure(&call.service, target);
-                }
-                Responder::Endpoint(target) => {
-                    let sent = call.sent_at();
-                    let loss = Loss::Broken;
-                    poison::run_broken(
-                        instance, call, target, sent, loss, &cause,
-                    );
-                }
-                Responder::Instance { id, .. } => {
-                    forwarding::body_broken(call, id, &cause);
-                }
-            }
-            Reason::OutcomeUnknown
-        }
-        None => {
-            poison::last_run_lost(instance, call, Loss::Broken);
-            Reason::TimedOut
+    poison::last_run_lost(instance, call, Loss::Broken);
+    refused(call, progress, Reason::TimedOut)
+}
+
+/// Records that a response broke off, which is a failure of its endpoint.
+pub(super) fn record_broken(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    responder: &Responder,
+    err: &SendError,
+) {
+    let cause = err.to_string();
+    let target = match responder {
+        Responder::Endpoint(target) => target,
+        Responder::Instance { id, .. } => {
+            forwarding::body_broken(call, id, &cause);
+            return;
         }
     };
-    let retry_in = progress.retry_delay(call);
-    request_log::refused(call, progress, reason, retry_in);
-    refusal::answer(reason, retry_in, call.forwarded.is_some())
+    let sent = call.sent_at();
+    if err.is_of_live_endpoint() {
+        let sent_to = SentTo { endpoint: target.id.clone(), at: sent };
+        poison::response_unusable(instance, call, &sent_to, err);
+    } else {
+        let loss = Loss::Broken;
+        poison::run_broken(instance, call, target, sent, loss, &cause);
+    }
+    instance.record_endpoint_failure(&call.service, target);
+}
+
+/// Sends a repeatable request again after its response broke off before the
+/// caller got any of it. Returns `None` if no other attempt is allowed, or none
+/// brings a response.
+pub(super) async fn send_again(
+    instance: &Rc<FleetInstance>,
+    call: &CallerRequest,
+    progress: &mut Progress,
+    responder: &Responder,
+) -> Option<(GoodAnswer, Responder)> {
+    // Another instance may have made all attempts. On the route of a stream
+    // the next response may be one, which is not read whole.
+    let target = responder.endpoint().filter(|_| !call.route.is_stream)?;
+    progress.runs += 1;
+    progress.arrivals += 1;
+    progress.open_at.clear();
+    progress.tried.push(target.id.clone());
+    if !retries::may_begin_beside(call, progress, 0) {
+        return None;
+    }
+    let sending = retries::send_with_retries(instance, call, progress, None);
+    instance.before_stop_ends(sending).await?.ok()
 }
