Wait for the first bytes of a stream for some turns only

The head of each stream waited up to 20 ms for the first bytes of its body.

The bytes of a body that is broken from its start come with its head, so that the wait need not last longer than it takes a chunk which has arrived to pass the tasks of its connections: eight turns of the event loop. Beyond that the head waits only while another engine is sought.

--- a/crates/sedgewalld/src/fleet/delivery.rs
+++ b/crates/sedgewalld/src/fleet/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivers an endpoint's response to the caller: a streamed one as it arrives,
 //! any other one whole.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use http::{Response, StatusCode};
 use sedgewall_fleet::poison::Loss;
@@ -19,11 +19,6 @@
     relay, request_log, retries,
 };
 
-/// How long the head of a stream waits for the first bytes, so that a stream
-/// which has failed by then gets another response. Those of a broken body
-/// mostly come with its head.
-const FIRST_CHUNK_TIMEOUT: Duration = Duration::from_millis(20);
-
 /// Returns the caller's response for an endpoint's response.
 pub(crate) async fn forward(
     instance: &Rc<FleetInstance>,
@@ -51,7 +46,9 @@
             responder,
             open,
         );
-        let begun = stream.begin(FIRST_CHUNK_TIMEOUT, || is_resuming.get());
+        // The first bytes of a broken body mostly come with its head, and the
+        // caller can still get another response.
+        let begun = stream.begin(|| is_resuming.get());
         let begun = instance.before_stop_ends(begun).await;
         let Some(Ok(stream)) = begun else {
             return outcome_unknown(&call, &progress);
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -8,9 +8,11 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt, stream};
+use futures_util::{FutureExt, Stream, StreamExt, select_biased, stream};
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::server::yield_now;
+
 /// The chunks of a streamed body.
 ///
 /// An error closes the connection before the end of the body, which tells the
@@ -45,7 +47,7 @@
         LocalBody::Chunks(Box::pin(stream))
     }
 
-    /// Waits `interval` for the first chunk of a streamed body, and again as
+    /// Waits for the first chunk of a streamed body if it has arrived, and as
     /// long as `may_wait` returns true. The returned body still has that chunk.
     ///
     /// # Errors
@@ -53,24 +55,42 @@
     /// Returns the error if the body fails before its first chunk.
     pub async fn begin(
         self,
-        interval: Duration,
         mut may_wait: impl FnMut() -> bool,
     ) -> io::Result<LocalBody> {
         let LocalBody::Chunks(mut chunks) = self else { return Ok(self) };
+        let mut limit: Pin<Box<dyn Future<Output = ()>>> =
+            Box::pin(yield_turns());
         loop {
-            match compio::time::timeout(interval, chunks.next()).await {
-                Ok(Some(first)) => {
-                    let first = stream::once(future::ready(Ok(first?)));
-                    return Ok(LocalBody::chunks(first.chain(chunks)));
+            let first = select_biased! {
+                first = chunks.next().fuse() => first,
+                () = limit.as_mut().fuse() => {
+                    if !may_wait() {
+                        return Ok(LocalBody::Chunks(chunks));
+                    }
+                    limit = Box::pin(compio::time::sleep(CHECK_INTERVAL));
+                    continue;
                 }
-                Ok(None) => return Ok(LocalBody::empty()),
-                Err(_) if may_wait() => {}
-                Err(_) => return Ok(LocalBody::Chunks(chunks)),
-            }
+            };
+            let Some(first) = first else { return Ok(LocalBody::empty()) };
+            let first = stream::once(future::ready(Ok(first?)));
+            return Ok(LocalBody::chunks(first.chain(chunks)));
         }
     }
 }
 
+/// The turns of the event loop in which a chunk that has arrived reaches its
+/// body, through the tasks of the connections that it comes from.
+const ARRIVAL_TURNS: u32 = 8;
+
+/// The interval at which a body that may wait for its first chunk is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+async fn yield_turns() {
+    for _ in 0..ARRIVAL_TURNS {
+        yield_now().await;
+    }
+}
+
 impl Body for LocalBody {
     type Data = Bytes;
     type Error = std::io::Error;
